--- /dev/null
+++ b/verbenaridge/wire/messages.h
@@ -0,0 +1,310 @@
+// Typed messages between daemons. Plain values: the MessagePack encoding is in codec.h.
+//
+// Calls carry their deadline as remaining time; no message carries a wall-clock time except
+// expiries of claims, which hosts compare within the clock-skew bound.
+#ifndef VERBENARIDGE_WIRE_MESSAGES_H_
+#define VERBENARIDGE_WIRE_MESSAGES_H_
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "verbenaridge/base/clock.h"
+#include "verbenaridge/base/ids.h"
+#include "verbenaridge/base/units.h"
+
+namespace verbenaridge::wire {
+
+// Identifies one request at one ingress daemon for as long as any process may speak of it.
+struct HolderId {
+  HostId host;
+  Incarnation incarnation = 0;
+  std::uint64_t sequence = 0;
+
+  friend auto operator<=>(const HolderId&, const HolderId&) = default;
+};
+
+enum class Verdict : std::uint8_t { kGranted = 0, kRefused = 1 };
+
+// Reasons for a refusal that the ingress acts on.
+enum class RefusalReason : std::uint8_t {
+  kNone = 0,
+  kRateLimited = 1,
+  kConcurrencyLimited = 2,
+  kPoison = 3,
+  kDuplicateInFlight = 4,
+  kQueueFull = 5,
+  kDeadline = 6,
+  kTooLarge = 7,
+  kNotOwner = 8,
+  kLeaving = 9,
+  kPlanForbids = 10,
+};
+
+// Account owner: admit a request of a client account.
+struct AdmitRequest {
+  HolderId holder;
+  ClientAccountId client_account;
+  Priority priority = Priority::kStandard;
+  Digest digest = 0;
+  TokenCount tokens = 0;  // prompt and output limit
+  double cost_seconds = 0;
+};
+
+struct AdmitReply {
+  Verdict verdict = Verdict::kRefused;
+  RefusalReason reason = RefusalReason::kNone;
+  Duration retry_after{};
+  bool isolate = false;  // the digest is suspect: run it alone on an endpoint
+};
+
+struct FinishAdmissionRequest {
+  HolderId holder;
+  ClientAccountId client_account;
+  Digest digest = 0;
+  TokenCount tokens_used = 0;
+  double cost_seconds = 0;
+  bool completed = false;  // exonerates a suspect digest
+};
+
+// Endpoint owner: queue a request for a permit. The reply comes when it is granted or refused.
+struct PermitRequest {
+  HolderId holder;
+  AttemptNumber attempt = 1;
+  EndpointId endpoint;
+  ClientAccountId client_account;
+  Priority priority = Priority::kStandard;
+  double weight = 1;
+  TokenCount prompt_tokens = 0;
+  TokenCount max_output_tokens = 0;
+  std::vector<Digest> prefix_blocks;  // digests of the prompt's leading blocks, in order
+  bool isolate = false;
+  bool preemptible = false;
+  ByteCount kv_bytes =
+      0;  // of this endpoint, for a member of a group; zero: predicted by the owner
+};
+
+struct PermitReply {
+  Verdict verdict = Verdict::kRefused;
+  RefusalReason reason = RefusalReason::kNone;
+  std::uint64_t permit = 0;
+  Incarnation owner_incarnation = 0;
+  TokenCount cached_tokens = 0;
+  EndpointId alternative;
+  Duration retry_after{};
+};
+
+struct PermitState {
+  std::uint64_t permit = 0;
+  HolderId holder;
+  EndpointId endpoint;
+  ClientAccountId client_account;
+  Priority priority = Priority::kStandard;
+  ByteCount kv_bytes = 0;
+  double remaining_cost_seconds = 0;
+  bool preemptible = false;
+};
+
+struct RenewPermitsRequest {
+  std::vector<PermitState> permits;
+};
+
+struct RenewPermitsReply {
+  std::vector<std::uint64_t> revoked;
+};
+
+struct ReleasePermitRequest {
+  std::uint64_t permit = 0;
+  HolderId holder;
+  EndpointId endpoint;
+  Outcome outcome = Outcome::kUnknown;
+  bool endpoint_died = false;
+  TokenCount prefill_tokens = 0;
+  TokenCount output_tokens = 0;
+  Duration prefill_time{};
+  Duration decode_time{};
+};
+
+// Owner to ingress: cancel this attempt and ask again; the stream resumes elsewhere.
+struct RevokePermitRequest {
+  std::uint64_t permit = 0;
+  HolderId holder;
+  EndpointId endpoint;
+};
+
+struct ClaimKey {
+  ClientAccountId client_account;
+  ServiceId service;
+  std::string operation;
+  std::string idempotency_key;
+
+  friend auto operator<=>(const ClaimKey&, const ClaimKey&) = default;
+};
+
+struct ClaimRequest {
+  ClaimKey key;
+  Digest fingerprint = 0;  // of the body and the expiry
+  HolderId holder;
+  std::int64_t expiry_unix_ms = 0;
+};
+
+enum class ClaimVerdict : std::uint8_t {
+  kClaimed = 0,     // this holder may dispatch
+  kRecorded = 1,    // ran before; the answer is in the reply
+  kInProgress = 2,  // another holder claimed it and has no result yet
+  kUnknown = 3,     // claimed, holder gone, fate unknown
+  kKeyReused = 4,   // same key, another fingerprint
+  kExpired = 5,
+  kUnavailable = 6,  // the store did not answer; this holder must not dispatch
+  kNotFound = 7,     // look-up only
+};
+
+struct ClaimReply {
+  ClaimVerdict verdict = ClaimVerdict::kUnavailable;
+  int status = 0;
+  std::string content_type;
+  std::string body;
+};
+
+struct RecordOutcomeRequest {
+  ClaimKey key;
+  HolderId holder;
+  Outcome outcome = Outcome::kUnknown;  // kNotRun frees the claim
+  int status = 0;
+  std::string content_type;
+  std::string body;
+};
+
+struct LookUpClaimRequest {
+  ClaimKey key;
+};
+
+struct PushPlanDeltaRequest {
+  PlanVersion from_version = 0;  // 0: `delta` is the whole document
+  PlanVersion to_version = 0;
+  std::string delta;  // encoded by plan_codec
+};
+
+struct PushPlanDeltaReply {
+  PlanVersion version = 0;  // in force at the receiver after the push
+};
+
+struct FetchPlanRequest {
+  PlanVersion have_version = 0;
+  DataCentreId data_centre;  // of the asking daemon
+};
+
+struct FetchPlanReply {
+  PlanVersion version = 0;
+  PlanVersion confirmed_version = 0;  // highest confirmed version known for the asker's data centre
+  bool serving = false;
+  std::string document;  // empty if not newer
+};
+
+struct StatusRequest {};
+
+struct StatusReply {
+  std::string json;
+};
+
+// Operator order, proved with an operator key by the sender.
+struct DrainRequest {
+  std::string target;  // host or endpoint id
+  bool is_endpoint = false;
+  bool undo = false;
+  std::string operator_proof;
+};
+
+// Reply without content.
+struct Acknowledged {};
+
+// Membership and gossip.
+enum class MemberState : std::uint8_t { kAlive = 0, kSuspect = 1, kLeaving = 2, kDead = 3 };
+
+struct MemberEntry {
+  HostId host;
+  DataCentreId data_centre;
+  std::string ip;
+  std::uint16_t port = 0;
+  Incarnation incarnation = 0;
+  MemberState state = MemberState::kAlive;
+};
+
+struct EndpointSummary {
+  EndpointId endpoint;
+  Incarnation owner_incarnation = 0;
+  std::uint64_t sequence = 0;  // newest wins within an owner incarnation
+  ByteCount free_kv_bytes = 0;
+  std::vector<Duration> queue_delay;  // by priority
+  std::uint32_t running = 0;
+  bool leaving = false;
+  std::vector<std::uint32_t> prefix_digest;  // short digests of cached leading blocks
+};
+
+struct SuspectDeath {
+  Digest digest = 0;
+  EndpointId endpoint;
+  Incarnation endpoint_incarnation = 0;
+  std::int64_t expiry_unix_ms = 0;
+};
+
+struct Exoneration {
+  Digest digest = 0;
+  std::int64_t expiry_unix_ms = 0;
+};
+
+struct ConfirmedPlan {
+  DataCentreId data_centre;
+  PlanVersion version = 0;
+};
+
+struct Gossip {
+  PlanVersion plan_version = 0;
+  std::vector<MemberEntry> members;
+  std::vector<EndpointSummary> summaries;
+  std::vector<SuspectDeath> deaths;
+  std::vector<Exoneration> exonerations;
+  std::vector<ConfirmedPlan> confirmed;
+};
+
+struct Ping {
+  std::uint64_t sequence = 0;
+  HostId sender;
+  HostId target;
+  Gossip gossip;
+};
+
+// Asks the receiver to ping `target` on behalf of the sender.
+struct PingRequest {
+  std::uint64_t sequence = 0;
+  HostId sender;
+  HostId target;
+};
+
+struct Ack {
+  std::uint64_t sequence = 0;
+  HostId sender;
+  HostId target;  // the host that is alive
+  Gossip gossip;
+};
+
+// Gossip without a probe.
+struct GossipPush {
+  HostId sender;
+  Gossip gossip;
+};
+
+using Request = std::variant<AdmitRequest, FinishAdmissionRequest, PermitRequest,
+                             RenewPermitsRequest, ReleasePermitRequest, RevokePermitRequest,
+                             ClaimRequest, RecordOutcomeRequest, LookUpClaimRequest,
+                             PushPlanDeltaRequest, FetchPlanRequest, StatusRequest, DrainRequest>;
+
+using Reply = std::variant<Acknowledged, AdmitReply, PermitReply, RenewPermitsReply, ClaimReply,
+                           PushPlanDeltaReply, FetchPlanReply, StatusReply>;
+
+using Datagram = std::variant<Ping, PingRequest, Ack, GossipPush>;
+
+}  // namespace verbenaridge::wire
+
+#endif  // VERBENARIDGE_WIRE_MESSAGES_H_
