Serve callers over HTTP

Callers need an HTTP interface in the form that OpenAI clients speak, and operators one of their own.

--- /dev/null
+++ b/verbenaridge/frontend/http_server.cc
@@ -0,0 +1,354 @@
+#include "verbenaridge/frontend/http_server.h"
+
+#include <strings.h>
+#include <sys/socket.h>
+
+#include <asio/post.hpp>
+#include <charconv>
+#include <restinio/all.hpp>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace verbenaridge::frontend {
+namespace {
+
+// RESTinio closes a connection without an answer if a body exceeds its own limit. Its limit is this
+// many times ours, so that moderately oversized bodies are read and answered with status 413.
+constexpr std::size_t kBodyReadFactor = 2;
+
+// With room for a second request, RESTinio keeps reading during a response and so notices at once
+// that the caller has left.
+constexpr std::size_t kPipelinedRequests = 2;
+
+// The kernel probes a silent caller after this long, and gives up after three lost probes.
+constexpr int kKeepAliveIdleSeconds = 15;
+constexpr int kKeepAliveIntervalSeconds = 5;
+constexpr int kKeepAliveProbes = 3;
+
+using ReusePort = asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>;
+using KeepAliveIdle = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPIDLE>;
+using KeepAliveInterval = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPINTVL>;
+using KeepAliveProbes = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPCNT>;
+
+restinio::http_status_line_t StatusLine(int status) {
+  const char* reason = "Status";
+  switch (status) {
+    case 200:
+      reason = "OK";
+      break;
+    case 400:
+      reason = "Bad Request";
+      break;
+    case 401:
+      reason = "Unauthorized";
+      break;
+    case 404:
+      reason = "Not Found";
+      break;
+    case 429:
+      reason = "Too Many Requests";
+      break;
+    case 503:
+      reason = "Service Unavailable";
+      break;
+    default:
+      break;
+  }
+  return {restinio::http_status_code_t{static_cast<std::uint16_t>(status)}, reason};
+}
+
+class Writer;
+
+// State shared by the server and its connections, which may outlive the server on the loop.
+struct Shared {
+  explicit Shared(asio::io_context& loop) : io_context(loop) {}
+
+  asio::io_context& io_context;
+  HttpService* service = nullptr;
+  bool stopping = false;
+  std::size_t open_responses = 0;
+  std::unordered_multimap<restinio::connection_id_t, std::weak_ptr<Writer>> writers;
+};
+
+class Writer final : public ResponseWriter, public std::enable_shared_from_this<Writer> {
+ public:
+  Writer(std::shared_ptr<Shared> shared, restinio::request_handle_t request)
+      : shared_(std::move(shared)),
+        request_(std::move(request)),
+        connection_(request_->connection_id()) {
+    ++shared_->open_responses;
+  }
+
+  ~Writer() override { Release(); }
+
+  Writer(const Writer&) = delete;
+  Writer& operator=(const Writer&) = delete;
+
+  void Send(int status, std::span<const ResponseHeader> headers, std::string body) override {
+    if (gone_ || ended_ || !request_) return;
+    ended_ = true;
+    auto response = request_->create_response(StatusLine(status));
+    for (const ResponseHeader& header : headers) response.append_header(header.name, header.value);
+    if (shared_->stopping) response.connection_close();
+    unsent_ += body.size();
+    response.set_body(std::move(body));
+    request_.reset();
+    response.done([self = shared_from_this()](const asio::error_code&) { self->Release(); });
+  }
+
+  void StartStream(int status, std::span<const ResponseHeader> headers, bool keep_alive) override {
+    if (gone_ || ended_ || !request_) return;
+    stream_.emplace(
+        request_->create_response<restinio::user_controlled_output_t>(StatusLine(status)));
+    request_.reset();
+    for (const ResponseHeader& header : headers) stream_->append_header(header.name, header.value);
+    stream_->append_header("Transfer-Encoding", "chunked");
+    if (!keep_alive || shared_->stopping) stream_->connection_close();
+  }
+
+  void Append(std::string_view data) override {
+    if (gone_ || ended_ || !stream_ || data.empty()) return;
+    pending_.append(data);
+    unsent_ += data.size();
+    if (in_flight_ == 0) Flush();
+  }
+
+  void Finish() override { End(true); }
+  void Abort() override { End(false); }
+
+  std::size_t unsent_bytes() const override { return unsent_; }
+
+  void SetCallbacks(std::function<void()> gone, std::function<void()> drained) override {
+    on_gone_ = std::move(gone);
+    on_drained_ = std::move(drained);
+    if (gone_) ReportGone();
+  }
+
+  void OnConnectionClosed() {
+    if (gone_ || released_) return;
+    gone_ = true;
+    unsent_ = 0;
+    pending_.clear();
+    ReportGone();
+    Release();
+  }
+
+ private:
+  // Tokens that arrive during a write are sent together with the next one.
+  void Flush() {
+    std::array<char, 16> size{};
+    const auto [end, error] =
+        std::to_chars(size.data(), size.data() + size.size(), pending_.size(), 16);
+    std::string chunk(size.data(), end);
+    chunk.append("\r\n").append(pending_).append("\r\n");
+    in_flight_ = pending_.size();
+    pending_.clear();
+    stream_->append_body(std::move(chunk));
+    stream_->flush([self = shared_from_this()](const asio::error_code& error) {
+      if (!error) self->OnWritten();
+    });
+  }
+
+  void OnWritten() {
+    if (gone_) return;
+    unsent_ -= in_flight_;
+    in_flight_ = 0;
+    if (!pending_.empty()) {
+      Flush();
+    } else if (ended_) {
+      Complete();
+    }
+    if (on_drained_ && !ended_) asio::post(shared_->io_context, on_drained_);
+  }
+
+  void End(bool with_end_mark) {
+    if (gone_ || ended_ || !stream_) return;
+    ended_ = true;
+    end_mark_ = with_end_mark;
+    if (in_flight_ == 0) Complete();
+  }
+
+  void Complete() {
+    if (end_mark_) stream_->append_body("0\r\n\r\n");
+    stream_->done([self = shared_from_this()](const asio::error_code&) { self->Release(); });
+  }
+
+  void ReportGone() {
+    if (on_gone_) asio::post(shared_->io_context, std::exchange(on_gone_, nullptr));
+  }
+
+  // Drops the callbacks, which may hold the request's state.
+  void Release() {
+    if (released_) return;
+    released_ = true;
+    --shared_->open_responses;
+    unsent_ = 0;
+    on_gone_ = nullptr;
+    on_drained_ = nullptr;
+    const auto [begin, end] = shared_->writers.equal_range(connection_);
+    for (auto it = begin; it != end;) {
+      const auto writer = it->second.lock();
+      it = !writer || writer.get() == this ? shared_->writers.erase(it) : std::next(it);
+    }
+  }
+
+  const std::shared_ptr<Shared> shared_;
+  restinio::request_handle_t request_;
+  const restinio::connection_id_t connection_;
+  std::optional<restinio::response_builder_t<restinio::user_controlled_output_t>> stream_;
+  std::string pending_;
+  std::size_t in_flight_ = 0;
+  std::size_t unsent_ = 0;
+  bool ended_ = false;
+  bool end_mark_ = true;
+  bool gone_ = false;
+  bool released_ = false;
+  std::function<void()> on_gone_;
+  std::function<void()> on_drained_;
+};
+
+class ConnectionListener {
+ public:
+  explicit ConnectionListener(std::shared_ptr<Shared> shared) : shared_(std::move(shared)) {}
+
+  // Name required by RESTinio.
+  void state_changed(const restinio::connection_state::notice_t& notice) noexcept {
+    if (!restinio::holds_alternative<restinio::connection_state::closed_t>(notice.cause())) return;
+    const auto [begin, end] = shared_->writers.equal_range(notice.connection_id());
+    std::vector<std::shared_ptr<Writer>> writers;
+    for (auto it = begin; it != end; ++it) {
+      if (auto writer = it->second.lock()) writers.push_back(std::move(writer));
+    }
+    for (const auto& writer : writers) writer->OnConnectionClosed();
+  }
+
+ private:
+  const std::shared_ptr<Shared> shared_;
+};
+
+struct Traits : public restinio::default_single_thread_traits_t {
+  using connection_state_listener_t = ConnectionListener;
+  using request_handler_t =
+      std::function<restinio::request_handling_status_t(restinio::request_handle_t)>;
+  static constexpr bool use_connection_count_limiter =
+      true;  // NOLINT(readability-identifier-naming)
+};
+
+restinio::request_handling_status_t Serve(const std::shared_ptr<Shared>& shared,
+                                          const restinio::request_handle_t& request) {
+  if (shared->service == nullptr) return restinio::request_rejected();
+  auto writer = std::make_shared<Writer>(shared, request);
+  shared->writers.emplace(request->connection_id(), writer);
+  const std::string method = request->header().method().c_str();
+  std::vector<HeaderField> headers;
+  request->header().for_each_field([&](const restinio::http_header_field_t& field) {
+    headers.push_back({field.name(), field.value()});
+  });
+  shared->service->Handle({.method = method,
+                           .target = request->header().request_target(),
+                           .headers = headers,
+                           .body = request->body()},
+                          std::move(writer));
+  return restinio::request_accepted();
+}
+
+restinio::server_settings_t<Traits> MakeSettings(const HttpServer::Options& options,
+                                                 const std::shared_ptr<Shared>& shared,
+                                                 std::uint16_t& port) {
+  restinio::server_settings_t<Traits> settings;
+  settings.port(options.port)
+      .address(options.address)
+      .max_pipelined_requests(kPipelinedRequests)
+      .max_parallel_connections(options.max_connections)
+      .read_next_http_message_timelimit(options.read_timeout)
+      .write_http_response_timelimit(options.write_timeout)
+      .handle_request_timeout(options.quiet_timeout)
+      .timer_manager(options.timeout_check_period)
+      .incoming_http_msg_limits(restinio::incoming_http_msg_limits_t{}
+                                    .max_url_size(options.max_target_bytes)
+                                    .max_field_name_size(256)
+                                    .max_field_value_size(options.max_header_value_bytes)
+                                    .max_field_count(options.max_header_count)
+                                    .max_body_size(options.max_body_bytes * kBodyReadFactor))
+      .acceptor_options_setter([share = options.share_port](auto& acceptor_options) {
+        acceptor_options.set_option(asio::socket_base::reuse_address(true));
+        if (share) acceptor_options.set_option(ReusePort(true));
+      })
+      .socket_options_setter([](auto& socket_options) {
+        socket_options.set_option(asio::ip::tcp::no_delay(true));
+        socket_options.set_option(asio::socket_base::keep_alive(true));
+        socket_options.set_option(KeepAliveIdle(kKeepAliveIdleSeconds));
+        socket_options.set_option(KeepAliveInterval(kKeepAliveIntervalSeconds));
+        socket_options.set_option(KeepAliveProbes(kKeepAliveProbes));
+      })
+      .acceptor_post_bind_hook(
+          [&port](asio::ip::tcp::acceptor& acceptor) { port = acceptor.local_endpoint().port(); })
+      .connection_state_listener(std::make_shared<ConnectionListener>(shared))
+      .request_handler(
+          [shared](const restinio::request_handle_t& request) { return Serve(shared, request); });
+  return settings;
+}
+
+}  // namespace
+
+std::string_view HttpCall::header(std::string_view name) const {
+  for (const HeaderField& field : headers) {
+    if (field.name.size() == name.size() &&
+        strncasecmp(field.name.data(), name.data(), name.size()) == 0) {
+      return field.value;
+    }
+  }
+  return {};
+}
+
+class HttpServer::Impl {
+ public:
+  Impl(asio::io_context& io_context, const Options& options, HttpService& service)
+      : shared_(std::make_shared<Shared>(io_context)),
+        server_(restinio::external_io_context(io_context), MakeSettings(options, shared_, port_)) {
+    shared_->service = &service;
+  }
+
+  ~Impl() { shared_->service = nullptr; }
+
+  Impl(const Impl&) = delete;
+  Impl& operator=(const Impl&) = delete;
+
+  Status Open() {
+    try {
+      server_.open_sync();
+    } catch (const std::exception&) {
+      return Errc::kUnavailable;
+    }
+    return Ok();
+  }
+
+  void StopAccepting() {
+    shared_->stopping = true;
+    server_.close_sync();
+  }
+
+  std::uint16_t port() const { return port_; }
+  std::size_t open_responses() const { return shared_->open_responses; }
+
+ private:
+  std::uint16_t port_ = 0;
+  std::shared_ptr<Shared> shared_;
+  restinio::http_server_t<Traits> server_;
+};
+
+HttpServer::HttpServer(asio::io_context& io_context, const Options& options, HttpService& service)
+    : impl_(std::make_unique<Impl>(io_context, options, service)) {}
+
+HttpServer::~HttpServer() = default;
+
+Status HttpServer::Open() { return impl_->Open(); }
+
+void HttpServer::StopAccepting() { impl_->StopAccepting(); }
+
+std::uint16_t HttpServer::port() const { return impl_->port(); }
+
+std::size_t HttpServer::open_responses() const { return impl_->open_responses(); }
+
+}  // namespace verbenaridge::frontend
