--- a/verbenaridge/frontend/caller_server_test.cc
+++ b/verbenaridge/frontend/caller_server_test.cc
@@ -132,7 +132,7 @@
        Post(kStreamed, "X-Request-Id: r-7\r\n"),
        {"200 OK", "X-Request-Id: r-7", "\"text\":\"a \"", "\"text\":\"b \"", "data: [DONE]\n\n",
         "\r\n0\r\n\r\n"},
-       "event: error"},
+       "Content-Length"},
       {"whole", Post(kWhole), {"200 OK", "\"text\":\"a b \"", "\"total_tokens\":5,"}, "data:"},
       {"service",
        Post("{}", "Idempotency-Key: k\r\n", "/v1/services/order/create"),
--- a/verbenaridge/frontend/completion_sinks.cc
+++ b/verbenaridge/frontend/completion_sinks.cc
@@ -53,7 +53,7 @@
     const std::array<ResponseHeader, 3> headers = {{{"Content-Type", "text/event-stream"},
                                                     {"Cache-Control", "no-cache"},
                                                     {"X-Request-Id", request_id_.value()}}};
-    writer_->StartStream(200, headers, true);
+    writer_->StartStream(200, headers);
   }
 
   const std::shared_ptr<ResponseWriter> writer_;
--- a/verbenaridge/frontend/http_server.cc
+++ b/verbenaridge/frontend/http_server.cc
@@ -4,8 +4,8 @@
 #include <sys/socket.h>
 
 #include <asio/post.hpp>
-#include <charconv>
 #include <restinio/all.hpp>
+#include <stdexcept>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -97,14 +97,12 @@
     response.done([self = shared_from_this()](const asio::error_code&) { self->Release(); });
   }
 
-  void StartStream(int status, std::span<const ResponseHeader> headers, bool keep_alive) override {
+  void StartStream(int status, std::span<const ResponseHeader> headers) override {
     if (gone_ || ended_ || !request_) return;
-    stream_.emplace(
-        request_->create_response<restinio::user_controlled_output_t>(StatusLine(status)));
+    stream_.emplace(request_->create_response<restinio::chunked_output_t>(StatusLine(status)));
     request_.reset();
     for (const ResponseHeader& header : headers) stream_->append_header(header.name, header.value);
-    stream_->append_header("Transfer-Encoding", "chunked");
-    if (!keep_alive || shared_->stopping) stream_->connection_close();
+    if (shared_->stopping) stream_->connection_close();
   }
 
   void Append(std::string_view data) override {
@@ -114,8 +112,19 @@
     if (in_flight_ == 0) Flush();
   }
 
-  void Finish() override { End(true); }
-  void Abort() override { End(false); }
+  void Finish() override {
+    if (gone_ || ended_ || !stream_) return;
+    ended_ = true;
+    if (in_flight_ == 0) Complete();
+  }
+
+  // RESTinio closes a connection whose write notificator throws, and has no call for it.
+  void Abort() override {
+    if (gone_ || ended_ || !stream_) return;
+    ended_ = true;
+    on_gone_ = nullptr;
+    stream_->flush([](const asio::error_code&) { throw std::runtime_error("aborted"); });
+  }
 
   std::size_t unsent_bytes() const override { return unsent_; }
 
@@ -130,21 +139,15 @@
     gone_ = true;
     unsent_ = 0;
     pending_.clear();
-    ReportGone();
+    if (!ended_) ReportGone();
     Release();
   }
 
  private:
   // Tokens that arrive during a write are sent together with the next one.
   void Flush() {
-    std::array<char, 16> size{};
-    const auto [end, error] =
-        std::to_chars(size.data(), size.data() + size.size(), pending_.size(), 16);
-    std::string chunk(size.data(), end);
-    chunk.append("\r\n").append(pending_).append("\r\n");
     in_flight_ = pending_.size();
-    pending_.clear();
-    stream_->append_body(std::move(chunk));
+    stream_->append_chunk(std::exchange(pending_, {}));
     stream_->flush([self = shared_from_this()](const asio::error_code& error) {
       if (!error) self->OnWritten();
     });
@@ -154,23 +157,16 @@
     if (gone_) return;
     unsent_ -= in_flight_;
     in_flight_ = 0;
-    if (!pending_.empty()) {
-      Flush();
-    } else if (ended_) {
+    if (ended_) {
       Complete();
+      return;
     }
-    if (on_drained_ && !ended_) asio::post(shared_->io_context, on_drained_);
-  }
-
-  void End(bool with_end_mark) {
-    if (gone_ || ended_ || !stream_) return;
-    ended_ = true;
-    end_mark_ = with_end_mark;
-    if (in_flight_ == 0) Complete();
+    if (!pending_.empty()) Flush();
+    if (on_drained_) asio::post(shared_->io_context, on_drained_);
   }
 
   void Complete() {
-    if (end_mark_) stream_->append_body("0\r\n\r\n");
+    if (!pending_.empty()) stream_->append_chunk(std::exchange(pending_, {}));
     stream_->done([self = shared_from_this()](const asio::error_code&) { self->Release(); });
   }
 
@@ -196,12 +192,11 @@
   const std::shared_ptr<Shared> shared_;
   restinio::request_handle_t request_;
   const restinio::connection_id_t connection_;
-  std::optional<restinio::response_builder_t<restinio::user_controlled_output_t>> stream_;
+  std::optional<restinio::response_builder_t<restinio::chunked_output_t>> stream_;
   std::string pending_;
   std::size_t in_flight_ = 0;
   std::size_t unsent_ = 0;
   bool ended_ = false;
-  bool end_mark_ = true;
   bool gone_ = false;
   bool released_ = false;
   std::function<void()> on_gone_;
@@ -231,8 +226,8 @@
   using connection_state_listener_t = ConnectionListener;
   using request_handler_t =
       std::function<restinio::request_handling_status_t(restinio::request_handle_t)>;
-  static constexpr bool use_connection_count_limiter =
-      true;  // NOLINT(readability-identifier-naming)
+  // NOLINTNEXTLINE(readability-identifier-naming): RESTinio looks for this name.
+  static constexpr bool use_connection_count_limiter = true;
 };
 
 restinio::request_handling_status_t Serve(const std::shared_ptr<Shared>& shared,
--- a/verbenaridge/frontend/http_server.h
+++ b/verbenaridge/frontend/http_server.h
@@ -49,14 +49,12 @@
 
   virtual void Send(int status, std::span<const ResponseHeader> headers, std::string body) = 0;
 
-  // A response whose length is not known yet. `keep_alive` false closes the connection at its end.
-  virtual void StartStream(int status, std::span<const ResponseHeader> headers,
-                           bool keep_alive) = 0;
+  // A response whose length is not known yet.
+  virtual void StartStream(int status, std::span<const ResponseHeader> headers) = 0;
   virtual void Append(std::string_view data) = 0;
   virtual void Finish() = 0;
 
-  // Closes the connection without the end mark, so that the caller sees a broken transfer. Needs a
-  // stream that was started with `keep_alive` false.
+  // Closes the connection in the middle of a stream, so that the caller sees a broken transfer.
   virtual void Abort() = 0;
 
   // Bytes appended and not yet written to the socket.
