--- /dev/null
+++ b/verbenaridge/settings/internal/object_reader.h
@@ -0,0 +1,90 @@
+// Reads one JSON object key by key and collects every fault with its JSON path.
+//
+//   ObjectReader reader(json, "/limits", errors);
+//   limits.body_bytes = reader.Integer("body_bytes", {.minimum = 1024, .maximum = 1 << 30});
+//   reader.RefuseUnknownKeys();
+#ifndef VERBENARIDGE_SETTINGS_INTERNAL_OBJECT_READER_H_
+#define VERBENARIDGE_SETTINGS_INTERNAL_OBJECT_READER_H_
+
+#include <cstdint>
+#include <functional>
+#include <nlohmann/json.hpp>
+#include <set>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "verbenaridge/settings/settings.h"
+
+namespace verbenaridge::settings::internal {
+
+// Collects faults of one file.
+class ErrorList {
+ public:
+  explicit ErrorList(std::string_view file) : file_(file) {}
+
+  void Add(std::string_view path, std::string_view expected) {
+    errors_.push_back({file_, std::string(path), std::string(expected)});
+  }
+
+  std::vector<SettingError> Take() { return std::move(errors_); }
+
+ private:
+  std::string file_;
+  std::vector<SettingError> errors_;
+};
+
+struct IntegerRange {
+  std::int64_t minimum = 0;
+  std::int64_t maximum = 0;
+};
+
+struct NumberRange {
+  double minimum = 0;
+  double maximum = 0;
+};
+
+// Keys that are absent leave the given value unchanged, unless they are required.
+class ObjectReader {
+ public:
+  enum class Presence { kOptional, kRequired };
+
+  ObjectReader(const nlohmann::json& value, std::string path, ErrorList& errors);
+
+  void Text(std::string_view key, std::string& out, Presence presence = Presence::kRequired);
+  void OneOf(std::string_view key, std::span<const std::string_view> allowed, std::string& out);
+  void Boolean(std::string_view key, bool& out);
+  std::int64_t Integer(std::string_view key, IntegerRange range, std::int64_t fallback,
+                       Presence presence = Presence::kOptional);
+  double Number(std::string_view key, NumberRange range, double fallback,
+                Presence presence = Presence::kOptional);
+  Duration Milliseconds(std::string_view key, IntegerRange range, Duration fallback);
+  void Address(std::string_view key, SocketAddress& out);
+  void Url(std::string_view key, std::string& out);
+  void Texts(std::string_view key, std::vector<std::string>& out,
+             Presence presence = Presence::kRequired);
+
+  // Calls `read` for each element of an array of objects.
+  void Objects(std::string_view key, const std::function<void(ObjectReader&)>& read,
+               Presence presence = Presence::kRequired);
+  // Calls `read` for an optional object.
+  void Object(std::string_view key, const std::function<void(ObjectReader&)>& read,
+              Presence presence = Presence::kRequired);
+
+  void RefuseUnknownKeys();
+  void Fault(std::string_view key, std::string_view expected);
+
+ private:
+  const nlohmann::json* Find(std::string_view key, Presence presence, std::string_view expected);
+  std::string PathOf(std::string_view key) const;
+
+  const nlohmann::json& value_;
+  std::string path_;
+  ErrorList& errors_;
+  std::set<std::string, std::less<>> known_;
+};
+
+}  // namespace verbenaridge::settings::internal
+
+#endif  // VERBENARIDGE_SETTINGS_INTERNAL_OBJECT_READER_H_
