Let endpoint owners confirm the death of an endpoint

Cause: an ingress sees a broken stream, which may be a network fault; counting it as a death would refuse innocent requests as poison. Change: permit requests carry the digest, a release of a broken attempt is answered with the endpoint owner's finding, and finished admissions report the deaths seen. HolderId moves to the base package. Conclusion: interface change only; no behaviour yet.

--- a/verbenaridge/wire/messages.h
+++ b/verbenaridge/wire/messages.h
@@ -11,20 +11,12 @@
 #include <vector>
 
 #include "verbenaridge/base/clock.h"
+#include "verbenaridge/base/holder.h"
 #include "verbenaridge/base/ids.h"
 #include "verbenaridge/base/units.h"
 
 namespace verbenaridge::wire {
 
-// Identifies one request at one ingress daemon for as long as any process may speak of it.
-struct HolderId {
-  HostId host;
-  Incarnation incarnation = 0;
-  std::uint64_t sequence = 0;
-
-  friend auto operator<=>(const HolderId&, const HolderId&) = default;
-};
-
 enum class Verdict : std::uint8_t { kGranted = 0, kRefused = 1 };
 
 // Reasons for a refusal that the ingress acts on.
@@ -40,6 +32,7 @@
   kNotOwner = 8,
   kLeaving = 9,
   kPlanForbids = 10,
+  kNotServing = 11,  // the owner has no plan that it may serve
 };
 
 // Account owner: admit a request of a client account.
@@ -59,13 +52,22 @@
   bool isolate = false;  // the digest is suspect: run it alone on an endpoint
 };
 
+// One request digest was in flight when one incarnation of an endpoint died.
+struct SuspectDeath {
+  Digest digest = 0;
+  EndpointId endpoint;
+  Incarnation endpoint_incarnation = 0;
+  std::int64_t expiry_unix_ms = 0;
+};
+
 struct FinishAdmissionRequest {
   HolderId holder;
   ClientAccountId client_account;
   Digest digest = 0;
   TokenCount tokens_used = 0;
   double cost_seconds = 0;
-  bool completed = false;  // exonerates a suspect digest
+  bool completed = false;            // exonerates a suspect digest
+  std::vector<SuspectDeath> deaths;  // that the holder saw
 };
 
 // Endpoint owner: queue a request for a permit. The reply comes when it is granted or refused.
@@ -78,6 +80,8 @@
   double weight = 1;
   TokenCount prompt_tokens = 0;
   TokenCount max_output_tokens = 0;
+  ModelId model;
+  Digest digest = 0;
   std::vector<Digest> prefix_blocks;  // digests of the prompt's leading blocks, in order
   bool isolate = false;
   bool preemptible = false;
@@ -90,6 +94,7 @@
   RefusalReason reason = RefusalReason::kNone;
   std::uint64_t permit = 0;
   Incarnation owner_incarnation = 0;
+  Incarnation endpoint_incarnation = 0;
   TokenCount cached_tokens = 0;
   EndpointId alternative;
   Duration retry_after{};
@@ -119,13 +124,18 @@
   HolderId holder;
   EndpointId endpoint;
   Outcome outcome = Outcome::kUnknown;
-  bool endpoint_died = false;
+  bool broken = false;  // the owner finds out whether the endpoint died and says so in the reply
   TokenCount prefill_tokens = 0;
   TokenCount output_tokens = 0;
   Duration prefill_time{};
   Duration decode_time{};
 };
 
+struct ReleasePermitReply {
+  bool endpoint_died = false;
+  Incarnation endpoint_incarnation = 0;  // the one that died
+};
+
 // Owner to ingress: cancel this attempt and ask again; the stream resumes elsewhere.
 struct RevokePermitRequest {
   std::uint64_t permit = 0;
@@ -242,13 +252,6 @@
   std::vector<std::uint32_t> prefix_digest;  // short digests of cached leading blocks
 };
 
-struct SuspectDeath {
-  Digest digest = 0;
-  EndpointId endpoint;
-  Incarnation endpoint_incarnation = 0;
-  std::int64_t expiry_unix_ms = 0;
-};
-
 struct Exoneration {
   Digest digest = 0;
   std::int64_t expiry_unix_ms = 0;
@@ -301,7 +304,7 @@
                              PushPlanDeltaRequest, FetchPlanRequest, StatusRequest, DrainRequest>;
 
 using Reply = std::variant<Acknowledged, AdmitReply, PermitReply, RenewPermitsReply, ClaimReply,
-                           PushPlanDeltaReply, FetchPlanReply, StatusReply>;
+                           PushPlanDeltaReply, FetchPlanReply, StatusReply, ReleasePermitReply>;
 
 using Datagram = std::variant<Ping, PingRequest, Ack, GossipPush>;
 
