Add the cost model, the account ledger and the fair queue

Cause: the daemon needs predictions, fleet-wide limits and an endpoint queue that know nothing of HTTP. Change: packages cost, admission and queueing, and HolderId in base, because decision packages may not include wire headers. A NOLINT in base/ids.h covers a clang-tidy 14 false positive that any ordered container of ids meets.

--- /dev/null
+++ b/verbenaridge/admission/account_ledger.h
@@ -0,0 +1,162 @@
+// Limits of client accounts, kept by the daemon that owns the accounts.
+//
+// Requests/s and tokens/s are token buckets; concurrent cost, identical digests in flight and
+// suspects are counted from admissions, each with a holder id and an expiry.
+//
+// Error bounds, for a limit of r per second with burst b over any span T:
+// - stable owner: at most r T + b, whatever the number of ingress points;
+// - each owner change adds at most b / 2, because a new owner starts with half a burst. Until
+//   `presentation_time` has passed, it also grants only half of the concurrent cost, so that the
+//   sum of what it grants and of what holders present later is at most 1.5 times the limit;
+// - ingress points that decide alone use `LocalShare(limits, n)`: k of n such points add at most
+//   (k / n) (r T + b).
+//
+//   AccountLedger ledger;
+//   ledger.SetLimits(account, limits, BucketStart::kHalf, now);
+//   AdmitDecision decision = ledger.Admit({.holder = holder, .account = account, ...}, now);
+//   ...
+//   ledger.Finish(holder, account, {.completed = true}, now);
+#ifndef VERBENARIDGE_ADMISSION_ACCOUNT_LEDGER_H_
+#define VERBENARIDGE_ADMISSION_ACCOUNT_LEDGER_H_
+
+#include <cstdint>
+#include <set>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "verbenaridge/admission/token_bucket.h"
+#include "verbenaridge/base/clock.h"
+#include "verbenaridge/base/holder.h"
+#include "verbenaridge/base/ids.h"
+#include "verbenaridge/base/units.h"
+
+namespace verbenaridge::admission {
+
+struct AdmissionOptions {
+  std::size_t max_identical = 2;               // identical digests in flight before the first death
+  std::uint32_t max_deaths = 2;                // a digest with as many endpoint deaths is refused
+  Duration expiry = std::chrono::minutes(10);  // of an admission whose holder is silent
+  Duration presentation_time = std::chrono::seconds(6);
+  Duration duplicate_retry = std::chrono::seconds(1);
+};
+
+// What a plan grants. Zero means no limit; an empty set permits everything.
+struct AccountLimits {
+  double requests_per_second = 0;
+  double request_burst = 0;  // zero: one second's worth
+  double tokens_per_second = 0;
+  double token_burst = 0;      // zero: one second's worth
+  double concurrent_cost = 0;  // seconds of endpoint time
+  std::set<ModelId> models{};
+  std::set<ServiceId> services{};
+  std::set<Priority> priorities{};
+};
+
+// The limits for one of `live_daemons` ingress points that decides alone.
+AccountLimits LocalShare(const AccountLimits& limits, std::size_t live_daemons);
+
+enum class BucketStart : std::uint8_t { kFull, kHalf };
+
+enum class AdmitReason : std::uint8_t {
+  kNone,
+  kUnknownAccount,
+  kPlanForbids,
+  kRateLimited,
+  kConcurrencyLimited,
+  kDuplicateInFlight,
+  kPoison,
+};
+
+struct AdmitInput {
+  HolderId holder{};
+  ClientAccountId account{};
+  ModelId model{};      // empty for a service call
+  ServiceId service{};  // empty for a completion
+  Priority priority = Priority::kStandard;
+  Digest digest = 0;  // zero: not compared
+  TokenCount tokens = 0;
+  double cost_seconds = 0;
+  std::uint32_t deaths = 0;  // endpoint deaths that the suspect registry counts for the digest
+};
+
+struct AdmitDecision {
+  bool admitted = false;
+  AdmitReason reason = AdmitReason::kNone;
+  Duration retry_after{};
+  bool isolate = false;  // suspect: run it alone on an endpoint
+};
+
+// An admission that a holder presents to a new owner.
+struct Presentation {
+  HolderId holder{};
+  ClientAccountId account{};
+  Digest digest = 0;
+  double cost_seconds = 0;
+  bool isolated = false;
+};
+
+struct FinishInput {
+  TokenCount tokens_admitted = 0;
+  TokenCount tokens_used = 0;  // unused tokens are given back
+};
+
+// Used by one thread.
+class AccountLedger {
+ public:
+  explicit AccountLedger(AdmissionOptions options = {}) : options_(options) {}
+
+  // The plan's limits; the first call for an account decides how its buckets start.
+  void SetLimits(const ClientAccountId& account, AccountLimits limits, BucketStart start,
+                 TimePoint now);
+  void RemoveAccount(const ClientAccountId& account) { accounts_.erase(account); }
+
+  // Repeating a holder's admission answers as before and charges nothing.
+  AdmitDecision Admit(const AdmitInput& input, TimePoint now);
+
+  // Unknown holders are ignored: an admission may have expired or belong to an earlier owner.
+  void Finish(const HolderId& holder, const ClientAccountId& account, const FinishInput& input,
+              TimePoint now);
+
+  // Counts an admission of an earlier owner, and renews one that is known.
+  void Present(const Presentation& presentation, TimePoint now);
+
+  // Drops admissions past their expiry.
+  void Expire(TimePoint now);
+
+  // Drops the admissions of a daemon that died or restarted with a newer incarnation.
+  void ExpireHost(const HostId& host, Incarnation before);
+
+  double concurrent_cost(const ClientAccountId& account) const;
+  std::size_t in_flight(const ClientAccountId& account) const;
+
+ private:
+  struct Admission {
+    Digest digest = 0;
+    double cost = 0;
+    bool isolated = false;
+    TimePoint expiry{};
+  };
+  struct Account {
+    AccountLimits limits;
+    TokenBucket requests{0, 0, 0, {}};
+    TokenBucket tokens{0, 0, 0, {}};
+    bool inherited = false;
+    TimePoint presented_by{};  // until then, holders of an earlier owner may be unknown
+    std::unordered_map<HolderId, Admission> admissions;
+    std::unordered_map<Digest, std::size_t> digests;
+    std::unordered_map<Digest, std::size_t> suspects;
+    double cost = 0;
+  };
+
+  AdmitDecision Check(Account& account, const AdmitInput& input, TimePoint now) const;
+  void Add(Account& account, const HolderId& holder, const Admission& admission);
+  void Remove(Account& account, std::unordered_map<HolderId, Admission>::iterator admission);
+
+  AdmissionOptions options_;
+  std::unordered_map<ClientAccountId, Account> accounts_;
+};
+
+}  // namespace verbenaridge::admission
+
+#endif  // VERBENARIDGE_ADMISSION_ACCOUNT_LEDGER_H_
--- a/verbenaridge/base/ids.h
+++ b/verbenaridge/base/ids.h
@@ -25,7 +25,9 @@
   const std::string& value() const { return value_; }
   bool empty() const { return value_.empty(); }
 
-  friend auto operator<=>(const StringId&, const StringId&) = default;
+  // clang-tidy 14 takes the literal 0 of a rewritten comparison for a null pointer.
+  friend auto operator<=>(const StringId&,
+                          const StringId&) = default;  // NOLINT(modernize-use-nullptr)
   friend std::ostream& operator<<(std::ostream& out, const StringId& id) {
     return out << id.value_;
   }
--- /dev/null
+++ b/verbenaridge/queueing/served_window.cc
@@ -0,0 +1,26 @@
+#include "verbenaridge/queueing/served_window.h"
+
+#include <algorithm>
+
+namespace verbenaridge::queueing {
+
+void ServedWindow::Advance(TimePoint now) {
+  const std::int64_t slot = now.time_since_epoch() / slot_length_;
+  const std::int64_t steps = std::min<std::int64_t>(slot - newest_, kSlots);
+  for (std::int64_t i = 1; i <= steps; ++i) slots_[(slot - steps + i) % kSlots].fill(0);
+  if (steps <= 0) return;
+  newest_ = slot;
+  // Summed afresh, so that rounding errors do not build up over days.
+  sums_.fill(0);
+  for (const auto& cells : slots_) {
+    for (std::size_t rank = 0; rank < kPriorityCount; ++rank) sums_[rank] += cells[rank];
+  }
+}
+
+void ServedWindow::Add(Priority priority, double cost, TimePoint now) {
+  Advance(now);
+  slots_[newest_ % kSlots][Rank(priority)] += cost;
+  sums_[Rank(priority)] += cost;
+}
+
+}  // namespace verbenaridge::queueing
