Let ingress daemons present running requests to a new account owner

Cause: a new account owner does not know the requests that its predecessor admitted. Change: AdmitRequest has a flag for requests that already run; the end of an admission says how many tokens were admitted, so that unused ones are given back. Conclusion: interface change only.

--- a/verbenaridge/wire/messages.h
+++ b/verbenaridge/wire/messages.h
@@ -43,6 +43,7 @@
   Digest digest = 0;
   TokenCount tokens = 0;  // prompt and output limit
   double cost_seconds = 0;
+  bool present = false;  // running already, admitted by an earlier owner
 };
 
 struct AdmitReply {
@@ -64,8 +65,8 @@
   HolderId holder;
   ClientAccountId client_account;
   Digest digest = 0;
+  TokenCount tokens_admitted = 0;
   TokenCount tokens_used = 0;
-  double cost_seconds = 0;
   bool completed = false;            // exonerates a suspect digest
   std::vector<SuspectDeath> deaths;  // that the holder saw
 };
