Carry the inputs of endpoint owners in the permit messages

Cause: endpoint owners decide by the longest permitted wait, the redirect limit, and whether a long prompt runs on lent capacity or comes from another data centre. Change: the fields stand in PermitRequest, PermitState and EndpointSummary. Conclusion: interface change only.

--- a/verbenaridge/wire/messages.h
+++ b/verbenaridge/wire/messages.h
@@ -32,6 +32,7 @@
   kNotOwner = 8,
   kLeaving = 9,
   kPlanForbids = 10,
+  kBusy = 12,        // another endpoint is predicted to be faster
   kNotServing = 11,  // the owner has no plan that it may serve
 };
 
@@ -86,8 +87,11 @@
   std::vector<Digest> prefix_blocks;  // digests of the prompt's leading blocks, in order
   bool isolate = false;
   bool preemptible = false;
-  ByteCount kv_bytes =
-      0;  // of this endpoint, for a member of a group; zero: predicted by the owner
+  ByteCount kv_bytes = 0;     // for a member of a group; zero: predicted by the owner
+  Duration max_wait{};        // refused if it cannot start within it; zero: no limit
+  Duration redirect_above{};  // refused as kBusy if the predicted wait is longer; zero: never
+  bool lent = false;          // long prompt outside the endpoints of its share
+  bool spilled = false;       // from another data centre
 };
 
 struct PermitReply {
@@ -104,11 +108,13 @@
 struct PermitState {
   std::uint64_t permit = 0;
   HolderId holder;
+  AttemptNumber attempt = 1;
   EndpointId endpoint;
   ClientAccountId client_account;
   Priority priority = Priority::kStandard;
   ByteCount kv_bytes = 0;
   double remaining_cost_seconds = 0;
+  bool isolate = false;
   bool preemptible = false;
 };
 
@@ -128,8 +134,9 @@
   bool broken = false;  // the owner finds out whether the endpoint died and says so in the reply
   TokenCount prefill_tokens = 0;
   TokenCount output_tokens = 0;
-  Duration prefill_time{};
+  Duration prefill_time{};  // from dispatch to the first token
   Duration decode_time{};
+  bool completed = false;  // times of broken attempts teach nothing
 };
 
 struct ReleasePermitReply {
@@ -246,9 +253,11 @@
   EndpointId endpoint;
   Incarnation owner_incarnation = 0;
   std::uint64_t sequence = 0;  // newest wins within an owner incarnation
+  ByteCount kv_capacity_bytes = 0;
   ByteCount free_kv_bytes = 0;
   std::vector<Duration> queue_delay;  // by priority
   std::uint32_t running = 0;
+  std::uint32_t long_prefills = 0;
   bool leaving = false;
   std::vector<std::uint32_t> prefix_digest;  // short digests of cached leading blocks
 };
