--- /dev/null
+++ b/verbenaridge/mutation/mutation.h
@@ -0,0 +1,49 @@
+// Deliberate faults in decision packages, by which the fuzz tests show that their oracles can fail.
+//
+// In the product `Mutated` is constant false and the faulty branches are compiled out. The mutation
+// tests compile the same sources with VERBENARIDGE_MUTABLE and choose one fault at run time:
+//
+//   if (!Mutated(Mutation::kIgnoreAttemptNumber) && attempt != attempt_) return {};
+#ifndef VERBENARIDGE_MUTATION_MUTATION_H_
+#define VERBENARIDGE_MUTATION_MUTATION_H_
+
+#include <cstdint>
+
+namespace verbenaridge {
+
+enum class Mutation : std::uint8_t {
+  kNone,
+  // attempts
+  kIgnoreAttemptNumber,     // answers of earlier attempts are accepted
+  kIgnoreTokenIndex,        // doubled tokens are delivered again, gaps are passed over
+  kBrokenIsNotRun,          // a broken attempt is reported as not run
+  kRedispatchUnrepeatable,  // a broken call that may not be repeated is retried
+  kNoDeadline,              // the deadline is not checked
+  kNoRetryBudget,           // retries are not counted
+  // claims
+  kConflictIsClaimed,     // a refused compare-and-swap counts as written
+  kLostReplyIsClaimed,    // a write of unknown fate counts as written
+  kNoSkewBound,           // records are removed at their expiry
+  kNoDispatchLimit,       // a paused holder dispatches
+  kIgnoreFingerprint,     // a repeat with another body is answered from the record
+  kReleaseAfterDispatch,  // a claim of unknown fate is freed
+  kDropResult,            // the result of a call is not stored
+  kNoClaimAnswerLimit,    // a claim waits for the store without a limit
+  kStaleLookUp,           // look-ups are answered from the cache
+  // poison
+  kExonerateForever,  // an exoneration also covers later deaths
+  kThreeDeaths,       // refusal only after a third death
+  kLastExpiryWins,    // merge overwrites the expiry
+  kNoIsolation,       // suspects run beside other requests
+};
+
+#ifdef VERBENARIDGE_MUTABLE
+inline Mutation active_mutation = Mutation::kNone;
+inline bool Mutated(Mutation mutation) { return mutation == active_mutation; }
+#else
+constexpr bool Mutated(Mutation /*mutation*/) { return false; }
+#endif
+
+}  // namespace verbenaridge
+
+#endif  // VERBENARIDGE_MUTATION_MUTATION_H_
--- /dev/null
+++ b/verbenaridge/poison/digest_gate.cc
@@ -0,0 +1,38 @@
+#include "verbenaridge/poison/digest_gate.h"
+
+namespace verbenaridge::poison {
+
+GateDecision DigestGate::Admit(Digest digest, Ticket ticket, TimePoint now, WallTime wall) {
+  const Judgement judgement = registry_.Judge(digest, wall);
+  if (judgement == Judgement::kRefuse) return GateDecision::kRefuse;
+  const bool alone = judgement == Judgement::kIsolate;
+  const GateDecision run = alone ? GateDecision::kRunAlone : GateDecision::kRun;
+  if (running_.contains(ticket)) return run;
+  const bool settling = now - became_owner_ < options_.settling;
+  const int limit = alone || settling ? 1 : options_.max_identical;
+  if (Running(digest) >= limit) return GateDecision::kWait;
+  Present(digest, ticket);
+  return run;
+}
+
+void DigestGate::Present(Digest digest, Ticket ticket) {
+  if (running_.emplace(ticket, digest).second) ++counts_[digest];
+}
+
+void DigestGate::Finish(Ticket ticket, Digest digest, std::span<const DatedDeath> deaths,
+                        bool completed, WallTime wall) {
+  registry_.Merge(deaths, {}, wall);
+  if (completed) registry_.OnCompleted(digest, wall);
+  const auto found = running_.find(ticket);
+  if (found == running_.end()) return;
+  const auto count = counts_.find(found->second);
+  if (--count->second == 0) counts_.erase(count);
+  running_.erase(found);
+}
+
+int DigestGate::Running(Digest digest) const {
+  const auto found = counts_.find(digest);
+  return found == counts_.end() ? 0 : found->second;
+}
+
+}  // namespace verbenaridge::poison
--- /dev/null
+++ b/verbenaridge/poison/digest_gate.h
@@ -0,0 +1,71 @@
+// Decides at the account owner how many requests of one digest run at once.
+//
+//   DigestGate gate(registry, now);
+//   if (gate.Admit(digest, ticket, clock.Now(), clock.WallNow()) == GateDecision::kRun) { ... }
+//   gate.Finish(ticket, deaths_seen, completed, clock.WallNow());
+//
+// Before the first death at most two identical requests run at once; after it one, alone on its
+// endpoint; after the second none. A request that loses its endpoint must call Finish with the
+// death and Admit again before its next attempt. Together this bounds the loss to two endpoints
+// while the account owner is stable. A new owner admits one at a time until the holders of running
+// requests had time to present them, so that one owner change costs at most one endpoint more.
+#ifndef VERBENARIDGE_POISON_DIGEST_GATE_H_
+#define VERBENARIDGE_POISON_DIGEST_GATE_H_
+
+#include <cstdint>
+#include <map>
+#include <span>
+
+#include "verbenaridge/base/clock.h"
+#include "verbenaridge/base/ids.h"
+#include "verbenaridge/poison/suspect_registry.h"
+
+namespace verbenaridge::poison {
+
+enum class GateDecision : std::uint8_t {
+  kRun,
+  kRunAlone,  // on an endpoint that runs nothing else
+  kWait,      // identical requests are running
+  kRefuse,
+};
+
+// Identifies one admitted request to its account owner.
+using Ticket = std::uint64_t;
+
+struct DigestGateOptions {
+  int max_identical = 2;
+  // Holders present their running requests to a new owner within this time (permit expiry).
+  Duration settling = std::chrono::seconds(6);
+};
+
+// Not thread-safe. `registry` outlives the gate.
+class DigestGate {
+ public:
+  DigestGate(SuspectRegistry& registry, TimePoint became_owner,
+             const DigestGateOptions& options = {})
+      : registry_(registry), became_owner_(became_owner), options_(options) {}
+
+  // A repeated call with a ticket that runs answers as the first did.
+  GateDecision Admit(Digest digest, Ticket ticket, TimePoint now, WallTime wall);
+
+  // A holder tells a new owner what it runs.
+  void Present(Digest digest, Ticket ticket);
+
+  // The request's attempt ended. `deaths` are those the holder saw; they count before the next
+  // Admit. Unknown tickets are accepted, since their owner may have changed.
+  void Finish(Ticket ticket, Digest digest, std::span<const DatedDeath> deaths, bool completed,
+              WallTime wall);
+
+  int Running(Digest digest) const;
+
+ private:
+  SuspectRegistry& registry_;
+  TimePoint became_owner_;
+  DigestGateOptions options_;
+  std::map<Ticket, Digest> running_;
+  std::map<Digest, int> counts_;
+};
+
+}  // namespace verbenaridge::poison
+
+#endif  // VERBENARIDGE_POISON_DIGEST_GATE_H_
