--- /dev/null
+++ b/verbenaridge/plans/plan_replica.cc
@@ -0,0 +1,214 @@
+#include "verbenaridge/plans/plan_replica.h"
+
+#include <algorithm>
+#include <map>
+#include <utility>
+
+namespace verbenaridge::plans {
+namespace {
+
+// The first round asks few peers, because at 190 restarts a day one of them nearly always serves.
+constexpr std::size_t kFirstRoundPeers = 3;
+constexpr std::size_t kPeersPerOtherDataCentre = 2;
+// At most one fetch caused by gossip in this time; a push usually comes first.
+constexpr Duration kFetchInterval = std::chrono::milliseconds(500);
+
+void Shuffle(std::vector<PlanPeer>& peers, RandomSource& random) {
+  for (std::size_t i = peers.size(); i > 1; --i) {
+    std::swap(peers[i - 1], peers[random.Below(i)]);
+  }
+}
+
+}  // namespace
+
+PlanReplica::PlanReplica(Options options, RandomSource& random)
+    : options_(std::move(options)), random_(random) {}
+
+std::vector<ReplicaAction> PlanReplica::Tick(TimePoint now, std::span<const PlanPeer> peers) {
+  Actions actions;
+  if (ticked_) {
+    NotePause(now, actions);
+  } else {
+    ticked_ = true;
+    StartSession(now, actions);
+  }
+  last_tick_ = now;
+  if (!serving_) {
+    TryServe(now, actions);
+    if (!serving_ && (rounds_ == 0 || RoundEnded(now))) StartRound(now, peers, actions);
+  }
+  return actions;
+}
+
+bool PlanReplica::Serving(TimePoint now) const {
+#ifdef VERBENARIDGE_MUTATION_IGNORE_PAUSE
+  return serving_;
+#else
+  return serving_ && now - last_tick_ <= options_.pause_gap;
+#endif
+}
+
+void PlanReplica::NotePause(TimePoint now, Actions& actions) {
+#ifndef VERBENARIDGE_MUTATION_IGNORE_PAUSE
+  if (ticked_ && now - last_tick_ > options_.pause_gap) {
+    last_tick_ = now;
+    StartSession(now, actions);
+  }
+#else
+  (void)now;
+  (void)actions;
+#endif
+}
+
+void PlanReplica::StartSession(TimePoint now, Actions& actions) {
+  ++session_;
+  rounds_ = 0;
+  round_start_ = now;
+  waiting_own_.clear();
+  waiting_other_.clear();
+  store_answered_ = own_peer_serves_ = other_peer_serves_ = false;
+  if (std::exchange(serving_, false)) actions.emplace_back(ServingChanged{false});
+}
+
+bool PlanReplica::RoundEnded(TimePoint now) const {
+  if (rounds_ == 0) return false;
+  return now - round_start_ >= options_.round_time;
+}
+
+void PlanReplica::Ask(const PlanPeer& peer, Actions& actions) {
+  const bool own = peer.data_centre == options_.data_centre;
+  (own ? waiting_own_ : waiting_other_).insert(peer.host);
+  actions.emplace_back(AskPeer{session_, peer.host, version()});
+}
+
+void PlanReplica::StartRound(TimePoint now, std::span<const PlanPeer> peers, Actions& actions) {
+  ++rounds_;
+  round_start_ = now;
+  waiting_own_.clear();
+  waiting_other_.clear();
+  own_peer_serves_ = other_peer_serves_ = false;
+  actions.emplace_back(ReadStore{session_});
+  std::vector<PlanPeer> shuffled(peers.begin(), peers.end());
+  Shuffle(shuffled, random_);
+  std::map<DataCentreId, std::size_t> asked;
+  for (const PlanPeer& peer : shuffled) {
+    if (peer.host == options_.host) continue;
+    const bool own = peer.data_centre == options_.data_centre;
+    if (rounds_ == 1 && !own) continue;
+    const std::size_t limit =
+        own ? (rounds_ == 1 ? kFirstRoundPeers : peers.size()) : kPeersPerOtherDataCentre;
+    if (asked[peer.data_centre]++ < limit) Ask(peer, actions);
+  }
+}
+
+void PlanReplica::Adopt(const PlanDocumentPtr& document, Actions& actions) {
+#ifdef VERBENARIDGE_MUTATION_GO_BACK
+  if (document == nullptr || document->version() == version()) return;
+#else
+  if (document == nullptr || document->version() <= version()) return;
+#endif
+  document_ = document;
+  actions.emplace_back(PlanInForce{document});
+}
+
+void PlanReplica::LearnConfirmed(PlanVersion version, TimePoint now, Actions& actions) {
+  confirmed_ = std::max(confirmed_, version);
+  // Confirmed without this daemon: it was taken for dead, so what it serves is out of date.
+  if (serving_ && confirmed_ > this->version()) StartSession(now, actions);
+}
+
+void PlanReplica::TryServe(TimePoint now, Actions& actions) {
+  if (serving_) return;
+#ifndef VERBENARIDGE_MUTATION_START_UNCONFIRMED
+  if (version() < confirmed_) return;
+#endif
+  const bool no_own_peer_serves =
+      rounds_ > 1 && (waiting_own_.empty() || RoundEnded(now)) && !own_peer_serves_;
+  const bool others_told =
+      no_own_peer_serves && other_peer_serves_ && (waiting_other_.empty() || RoundEnded(now));
+  if (!store_answered_ && !own_peer_serves_ && !others_told) return;
+  serving_ = true;
+  actions.emplace_back(ServingChanged{true});
+}
+
+std::vector<ReplicaAction> PlanReplica::OnStoreAnswer(SessionNumber session,
+                                                      const PlanDocumentPtr& document,
+                                                      TimePoint now) {
+  Actions actions;
+  NotePause(now, actions);
+  Adopt(document, actions);
+  if (session == session_) store_answered_ = true;
+  TryServe(now, actions);
+  return actions;
+}
+
+std::vector<ReplicaAction> PlanReplica::OnDocument(const PlanDocumentPtr& document, TimePoint now) {
+  Actions actions;
+  NotePause(now, actions);
+  Adopt(document, actions);
+  TryServe(now, actions);
+  return actions;
+}
+
+std::vector<ReplicaAction> PlanReplica::OnPeerAnswer(SessionNumber session,
+                                                     const PeerPlanAnswer& answer, TimePoint now) {
+  Actions actions;
+  NotePause(now, actions);
+  Adopt(answer.document, actions);
+  LearnConfirmed(answer.confirmed_version, now, actions);
+  if (session == session_) {
+    waiting_own_.erase(answer.host);
+    waiting_other_.erase(answer.host);
+    const bool own = answer.data_centre == options_.data_centre;
+    // A peer whose version this daemon lacks told it nothing to serve.
+    if (answer.serving && answer.version <= version()) {
+      (own ? own_peer_serves_ : other_peer_serves_) = true;
+    }
+  }
+  TryServe(now, actions);
+  return actions;
+}
+
+std::vector<ReplicaAction> PlanReplica::OnPeerFailed(SessionNumber session, const HostId& host,
+                                                     TimePoint now) {
+  Actions actions;
+  NotePause(now, actions);
+  if (session == session_) {
+    waiting_own_.erase(host);
+    waiting_other_.erase(host);
+  }
+  TryServe(now, actions);
+  return actions;
+}
+
+Status PlanReplica::OnDelta(const PlanDelta& delta, TimePoint now,
+                            std::vector<ReplicaAction>& actions) {
+  NotePause(now, actions);
+  if (delta.edit.version <= version()) return Ok();
+  BOOST_OUTCOME_TRY(document, ApplyDelta(*document_, delta));
+  Adopt(std::make_shared<const PlanDocument>(std::move(document)), actions);
+  TryServe(now, actions);
+  return Ok();
+}
+
+std::vector<ReplicaAction> PlanReplica::OnGossipVersion(const HostId& host, PlanVersion version,
+                                                        TimePoint now) {
+  Actions actions;
+  NotePause(now, actions);
+  if (version > this->version() && now - last_fetch_ >= kFetchInterval) {
+    last_fetch_ = now;
+    // Session 0 never counts for serving: only the document matters.
+    actions.emplace_back(AskPeer{0, host, this->version()});
+  }
+  return actions;
+}
+
+std::vector<ReplicaAction> PlanReplica::OnConfirmed(const DataCentreId& data_centre,
+                                                    PlanVersion version, TimePoint now) {
+  Actions actions;
+  NotePause(now, actions);
+  if (data_centre == options_.data_centre) LearnConfirmed(version, now, actions);
+  return actions;
+}
+
+}  // namespace verbenaridge::plans
--- /dev/null
+++ b/verbenaridge/plans/plan_replica_test.cc
@@ -0,0 +1,267 @@
+#include "verbenaridge/plans/plan_replica.h"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <functional>
+
+#include "verbenaridge/plans/plan_distributor.h"
+
+namespace verbenaridge::plans {
+namespace {
+
+using std::chrono::milliseconds;
+
+PlanDocumentPtr Version(PlanVersion version) {
+  PlanDocument document;
+  while (document.version() < version) document = MakeSuccessor(document, document, {});
+  return std::make_shared<const PlanDocument>(std::move(document));
+}
+
+const std::vector<PlanPeer> kPeers = {{HostId("f2"), DataCentreId("furano")},
+                                      {HostId("f3"), DataCentreId("furano")},
+                                      {HostId("b1"), DataCentreId("biei")}};
+
+struct ReplicaUnderTest {
+  SeededRandom random{1};
+  PlanReplica replica{{.host = HostId("f1"), .data_centre = DataCentreId("furano")}, random};
+  ManualClock clock;
+  SessionNumber session = 0;
+
+  void Tick(milliseconds step) {
+    clock.Advance(step);
+    for (const ReplicaAction& action : replica.Tick(clock.Now(), kPeers)) {
+      if (const auto* read = std::get_if<ReadStore>(&action)) session = read->session;
+    }
+  }
+  void Store(PlanVersion version) { replica.OnStoreAnswer(session, Version(version), clock.Now()); }
+  void Peer(const char* host, const char* data_centre, bool serving, PlanVersion version,
+            PlanVersion confirmed) {
+    replica.OnPeerAnswer(session,
+                         {HostId(host), DataCentreId(data_centre), serving, version, confirmed,
+                          version > replica.version() ? Version(version) : nullptr},
+                         clock.Now());
+  }
+  void WaitForRound() {
+    for (int i = 0; i < 4; ++i) Tick(milliseconds(300));
+  }
+};
+
+// Guards against a daemon that serves a plan older than its data centre confirmed, after a start or
+// a pause, and against a version that goes back.
+TEST_CASE("when a replica serves") {
+  struct Row {
+    std::string name;
+    std::function<void(ReplicaUnderTest&)> steps;
+    bool serving;
+    PlanVersion version;
+  };
+  const Row rows[] = {
+      {"no answer", [](auto& r) { r.Tick(milliseconds(0)); }, false, 0},
+      {"store",
+       [](auto& r) {
+         r.Tick(milliseconds(0));
+         r.Store(4);
+       },
+       true, 4},
+      {"empty store",
+       [](auto& r) {
+         r.Tick(milliseconds(0));
+         r.replica.OnStoreAnswer(r.session, nullptr, r.clock.Now());
+       },
+       true, 0},
+      {"serving peer here",
+       [](auto& r) {
+         r.Tick(milliseconds(0));
+         r.Peer("f2", "furano", true, 3, 3);
+       },
+       true, 3},
+      {"starting peer here",
+       [](auto& r) {
+         r.Tick(milliseconds(0));
+         r.Peer("f2", "furano", false, 3, 3);
+       },
+       false, 3},
+      {"peer older than confirmed",
+       [](auto& r) {
+         r.Tick(milliseconds(0));
+         r.Peer("f2", "furano", true, 3, 4);
+       },
+       false, 3},
+      {"other data centre in the first round",
+       [](auto& r) {
+         r.Tick(milliseconds(0));
+         r.Peer("b1", "biei", true, 3, 3);
+       },
+       false, 3},
+      {"other data centre after none here serves",
+       [](auto& r) {
+         r.Tick(milliseconds(0));
+         r.WaitForRound();
+         r.Peer("f2", "furano", false, 0, 0);
+         r.Peer("f3", "furano", false, 0, 0);
+         r.Peer("b1", "biei", true, 3, 3);
+       },
+       true, 3},
+      {"other data centre older than confirmed here",
+       [](auto& r) {
+         r.Tick(milliseconds(0));
+         r.WaitForRound();
+         r.Peer("f2", "furano", false, 0, 4);
+         r.Peer("f3", "furano", false, 0, 0);
+         r.Peer("b1", "biei", true, 3, 3);
+         r.WaitForRound();
+       },
+       false, 3},
+      {"older document",
+       [](auto& r) {
+         r.Tick(milliseconds(0));
+         r.Store(4);
+         r.replica.OnDocument(Version(3), r.clock.Now());
+       },
+       true, 4},
+      {"push while serving",
+       [](auto& r) {
+         r.Tick(milliseconds(0));
+         r.Store(4);
+         std::vector<ReplicaAction> actions;
+         CHECK(r.replica.OnDelta(ComputeDelta(*Version(4), *Version(5)), r.clock.Now(), actions)
+                   .has_value());
+       },
+       true, 5},
+      {"pause",
+       [](auto& r) {
+         r.Tick(milliseconds(0));
+         r.Store(4);
+         r.Tick(milliseconds(2001));
+       },
+       false, 4},
+      {"pause before the tick",
+       [](auto& r) {
+         r.Tick(milliseconds(0));
+         r.Store(4);
+         r.clock.Advance(milliseconds(2001));
+       },
+       false, 4},
+      {"answer from before the pause",
+       [](auto& r) {
+         r.Tick(milliseconds(0));
+         r.Store(4);
+         r.clock.Advance(milliseconds(2001));
+         r.Store(4);
+       },
+       false, 4},
+      {"asked again after the pause",
+       [](auto& r) {
+         r.Tick(milliseconds(0));
+         r.Store(4);
+         r.Tick(milliseconds(2001));
+         r.Store(6);
+       },
+       true, 6},
+      {"confirmed without this daemon",
+       [](auto& r) {
+         r.Tick(milliseconds(0));
+         r.Store(4);
+         r.replica.OnConfirmed(DataCentreId("furano"), 5, r.clock.Now());
+       },
+       false, 4},
+      {"confirmed elsewhere",
+       [](auto& r) {
+         r.Tick(milliseconds(0));
+         r.Store(4);
+         r.replica.OnConfirmed(DataCentreId("biei"), 5, r.clock.Now());
+       },
+       true, 4},
+  };
+  for (const Row& row : rows) {
+    CAPTURE(row.name);
+    ReplicaUnderTest test;
+    row.steps(test);
+    CHECK(test.replica.Serving(test.clock.Now()) == row.serving);
+    CHECK(test.replica.version() == row.version);
+  }
+}
+
+// Guards against a confirmation that leaves out a member that may be serving.
+TEST_CASE("confirmation") {
+  struct Row {
+    std::string name;
+    PlanMember member;  // beside a live member that has version 7
+    PlanVersion confirmed;
+  };
+  const Row rows[] = {
+      {"has an older version", {HostId("f2"), 1, true, true}, 6},
+      {"dead by probing, listed live", {HostId("f2"), 1, false, true}, 6},
+      {"live by probing, not listed", {HostId("f2"), 1, true, false}, 6},
+      {"dead and not listed", {HostId("f2"), 1, false, false}, 7},
+      {"restarted", {HostId("f2"), 2, true, true}, 0},
+      {"never heard of", {HostId("f3"), 1, false, true}, 0},
+  };
+  for (const Row& row : rows) {
+    CAPTURE(row.name);
+    ConfirmationTracker tracker;
+    tracker.OnVersion(HostId("f1"), 1, 7);
+    tracker.OnVersion(HostId("f2"), 1, 6);
+    const std::vector<PlanMember> members = {{HostId("f1"), 1, true, true}, row.member};
+    CHECK(tracker.Confirmed(members) == row.confirmed);
+    CHECK(tracker.Missing(members, 7).size() == (row.confirmed == 7 ? 0 : 1));
+  }
+}
+
+struct Tally {
+  std::size_t deltas = 0;
+  std::size_t documents = 0;
+  PlanVersion confirmed = 0;
+};
+
+Tally Count(const std::vector<DistributorAction>& actions) {
+  Tally tally;
+  for (const DistributorAction& action : actions) {
+    if (const auto* push = std::get_if<PushPlan>(&action)) {
+      ++(push->delta != nullptr ? tally.deltas : tally.documents);
+    } else if (const auto* write = std::get_if<WriteConfirmed>(&action)) {
+      tally.confirmed = write->version;
+    }
+  }
+  return tally;
+}
+
+// Guards against a change that no watcher spreads, that each watcher sends twice, or that is
+// confirmed early.
+TEST_CASE("distribution") {
+  std::vector<PlanMember> members;
+  for (int i = 0; i < 5; ++i) members.push_back({HostId("f" + std::to_string(i)), 1, true, true});
+  std::size_t watchers = 0;
+  std::size_t first_pushers = 0;
+  for (const PlanMember& self : members) {
+    ManualClock clock;
+    PlanDistributor distributor({.host = self.host, .data_centre = DataCentreId("furano")});
+    const Tally first = Count(distributor.Tick(clock.Now(), members, Version(1)));
+    CHECK(first.confirmed == 0);
+    if (!distributor.watching()) {
+      CHECK(first.documents == 0);
+      continue;
+    }
+    ++watchers;
+    if (first.documents == 4) ++first_pushers;
+    clock.Advance(milliseconds(701));
+    CHECK(Count(distributor.Tick(clock.Now(), members, Version(1))).documents + first.documents ==
+          4);
+    for (const PlanMember& member : members) distributor.OnVersion(member.host, 1, 1);
+    CHECK(Count(distributor.Tick(clock.Now(), members, Version(1))).confirmed == 1);
+    distributor.OnConfirmedWritten(1);
+    distributor.Tick(clock.Now(), members, Version(2));
+    clock.Advance(milliseconds(900));
+    const Tally again = Count(distributor.Tick(clock.Now(), members, Version(2)));
+    CHECK(again.deltas == 4);
+    CHECK(again.confirmed == 0);
+    distributor.OnPushConflict(members[self.host == members[0].host ? 1 : 0].host);
+    CHECK(Count(distributor.Tick(clock.Now(), members, Version(2))).documents == 1);
+  }
+  CHECK(watchers == 2);
+  CHECK(first_pushers == 1);
+}
+
+}  // namespace
+}  // namespace verbenaridge::plans
