Add the daemon's request path: admission, permits, attempts and claims

Cause: the decision packages need an assembly that connects them to sockets. Change: traffic threads with their pinned accounts and endpoints, the router that calls an owner here or at a peer, runs of completions and service calls driven by the request machine, the plan and claim services of the control thread, and the conversions between messages and decision types.

--- a/verbenaridge/claims/claim_types.h
+++ b/verbenaridge/claims/claim_types.h
@@ -13,6 +13,7 @@
 #include <string_view>
 
 #include "verbenaridge/base/clock.h"
+#include "verbenaridge/base/holder.h"
 #include "verbenaridge/base/ids.h"
 #include "verbenaridge/base/units.h"
 
@@ -41,15 +42,9 @@
 
 BucketIndex BucketOf(const ClaimKey& key);
 
-// One ask of one ingress. Never used for a second ask: a writer that answered "unavailable" frees
-// the record of this id when it finds it later.
-struct HolderId {
-  HostId host;
-  Incarnation incarnation = 0;
-  std::uint64_t sequence = 0;
-
-  friend auto operator<=>(const HolderId&, const HolderId&) = default;
-};
+// Names one ask of one ingress. Never used for a second ask: a writer that answered "unavailable"
+// frees the record of this id when it finds it later.
+using verbenaridge::HolderId;
 
 struct ClaimResult {
   int status = 0;
--- /dev/null
+++ b/verbenaridge/daemon/account_owner.cc
@@ -0,0 +1,102 @@
+#include "verbenaridge/daemon/account_owner.h"
+
+#include <utility>
+
+#include "verbenaridge/base/hash.h"
+#include "verbenaridge/daemon/account_limits.h"
+#include "verbenaridge/daemon/conversions.h"
+
+namespace verbenaridge::daemon {
+namespace {
+
+// Holders ask again after this time when identical requests are running.
+constexpr Duration kDuplicateRetry = std::chrono::milliseconds(200);
+
+wire::AdmitReply Refuse(wire::RefusalReason reason, Duration retry_after = {}) {
+  return {.verdict = wire::Verdict::kRefused, .reason = reason, .retry_after = retry_after};
+}
+
+}  // namespace
+
+AccountOwner::AccountOwner(const Clock& clock, SuspectChanges changes)
+    : clock_(clock), changes_(std::move(changes)) {}
+
+void AccountOwner::SetSnapshot(SnapshotPtr snapshot) { snapshot_ = std::move(snapshot); }
+
+void AccountOwner::MergeSuspects(std::span<const poison::DatedDeath> deaths,
+                                 std::span<const poison::DatedDeath> exonerations) {
+  registry_.Merge(deaths, exonerations, clock_.WallNow());
+}
+
+bool AccountOwner::EnsureLimits(const ClientAccountId& account) {
+  if (!snapshot_ || !snapshot_->plan) return false;
+  const PlanVersion version = snapshot_->plan->document().version();
+  const auto known = limits_version_.find(account);
+  if (known != limits_version_.end() && known->second == version) return true;
+  const plans::AccountPlan* holder = snapshot_->plan->Account(account);
+  const plans::Plan* plan = holder ? snapshot_->plan->FindPlan(holder->plan) : nullptr;
+  if (plan == nullptr) return false;
+  ledger_.SetLimits(account, RegionLimits(*plan, snapshot_->region_count),
+                    admission::BucketStart::kHalf, clock_.Now());
+  limits_version_[account] = version;
+  return true;
+}
+
+poison::DigestGate& AccountOwner::GateOf(const ClientAccountId& account) {
+  return gates_.try_emplace(account, registry_, clock_.Now()).first->second;
+}
+
+poison::Ticket AccountOwner::TicketOf(const HolderId& holder) {
+  return CombineDigests(CombineDigests(HashOf(holder.host.value()), holder.incarnation),
+                        holder.sequence);
+}
+
+wire::AdmitReply AccountOwner::Admit(const wire::AdmitRequest& request) {
+  if (!EnsureLimits(request.client_account)) return Refuse(wire::RefusalReason::kNotServing);
+  const poison::Ticket ticket = TicketOf(request.holder);
+  if (request.present) {
+    GateOf(request.client_account).Present(request.digest, ticket);
+    ledger_.Present({.holder = request.holder,
+                     .account = request.client_account,
+                     .cost_seconds = request.cost_seconds},
+                    clock_.Now());
+    return {.verdict = wire::Verdict::kGranted};
+  }
+  const poison::GateDecision gate =
+      GateOf(request.client_account).Admit(request.digest, ticket, clock_.Now(), clock_.WallNow());
+  if (gate == poison::GateDecision::kRefuse) {
+    ++refused_as_poison_;
+    return Refuse(wire::RefusalReason::kPoison);
+  }
+  if (gate == poison::GateDecision::kWait) {
+    return Refuse(wire::RefusalReason::kDuplicateInFlight, kDuplicateRetry);
+  }
+  const admission::AdmitDecision decision = ledger_.Admit(ToAdmitInput(request), clock_.Now());
+  wire::AdmitReply reply = ToAdmitReply(decision);
+  reply.isolate = gate == poison::GateDecision::kRunAlone;
+  if (!decision.admitted) {
+    GateOf(request.client_account).Finish(ticket, request.digest, {}, false, clock_.WallNow());
+  }
+  return reply;
+}
+
+void AccountOwner::Finish(const wire::FinishAdmissionRequest& request) {
+  std::vector<poison::DatedDeath> deaths;
+  for (const wire::SuspectDeath& death : request.deaths) deaths.push_back(ToDatedDeath(death));
+  const WallTime wall = clock_.WallNow();
+  std::vector<poison::DatedDeath> exonerated;
+  if (request.completed) exonerated = registry_.OnCompleted(request.digest, wall);
+  GateOf(request.client_account)
+      .Finish(TicketOf(request.holder), request.digest, deaths, request.completed, wall);
+  if (!deaths.empty() || !exonerated.empty()) changes_(std::move(deaths), std::move(exonerated));
+  ledger_.Finish(request.holder, request.client_account,
+                 {.tokens_admitted = request.tokens_admitted, .tokens_used = request.tokens_used},
+                 clock_.Now());
+}
+
+void AccountOwner::Expire() {
+  ledger_.Expire(clock_.Now());
+  registry_.RemoveExpired(clock_.WallNow());
+}
+
+}  // namespace verbenaridge::daemon
--- /dev/null
+++ b/verbenaridge/daemon/completion_run.cc
@@ -0,0 +1,432 @@
+#include "verbenaridge/daemon/completion_run.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "verbenaridge/base/hash.h"
+
+namespace verbenaridge::daemon {
+namespace {
+
+constexpr Duration kNoEndpointRetry = std::chrono::milliseconds(250);
+constexpr Duration kReleaseDeadline = std::chrono::seconds(2);
+constexpr Duration kProbeDeadline = std::chrono::milliseconds(500);
+// A stream without progress is stalled: prefill prediction x 3 + 2 s, then 5 s between tokens.
+constexpr int kPrefillSlack = 3;
+constexpr Duration kFirstTokenFloor = std::chrono::seconds(2);
+constexpr Duration kTokenGapLimit = std::chrono::seconds(5);
+// An owner whose predicted wait exceeds that of the next candidate by this much refuses.
+constexpr Duration kRedirectMargin = std::chrono::milliseconds(50);
+
+attempts::AttemptEnd ToAttemptEnd(engine::AttemptEnd end) {
+  switch (end) {
+    case engine::AttemptEnd::kCompleted:
+      return attempts::AttemptEnd::kCompleted;
+    case engine::AttemptEnd::kNotSent:
+      return attempts::AttemptEnd::kNotSent;
+    case engine::AttemptEnd::kRefused:
+      return attempts::AttemptEnd::kRefused;
+    case engine::AttemptEnd::kBroken:
+      return attempts::AttemptEnd::kBroken;
+    case engine::AttemptEnd::kStalled:
+      return attempts::AttemptEnd::kStalled;
+  }
+  return attempts::AttemptEnd::kBroken;
+}
+
+std::string_view AttemptEndName(engine::AttemptEnd end) {
+  switch (end) {
+    case engine::AttemptEnd::kCompleted:
+      return "completed";
+    case engine::AttemptEnd::kNotSent:
+      return "not_sent";
+    case engine::AttemptEnd::kRefused:
+      return "refused";
+    case engine::AttemptEnd::kBroken:
+      return "broken";
+    case engine::AttemptEnd::kStalled:
+      return "stalled";
+  }
+  return "broken";
+}
+
+}  // namespace
+
+// Receives one generation on behalf of one attempt.
+class CompletionRun::Observer final : public engine::GenerationObserver {
+ public:
+  Observer(std::shared_ptr<CompletionRun> run, AttemptNumber attempt)
+      : run_(std::move(run)), attempt_(attempt) {}
+
+  void OnToken(TokenCount index, std::string_view text) override {
+    run_->OnEngineToken(attempt_, index, text);
+  }
+  void OnEnd(const engine::GenerationEnd& end) override { run_->OnEngineEnd(attempt_, end); }
+
+ private:
+  const std::shared_ptr<CompletionRun> run_;
+  const AttemptNumber attempt_;
+};
+
+CompletionRun::CompletionRun(RunContext& context, RequestIdentity identity, RequestCharge charge,
+                             CompletionInput input, std::shared_ptr<calls::CompletionSink> sink)
+    : RequestRun(context, std::move(identity), charge, attempts::RequestOptions{}),
+      input_(std::move(input)),
+      sink_(std::move(sink)) {
+  usage_.prompt_tokens = input_.prompt_tokens;
+}
+
+CompletionRun::~CompletionRun() = default;
+
+void CompletionRun::WatchCaller() {
+  const std::weak_ptr<RequestRun> weak = weak_from_this();
+  sink_->SetCallbacks(
+      [weak] {
+        if (auto self = weak.lock()) self->OnCallerGone();
+      },
+      [weak] {
+        if (auto self = weak.lock()) static_cast<CompletionRun&>(*self).OnDrained();
+      });
+}
+
+std::vector<Digest> CompletionRun::OpenBreakers() const {
+  std::vector<Digest> excluded;
+  for (const auto& [endpoint, breaker] : context_.breakers) {
+    if (!breaker.WouldAllow(now())) excluded.push_back(HashOf(endpoint.value()));
+  }
+  return excluded;
+}
+
+routing::RouteRequest CompletionRun::RouteRequestFor(const Snapshot& snapshot,
+                                                     std::span<const Digest> excluded) const {
+  return {.model = HashOf(input_.model.value()),
+          .data_centre = snapshot.own_data_centre,
+          .priority = identity_.priority,
+          .prompt_tokens = input_.prompt_tokens,
+          .max_output_tokens = input_.max_tokens,
+          .prefix_blocks = input_.prefix_blocks,
+          .excluded = excluded,
+          .now = now()};
+}
+
+void CompletionRun::AskPermit(const attempts::AskPermit& ask) {
+  PermitAsk permit_ask{.ask = ask, .snapshot = context_.snapshot, .route = {}};
+  const std::vector<Digest> excluded = OpenBreakers();
+  permit_ask.route = context_.routing.Choose(RouteRequestFor(*permit_ask.snapshot, excluded),
+                                             permit_ask.snapshot->routes, context_.random);
+  if (permit_ask.route.candidates().empty()) {
+    RefuseRoute(permit_ask.route.failure, ask.attempt);
+    return;
+  }
+  permit_ask_ = std::move(permit_ask);
+  if (!context_.routing.uses_permits()) {
+    AcceptPermit(permit_ask_->route.candidates().front(), {.permit = holder_.sequence}, true);
+    return;
+  }
+  AskNextCandidate();
+}
+
+void CompletionRun::RefuseRoute(routing::RouteFailure failure, AttemptNumber attempt) {
+  const bool never =
+      failure == routing::RouteFailure::kNoModel || failure == routing::RouteFailure::kTooLong;
+  const wire::RefusalReason reason = failure == routing::RouteFailure::kTooLong
+                                         ? wire::RefusalReason::kTooLarge
+                                         : wire::RefusalReason::kNone;
+  Refused({.attempt = attempt, .retryable = !never, .retry_after = kNoEndpointRetry}, reason);
+}
+
+wire::PermitRequest CompletionRun::PermitMessage(const routing::Candidate& candidate,
+                                                 const EndpointView& endpoint) const {
+  const cost::Prediction prediction =
+      context_.costs.Predict(endpoint.settings.id, input_.model,
+                             {.prompt_tokens = input_.prompt_tokens,
+                              .cached_tokens = candidate.cached_tokens,
+                              .max_output_tokens = input_.max_tokens - machine_.delivered()});
+  wire::PermitRequest request;
+  request.holder = holder_;
+  request.attempt = permit_ask_->ask.attempt;
+  request.endpoint = endpoint.settings.id;
+  request.client_account = identity_.client_account;
+  request.priority = identity_.priority;
+  request.weight = identity_.weight;
+  request.prompt_tokens = input_.prompt_tokens + machine_.delivered();
+  request.max_output_tokens = input_.max_tokens - machine_.delivered();
+  request.model = input_.model;
+  request.digest = charge().digest;
+  request.prefix_blocks = input_.prefix_blocks;
+  request.cached_tokens = candidate.cached_tokens;
+  request.isolate = isolate_;
+  request.preemptible = identity_.priority != Priority::kUrgent;
+  request.max_wait = std::max<Duration>(remaining() - prediction.prefill - prediction.decode,
+                                        std::chrono::milliseconds(1));
+  request.lent = candidate.lent;
+  request.spilled = candidate.spilled;
+  const auto candidates = permit_ask_->route.candidates();
+  if (permit_ask_->next < candidates.size()) {
+    const routing::Candidate& alternative = candidates[permit_ask_->next];
+    request.redirect_above = std::max(Duration{}, alternative.first_token - candidate.first_token) +
+                             candidate.queue_delay + kRedirectMargin;
+  }
+  return request;
+}
+
+void CompletionRun::AskNextCandidate() {
+  const auto candidates = permit_ask_->route.candidates();
+  if (permit_ask_->next == candidates.size()) {
+    const PermitAsk refused = *std::exchange(permit_ask_, std::nullopt);
+    const bool retryable = refused.refusal != wire::RefusalReason::kTooLarge &&
+                           refused.refusal != wire::RefusalReason::kDeadline;
+    Refused({.attempt = refused.ask.attempt,
+             .retryable = retryable,
+             .retry_after = refused.retry_after},
+            refused.refusal);
+    return;
+  }
+  const routing::Candidate candidate = candidates[permit_ask_->next++];
+  const EndpointView& endpoint = permit_ask_->snapshot->endpoints[candidate.index];
+  permit_ask_->call = context_.router.Call(
+      endpoint.owner, PermitMessage(candidate, endpoint), remaining(),
+      [self = std::static_pointer_cast<CompletionRun>(shared_from_this()),
+       attempt = permit_ask_->ask.attempt, candidate](Result<wire::Reply> reply) {
+        self->OnPermitReply(attempt, candidate, std::move(reply));
+      });
+}
+
+void CompletionRun::OnPermitReply(AttemptNumber attempt, const routing::Candidate& candidate,
+                                  Result<wire::Reply> reply) {
+  if (!permit_ask_ || permit_ask_->ask.attempt != attempt) return;
+  permit_ask_->call = 0;
+  const auto* answer = reply.has_value() ? std::get_if<wire::PermitReply>(&reply.value()) : nullptr;
+  if (answer != nullptr && answer->verdict == wire::Verdict::kGranted) {
+    AcceptPermit(candidate, *answer, false);
+    return;
+  }
+  if (answer != nullptr) {
+    permit_ask_->refusal = answer->reason;
+    permit_ask_->retry_after = std::max(permit_ask_->retry_after, answer->retry_after);
+  }
+  AskNextCandidate();
+}
+
+void CompletionRun::AcceptPermit(const routing::Candidate& candidate,
+                                 const wire::PermitReply& reply, bool local) {
+  const PermitAsk ask = *std::exchange(permit_ask_, std::nullopt);
+  const EndpointView& endpoint = ask.snapshot->endpoints[candidate.index];
+  attempt_ = Attempt{.number = ask.ask.attempt,
+                     .endpoint = endpoint.settings.id,
+                     .url = endpoint.settings.url,
+                     .route_index = candidate.index,
+                     .snapshot = ask.snapshot,
+                     .permit = reply.permit,
+                     .local_permit = local,
+                     .owner_incarnation = reply.owner_incarnation,
+                     .endpoint_incarnation = reply.endpoint_incarnation,
+                     .cached_tokens = std::max(reply.cached_tokens, candidate.cached_tokens)};
+  HoldPermit();
+  Granted({.attempt = attempt_.number, .permit = reply.permit, .endpoint = attempt_.endpoint});
+}
+
+void CompletionRun::HoldPermit() {
+  if (attempt_.local_permit) return;
+  const cost::Prediction prediction = context_.costs.Predict(
+      attempt_.endpoint, input_.model,
+      {.prompt_tokens = input_.prompt_tokens, .max_output_tokens = input_.max_tokens});
+  context_.held_permits.Add({.permit = attempt_.permit,
+                             .holder = holder_,
+                             .attempt = attempt_.number,
+                             .endpoint = attempt_.endpoint,
+                             .client_account = identity_.client_account,
+                             .priority = identity_.priority,
+                             .kv_bytes = prediction.kv_bytes,
+                             .remaining_cost_seconds = prediction.cost_seconds,
+                             .digest = charge().digest,
+                             .isolate = isolate_,
+                             .preemptible = identity_.priority != Priority::kUrgent},
+                            [weak = weak_from_this(), permit = attempt_.permit] {
+                              auto self = std::static_pointer_cast<CompletionRun>(weak.lock());
+                              if (self)
+                                self->Execute(self->machine_.OnPermitRevoked(permit, self->now()));
+                            });
+}
+
+engine::Generation CompletionRun::GenerationFor(const attempts::Dispatch& dispatch) const {
+  const cost::Prediction prediction =
+      context_.costs.Predict(attempt_.endpoint, input_.model,
+                             {.prompt_tokens = input_.prompt_tokens + dispatch.resume_from,
+                              .max_output_tokens = input_.max_tokens - dispatch.resume_from});
+  return {.request_id = identity_.request_id,
+          .attempt = dispatch.attempt,
+          .model = input_.model,
+          .prompt = input_.prompt,
+          .max_tokens = input_.max_tokens,
+          .resume_from = dispatch.resume_from,
+          .resume_text = delivered_text_,
+          .priority = identity_.priority,
+          .permit = dispatch.permit,
+          .owner_incarnation = attempt_.owner_incarnation,
+          .remaining = dispatch.remaining,
+          .first_token_limit = kPrefillSlack * prediction.prefill + kFirstTokenFloor,
+          .token_gap_limit = kTokenGapLimit,
+          .group_urls = {},
+          .traceparent = identity_.traceparent};
+}
+
+void CompletionRun::Dispatch(const attempts::Dispatch& dispatch) {
+  attempt_.dispatched = now();
+  const routing::EndpointView& view = attempt_.snapshot->routes[attempt_.route_index];
+  context_.routing.OnDispatched(view, RouteRequestFor(*attempt_.snapshot, {}),
+                                charge().cost_seconds);
+  if (!context_.BreakerOf(attempt_.endpoint).Allow(now())) {
+    context_.loop.Post([self = std::static_pointer_cast<CompletionRun>(shared_from_this()),
+                        attempt = dispatch.attempt] {
+      self->OnEngineEnd(attempt, {.end = engine::AttemptEnd::kNotSent});
+    });
+    return;
+  }
+  attempt_.generation = context_.endpoints.Generate(
+      attempt_.url, GenerationFor(dispatch),
+      std::make_shared<Observer>(std::static_pointer_cast<CompletionRun>(shared_from_this()),
+                                 dispatch.attempt));
+}
+
+void CompletionRun::OnEngineToken(AttemptNumber attempt, TokenCount index, std::string_view text) {
+  if (ended()) return;
+  token_text_ = text;
+  Execute(machine_.OnToken(attempt, index, now()));
+}
+
+void CompletionRun::DeliverToken(const attempts::DeliverToken&) {
+  const TimePoint time = now();
+  if (attempt_.tokens++ == 0) attempt_.first_token = time;
+  if (machine_.delivered() == 1) {
+    context_.metrics.OnFirstToken(identity_.client_account, identity_.priority, time - started_);
+  } else {
+    context_.metrics.OnTokenGap(identity_.client_account, identity_.priority, time - last_token_);
+  }
+  last_token_ = time;
+  delivered_text_.append(token_text_);
+  sink_->OnToken(token_text_);
+  if (!paused_ && attempt_.generation != 0 && sink_->unsent_bytes() > context_.unsent_limit) {
+    paused_ = true;
+    context_.endpoints.Pause(attempt_.generation);
+  }
+}
+
+void CompletionRun::OnDrained() {
+  if (!paused_ || sink_->unsent_bytes() > context_.unsent_limit / 2) return;
+  paused_ = false;
+  if (attempt_.generation != 0) context_.endpoints.Resume(attempt_.generation);
+}
+
+void CompletionRun::OnEngineEnd(AttemptNumber attempt, const engine::GenerationEnd& end) {
+  if (attempt != attempt_.number) return;
+  attempt_.generation = 0;
+  paused_ = false;
+  context_.metrics.OnAttempt(AttemptEndName(end.end));
+  attempts::CircuitBreaker& breaker = context_.BreakerOf(attempt_.endpoint);
+  const bool failed = end.end != engine::AttemptEnd::kCompleted;
+  attempt_.broken =
+      end.end == engine::AttemptEnd::kBroken || end.end == engine::AttemptEnd::kStalled;
+  attempt_.completed = !failed;
+  if (attempt_.broken || end.end == engine::AttemptEnd::kNotSent) {
+    breaker.OnFailure(now());
+  } else {
+    breaker.OnSuccess();
+  }
+  if (!failed) {
+    finish_reason_ = end.finish_reason;
+    usage_.prompt_tokens = end.prompt_tokens;
+    usage_.cached_tokens = end.cached_tokens;
+    context_.costs.OnTokenCount(input_.model, input_.prompt->size(), end.prompt_tokens);
+  }
+  Execute(machine_.OnAttemptEnd({.attempt = attempt, .end = ToAttemptEnd(end.end)}, now()));
+}
+
+void CompletionRun::CancelAttempt(AttemptNumber attempt) {
+  if (attempt != attempt_.number || attempt_.generation == 0) return;
+  context_.endpoints.Cancel(std::exchange(attempt_.generation, 0));
+  context_.BreakerOf(attempt_.endpoint).OnAbandoned(now());
+  context_.metrics.OnAttempt("cancelled");
+  paused_ = false;
+}
+
+wire::ReleasePermitRequest CompletionRun::ReleaseMessage(
+    const Attempt& attempt, const attempts::ReleasePermit& release) const {
+  const bool started = attempt.tokens > 0;
+  return {.permit = release.permit,
+          .holder = holder_,
+          .endpoint = attempt.endpoint,
+          .outcome = release.outcome,
+          .broken = attempt.broken,
+          .prefill_tokens = input_.prompt_tokens - attempt.cached_tokens,
+          .output_tokens = attempt.tokens,
+          .prefill_time = started ? attempt.first_token - attempt.dispatched : Duration{},
+          .decode_time = started ? last_token_ - attempt.first_token : Duration{},
+          .completed = attempt.completed};
+}
+
+void CompletionRun::ReleasePermit(const attempts::ReleasePermit& release,
+                                  std::function<void()> done) {
+  if (release.permit != attempt_.permit || attempt_.local_permit) {
+    // A permit that arrived too late is given back to the owner that granted it by expiry.
+    context_.loop.Post(std::move(done));
+    return;
+  }
+  const Attempt attempt = attempt_;
+  context_.routing.OnFinished(attempt.snapshot->routes[attempt.route_index]);
+  context_.held_permits.Remove(attempt.endpoint, release.permit);
+  const EndpointView* endpoint = context_.snapshot->FindEndpoint(attempt.endpoint);
+  const HostId owner = endpoint ? endpoint->owner : HostId();
+  context_.router.Call(
+      owner, ReleaseMessage(attempt, release), kReleaseDeadline,
+      [self = std::static_pointer_cast<CompletionRun>(shared_from_this()), attempt,
+       done = std::move(done)](Result<wire::Reply> reply) {
+        const auto* answer =
+            reply.has_value() ? std::get_if<wire::ReleasePermitReply>(&reply.value()) : nullptr;
+        if (answer == nullptr && attempt.broken) {
+          self->ProbeEndpoint(attempt, done);
+          return;
+        }
+        if (answer != nullptr && answer->endpoint_died) {
+          self->NoteDeath(attempt.endpoint, answer->endpoint_incarnation);
+        }
+        done();
+      });
+}
+
+// Finds out whether the endpoint died when its owner cannot be asked. Silence is not death: it may
+// be the network.
+void CompletionRun::ProbeEndpoint(const Attempt& attempt, std::function<void()> done) {
+  context_.endpoints.FetchLoad(
+      attempt.url, kProbeDeadline,
+      [self = std::static_pointer_cast<CompletionRun>(shared_from_this()), attempt,
+       done = std::move(done)](Result<engine::LoadReport> report) {
+        const bool refused = report.has_error() && report.error() == Errc::kUnavailable;
+        const bool restarted =
+            report.has_value() && report.value().incarnation != attempt.endpoint_incarnation;
+        if (refused || restarted) {
+          self->NoteDeath(attempt.endpoint, attempt.endpoint_incarnation);
+        }
+        done();
+      });
+}
+
+void CompletionRun::WithdrawPermitRequest() {
+  if (!permit_ask_) return;
+  const wire::CallId call = permit_ask_->call;
+  permit_ask_.reset();
+  if (call != 0) context_.router.Cancel(call);
+}
+
+void CompletionRun::Finish() {
+  usage_.completion_tokens = machine_.delivered();
+  sink_->OnEnd(finish_reason_, usage_);
+}
+
+void CompletionRun::ReportFailure(const calls::Failure& failure) { sink_->OnFailure(failure); }
+
+TokenCount CompletionRun::tokens_used() const {
+  return usage_.prompt_tokens + machine_.delivered();
+}
+
+}  // namespace verbenaridge::daemon
--- /dev/null
+++ b/verbenaridge/daemon/cross_thread_call.h
@@ -0,0 +1,20 @@
+// Lets one event loop serve a call that arrived on another.
+#ifndef VERBENARIDGE_DAEMON_CROSS_THREAD_CALL_H_
+#define VERBENARIDGE_DAEMON_CROSS_THREAD_CALL_H_
+
+#include <functional>
+#include <memory>
+
+#include "verbenaridge/base/clock.h"
+#include "verbenaridge/daemon/event_loop.h"
+#include "verbenaridge/wire/peer_transport.h"
+
+namespace verbenaridge::daemon {
+
+// Serves `request` with `service` on `serving`. Called on `origin`, where `call` lives.
+void ServeOnLoop(EventLoop& origin, EventLoop& serving, wire::PeerService& service,
+                 wire::Request request, std::shared_ptr<wire::ServerCall> call, const Clock& clock);
+
+}  // namespace verbenaridge::daemon
+
+#endif  // VERBENARIDGE_DAEMON_CROSS_THREAD_CALL_H_
--- a/verbenaridge/wire/messages.h
+++ b/verbenaridge/wire/messages.h
@@ -84,6 +84,7 @@
   TokenCount max_output_tokens = 0;
   ModelId model;
   Digest digest = 0;
+  TokenCount cached_tokens = 0;       // as the ingress believes
   std::vector<Digest> prefix_blocks;  // digests of the prompt's leading blocks, in order
   bool isolate = false;
   bool preemptible = false;
@@ -114,6 +115,7 @@
   Priority priority = Priority::kStandard;
   ByteCount kv_bytes = 0;
   double remaining_cost_seconds = 0;
+  Digest digest = 0;
   bool isolate = false;
   bool preemptible = false;
 };
@@ -167,15 +169,17 @@
   std::int64_t expiry_unix_ms = 0;
 };
 
+// The values equal those of claims::ClaimVerdict.
 enum class ClaimVerdict : std::uint8_t {
-  kClaimed = 0,     // this holder may dispatch
-  kRecorded = 1,    // ran before; the answer is in the reply
-  kInProgress = 2,  // another holder claimed it and has no result yet
-  kUnknown = 3,     // claimed, holder gone, fate unknown
-  kKeyReused = 4,   // same key, another fingerprint
-  kExpired = 5,
-  kUnavailable = 6,  // the store did not answer; this holder must not dispatch
-  kNotFound = 7,     // look-up only
+  kClaimed = 0,      // this holder may dispatch
+  kRecorded = 1,     // ran before; the answer is in the reply
+  kInProgress = 2,   // claimed by another holder that may still be running it
+  kUnknown = 3,      // claimed, and nobody knows whether it ran
+  kKeyReused = 4,    // same key, another fingerprint
+  kExpired = 5,      // the expiry has passed or is too far ahead
+  kUnavailable = 6,  // the store did not answer; the asker must not dispatch
+  kFull = 7,         // the bucket is full; not claimed
+  kNotFound = 8,     // no record
 };
 
 struct ClaimReply {
@@ -183,15 +187,18 @@
   int status = 0;
   std::string content_type;
   std::string body;
+  bool body_omitted = false;  // too large for the record
 };
 
 struct RecordOutcomeRequest {
   ClaimKey key;
   HolderId holder;
   Outcome outcome = Outcome::kUnknown;  // kNotRun frees the claim
+  std::int64_t expiry_unix_ms = 0;
   int status = 0;
   std::string content_type;
   std::string body;
+  bool body_omitted = false;
 };
 
 struct LookUpClaimRequest {
@@ -205,7 +212,9 @@
 };
 
 struct PushPlanDeltaReply {
-  PlanVersion version = 0;  // in force at the receiver after the push
+  PlanVersion version = 0;      // in force at the receiver after the push; 0: it does not serve
+  Incarnation incarnation = 0;  // of the receiver
+  bool conflict = false;        // the receiver has not the version that the difference starts from
 };
 
 struct FetchPlanRequest {
@@ -217,7 +226,8 @@
   PlanVersion version = 0;
   PlanVersion confirmed_version = 0;  // highest confirmed version known for the asker's data centre
   bool serving = false;
-  std::string document;  // empty if not newer
+  DataCentreId own_data_centre;  // of the answering daemon
+  std::string document;          // empty if not newer
 };
 
 struct StatusRequest {};
