wire: Call peers over HTTP/2 with MessagePack bodies and a fleet key handshake

The daemons need typed calls to each other that can be cancelled and that end within their deadline.

--- /dev/null
+++ b/verbenaridge/wire/internal/message_fields.h
@@ -0,0 +1,207 @@
+// The fields of each message in the order in which codec.cc encodes them.
+//
+// New fields are appended: a receiver that does not know them ignores them.
+#ifndef VERBENARIDGE_WIRE_INTERNAL_MESSAGE_FIELDS_H_
+#define VERBENARIDGE_WIRE_INTERNAL_MESSAGE_FIELDS_H_
+
+#include <concepts>
+#include <tuple>
+#include <type_traits>
+
+#include "verbenaridge/wire/messages.h"
+
+namespace verbenaridge::wire::internal {
+
+// Lets one function serve the const messages of the encoder and the mutable ones of the decoder.
+template <class Self, class Message>
+concept Like = std::same_as<std::remove_const_t<Self>, Message>;
+
+template <Like<HolderId> Self>
+auto Fields(Self& m) {
+  return std::tie(m.host, m.incarnation, m.sequence);
+}
+
+template <Like<AdmitRequest> Self>
+auto Fields(Self& m) {
+  return std::tie(m.holder, m.client_account, m.priority, m.digest, m.tokens, m.cost_seconds);
+}
+
+template <Like<AdmitReply> Self>
+auto Fields(Self& m) {
+  return std::tie(m.verdict, m.reason, m.retry_after, m.isolate);
+}
+
+template <Like<FinishAdmissionRequest> Self>
+auto Fields(Self& m) {
+  return std::tie(m.holder, m.client_account, m.digest, m.tokens_used, m.cost_seconds, m.completed);
+}
+
+template <Like<PermitRequest> Self>
+auto Fields(Self& m) {
+  return std::tie(m.holder, m.attempt, m.endpoint, m.client_account, m.priority, m.weight,
+                  m.prompt_tokens, m.max_output_tokens, m.prefix_blocks, m.isolate, m.preemptible,
+                  m.kv_bytes);
+}
+
+template <Like<PermitReply> Self>
+auto Fields(Self& m) {
+  return std::tie(m.verdict, m.reason, m.permit, m.owner_incarnation, m.cached_tokens,
+                  m.alternative, m.retry_after);
+}
+
+template <Like<PermitState> Self>
+auto Fields(Self& m) {
+  return std::tie(m.permit, m.holder, m.endpoint, m.client_account, m.priority, m.kv_bytes,
+                  m.remaining_cost_seconds, m.preemptible);
+}
+
+template <Like<RenewPermitsRequest> Self>
+auto Fields(Self& m) {
+  return std::tie(m.permits);
+}
+
+template <Like<RenewPermitsReply> Self>
+auto Fields(Self& m) {
+  return std::tie(m.revoked);
+}
+
+template <Like<ReleasePermitRequest> Self>
+auto Fields(Self& m) {
+  return std::tie(m.permit, m.holder, m.endpoint, m.outcome, m.endpoint_died, m.prefill_tokens,
+                  m.output_tokens, m.prefill_time, m.decode_time);
+}
+
+template <Like<RevokePermitRequest> Self>
+auto Fields(Self& m) {
+  return std::tie(m.permit, m.holder, m.endpoint);
+}
+
+template <Like<ClaimKey> Self>
+auto Fields(Self& m) {
+  return std::tie(m.client_account, m.service, m.operation, m.idempotency_key);
+}
+
+template <Like<ClaimRequest> Self>
+auto Fields(Self& m) {
+  return std::tie(m.key, m.fingerprint, m.holder, m.expiry_unix_ms);
+}
+
+template <Like<ClaimReply> Self>
+auto Fields(Self& m) {
+  return std::tie(m.verdict, m.status, m.content_type, m.body);
+}
+
+template <Like<RecordOutcomeRequest> Self>
+auto Fields(Self& m) {
+  return std::tie(m.key, m.holder, m.outcome, m.status, m.content_type, m.body);
+}
+
+template <Like<LookUpClaimRequest> Self>
+auto Fields(Self& m) {
+  return std::tie(m.key);
+}
+
+template <Like<PushPlanDeltaRequest> Self>
+auto Fields(Self& m) {
+  return std::tie(m.from_version, m.to_version, m.delta);
+}
+
+template <Like<PushPlanDeltaReply> Self>
+auto Fields(Self& m) {
+  return std::tie(m.version);
+}
+
+template <Like<FetchPlanRequest> Self>
+auto Fields(Self& m) {
+  return std::tie(m.have_version, m.data_centre);
+}
+
+template <Like<FetchPlanReply> Self>
+auto Fields(Self& m) {
+  return std::tie(m.version, m.confirmed_version, m.serving, m.document);
+}
+
+template <Like<StatusRequest> Self>
+auto Fields(Self&) {
+  return std::tie();
+}
+
+template <Like<StatusReply> Self>
+auto Fields(Self& m) {
+  return std::tie(m.json);
+}
+
+template <Like<DrainRequest> Self>
+auto Fields(Self& m) {
+  return std::tie(m.target, m.is_endpoint, m.undo, m.operator_proof);
+}
+
+template <Like<Acknowledged> Self>
+auto Fields(Self&) {
+  return std::tie();
+}
+
+template <Like<MemberEntry> Self>
+auto Fields(Self& m) {
+  return std::tie(m.host, m.data_centre, m.ip, m.port, m.incarnation, m.state);
+}
+
+template <Like<EndpointSummary> Self>
+auto Fields(Self& m) {
+  return std::tie(m.endpoint, m.owner_incarnation, m.sequence, m.free_kv_bytes, m.queue_delay,
+                  m.running, m.leaving, m.prefix_digest);
+}
+
+template <Like<SuspectDeath> Self>
+auto Fields(Self& m) {
+  return std::tie(m.digest, m.endpoint, m.endpoint_incarnation, m.expiry_unix_ms);
+}
+
+template <Like<Exoneration> Self>
+auto Fields(Self& m) {
+  return std::tie(m.digest, m.expiry_unix_ms);
+}
+
+template <Like<ConfirmedPlan> Self>
+auto Fields(Self& m) {
+  return std::tie(m.data_centre, m.version);
+}
+
+template <Like<Gossip> Self>
+auto Fields(Self& m) {
+  return std::tie(m.plan_version, m.members, m.summaries, m.deaths, m.exonerations, m.confirmed);
+}
+
+template <Like<Ping> Self>
+auto Fields(Self& m) {
+  return std::tie(m.sequence, m.sender, m.target, m.gossip);
+}
+
+template <Like<PingRequest> Self>
+auto Fields(Self& m) {
+  return std::tie(m.sequence, m.sender, m.target);
+}
+
+template <Like<Ack> Self>
+auto Fields(Self& m) {
+  return std::tie(m.sequence, m.sender, m.target, m.gossip);
+}
+
+template <Like<GossipPush> Self>
+auto Fields(Self& m) {
+  return std::tie(m.sender, m.gossip);
+}
+
+// Largest value of each enum that peers exchange.
+constexpr unsigned Largest(Priority) { return static_cast<unsigned>(Priority::kBackground); }
+constexpr unsigned Largest(Outcome) { return static_cast<unsigned>(Outcome::kUnknown); }
+constexpr unsigned Largest(Verdict) { return static_cast<unsigned>(Verdict::kRefused); }
+constexpr unsigned Largest(RefusalReason) {
+  return static_cast<unsigned>(RefusalReason::kPlanForbids);
+}
+constexpr unsigned Largest(ClaimVerdict) { return static_cast<unsigned>(ClaimVerdict::kNotFound); }
+constexpr unsigned Largest(MemberState) { return static_cast<unsigned>(MemberState::kDead); }
+
+}  // namespace verbenaridge::wire::internal
+
+#endif  // VERBENARIDGE_WIRE_INTERNAL_MESSAGE_FIELDS_H_
