--- a/verbenaridge/base/holder.h
+++ b/verbenaridge/base/holder.h
@@ -17,7 +17,9 @@
   Incarnation incarnation = 0;
   std::uint64_t sequence = 0;
 
-  friend auto operator<=>(const HolderId&, const HolderId&) = default;
+  // clang-tidy 14 takes the literal 0 of a rewritten comparison for a null pointer.
+  friend auto operator<=>(const HolderId&,
+                          const HolderId&) = default;  // NOLINT(modernize-use-nullptr)
 };
 
 }  // namespace verbenaridge
--- /dev/null
+++ b/verbenaridge/permits/endpoint_owner.cc
@@ -0,0 +1,334 @@
+#include "verbenaridge/permits/endpoint_owner.h"
+
+#include <algorithm>
+#include <functional>
+
+#include "verbenaridge/base/hash.h"
+
+namespace verbenaridge::permits {
+
+namespace {
+
+constexpr TimePoint kNever = TimePoint::max();
+
+PermitId PermitBase(const HostId& host, const EndpointId& endpoint, Incarnation incarnation) {
+  // The low 24 bits count; the rest makes ids of different owners differ.
+  const Digest digest = CombineDigests(HashOf({host.value(), endpoint.value()}), incarnation);
+  return digest & ~PermitId{0xffffff};
+}
+
+}  // namespace
+
+PolicyOptions KaoriSachetOptions() {
+  PolicyOptions options;
+  options.queue.min_share = {0, 0.10, 0.05};
+  options.queue.short_first_factor = 8;
+  return options;
+}
+
+PolicyOptions AlpenrandOptions() {
+  PolicyOptions options;
+  options.queue.min_share = {0, 0.15, 0.05};
+  options.queue.short_first_factor = 4;
+  return options;
+}
+
+Priority EnginePriority(Priority priority, TokenCount uncached_tokens,
+                        TokenCount short_prompt_tokens) {
+  if (uncached_tokens <= short_prompt_tokens) return priority;
+  return static_cast<Priority>(std::min(Rank(priority) + 1, kPriorityCount - 1));
+}
+
+EndpointOwner::EndpointOwner(EndpointId endpoint, HostId host, Incarnation incarnation,
+                             cost::CostModel& costs, const PolicyOptions& options, TimePoint now)
+    : endpoint_(std::move(endpoint)),
+      host_(std::move(host)),
+      incarnation_(incarnation),
+      costs_(costs),
+      options_(options),
+      queue_(options.queue) {
+  Restart(incarnation, now);
+}
+
+void EndpointOwner::Restart(Incarnation incarnation, TimePoint now) {
+  incarnation_ = incarnation;
+  permit_base_ = PermitBase(host_, endpoint_, incarnation);
+  queue_ = queueing::FairQueue(options_.queue);
+  waiting_.clear();
+  waiting_ids_.clear();
+  latest_starts_.clear();
+  permits_.clear();
+  permit_ids_.clear();
+  ended_.clear();
+  unlisted_.clear();
+  backlog_ = PrefillBacklog();
+  reserved_kv_ = orphan_kv_ = 0;
+  paused_ = isolated_ = false;
+  started_ = last_seen_ = drain_from_ = now;
+  drained_cost_ = 0;
+}
+
+bool EndpointOwner::Alive(TimePoint now) {
+  if (now - last_seen_ > options_.pause_limit) paused_ = true;
+  last_seen_ = std::max(last_seen_, now);
+  if (!paused_) backlog_.Advance(now);
+  return !paused_;
+}
+
+ByteCount EndpointOwner::usable_kv() const {
+  return static_cast<ByteCount>(static_cast<double>(report_.kv_capacity_bytes) * options_.kv_fill);
+}
+
+ByteCount EndpointOwner::FreeKv(TimePoint now) const {
+  ByteCount used = reserved_kv_ + orphan_kv_;
+  // Until holders had time to present their permits, the endpoint's own figure may be higher.
+  if (now - started_ < options_.expiry) used = std::max(used, report_.kv_used_bytes);
+  return usable_kv() - used;
+}
+
+std::size_t EndpointOwner::LongPrefills(TimePoint now) const {
+  return static_cast<std::size_t>(std::count_if(
+      permits_.begin(), permits_.end(),
+      [&](const auto& entry) { return entry.second.is_long && entry.second.prefill_end > now; }));
+}
+
+Duration EndpointOwner::QueueDelay(Priority priority, Priority engine_priority, TimePoint now) {
+  backlog_.Advance(now);
+  double cost = 0;
+  for (std::size_t rank = 0; rank <= Rank(priority); ++rank) {
+    cost += queue_.backlog_cost(static_cast<Priority>(rank));
+  }
+  return FromSeconds(backlog_.Ahead(engine_priority) + cost / drain_rate_);
+}
+
+EndpointOwner::Waiting EndpointOwner::Prepare(const PermitInput& input, TimePoint now) const {
+  const TokenCount uncached = input.prompt_tokens - input.cached_tokens;
+  Waiting waiting;
+  waiting.input = input;
+  waiting.prediction = costs_.Predict(
+      endpoint_, input.model, {input.prompt_tokens, input.cached_tokens, input.max_output_tokens});
+  if (input.kv_bytes > 0) waiting.prediction.kv_bytes = input.kv_bytes;
+  waiting.engine_priority = EnginePriority(input.priority, uncached, options_.short_prompt_tokens);
+  waiting.is_long = uncached > options_.long_prompt_tokens;
+  waiting.enqueued = now;
+  waiting.latest_start = input.max_wait > Duration::zero() ? now + input.max_wait : kNever;
+  return waiting;
+}
+
+std::optional<Refusal> EndpointOwner::RefuseAtOnce(const PermitInput& input, const Waiting& waiting,
+                                                   TimePoint now) {
+  const auto refuse = [&](PermitReason reason, Duration retry = {}) {
+    return Refusal{input.holder, input.attempt, reason, retry};
+  };
+  if (paused_) return refuse(PermitReason::kNotOwner);
+  if (leaving_ || report_.leaving) return refuse(PermitReason::kLeaving);
+  if (report_.kv_capacity_bytes > 0 && waiting.prediction.kv_bytes > usable_kv()) {
+    return refuse(PermitReason::kTooLarge);
+  }
+  const Duration delay = QueueDelay(input.priority, waiting.engine_priority, now);
+  if (input.max_wait > Duration::zero() && delay > input.max_wait) {
+    return refuse(PermitReason::kDeadline, delay - input.max_wait);
+  }
+  if (input.redirect_above > Duration::zero() && delay > input.redirect_above) {
+    return refuse(PermitReason::kBusy);
+  }
+  if (input.spilled && delay > options_.spill_accept_delay) return refuse(PermitReason::kBusy);
+  return std::nullopt;
+}
+
+Grant EndpointOwner::MakeGrant(PermitId id, const Permit& permit) const {
+  return {permit.attempt.first, permit.attempt.second, id,
+          incarnation_,         permit.expiry,         permit.cached_tokens};
+}
+
+Actions EndpointOwner::Request(const PermitInput& input, TimePoint now) {
+  Actions actions;
+  const bool alive = Alive(now);
+  const AttemptKey key{input.holder, input.attempt};
+  if (alive) {
+    const auto granted = permit_ids_.find(key);
+    if (granted != permit_ids_.end()) {
+      actions.emplace_back(MakeGrant(granted->second, permits_.at(granted->second)));
+      return actions;
+    }
+    if (waiting_ids_.contains(key)) return actions;
+  }
+  Waiting waiting = Prepare(input, now);
+  if (auto refusal = RefuseAtOnce(input, waiting, now)) {
+    actions.emplace_back(std::move(*refusal));
+    return actions;
+  }
+  const std::uint64_t id = next_id_++;
+  const queueing::PushResult pushed = queue_.Push({.id = id,
+                                                   .account = input.account,
+                                                   .priority = input.priority,
+                                                   .cost = waiting.prediction.cost_seconds,
+                                                   .weight = input.weight,
+                                                   .enqueued = now},
+                                                  now);
+  const Duration retry = QueueDelay(input.priority, waiting.engine_priority, now);
+  if (!pushed.accepted) {
+    actions.emplace_back(Refusal{input.holder, input.attempt, PermitReason::kQueueFull, retry});
+    return actions;
+  }
+  latest_starts_.insert({waiting.latest_start, id});
+  waiting_ids_[key] = id;
+  waiting_.emplace(id, std::move(waiting));
+  if (pushed.dropped) {
+    const Waiting dropped = Unqueue(pushed.dropped->id);
+    actions.emplace_back(
+        Refusal{dropped.input.holder, dropped.input.attempt, PermitReason::kQueueFull, retry});
+  }
+  Pump(now, actions);
+  return actions;
+}
+
+EndpointOwner::Waiting EndpointOwner::Unqueue(std::uint64_t id) {
+  const auto found = waiting_.find(id);
+  Waiting waiting = std::move(found->second);
+  waiting_.erase(found);
+  waiting_ids_.erase({waiting.input.holder, waiting.input.attempt});
+  latest_starts_.erase({waiting.latest_start, id});
+  queue_.Remove(id);
+  return waiting;
+}
+
+Actions EndpointOwner::Cancel(const HolderId& holder, AttemptNumber attempt, TimePoint now) {
+  Actions actions;
+  if (!Alive(now)) return actions;
+  const auto found = waiting_ids_.find({holder, attempt});
+  if (found == waiting_ids_.end()) return actions;
+  Unqueue(found->second);
+  Pump(now, actions);
+  return actions;
+}
+
+bool EndpointOwner::FitsMemory(const Waiting& waiting, TimePoint now) const {
+  return permits_.size() < options_.max_running && waiting.prediction.kv_bytes <= FreeKv(now);
+}
+
+bool EndpointOwner::Fits(const Waiting& waiting, TimePoint now) {
+  if (isolated_ || (waiting.input.isolate && !permits_.empty())) return false;
+  if (!FitsMemory(waiting, now)) return false;
+  if (waiting.is_long && LongPrefills(now) >= options_.max_long_prefills) return false;
+  const Duration window = options_.prefill_window[Rank(waiting.engine_priority)];
+  return FromSeconds(backlog_.Ahead(waiting.engine_priority)) < window;
+}
+
+void EndpointOwner::GrantTo(std::uint64_t id, TimePoint now, Actions& actions) {
+  const Waiting waiting = Unqueue(id);
+  const PermitInput& input = waiting.input;
+  Permit permit;
+  permit.attempt = {input.holder, input.attempt};
+  permit.account = input.account;
+  permit.model = input.model;
+  permit.priority = input.priority;
+  permit.engine_priority = waiting.engine_priority;
+  permit.kv_bytes = waiting.prediction.kv_bytes;
+  permit.max_output_tokens = input.max_output_tokens;
+  permit.cached_tokens = input.cached_tokens;
+  permit.prefill_seconds = ToSeconds(waiting.prediction.prefill);
+  permit.ahead_seconds = backlog_.Ahead(waiting.engine_priority);
+  permit.granted = now;
+  permit.prefill_end = now + FromSeconds(permit.ahead_seconds + permit.prefill_seconds);
+  permit.expiry = now + options_.expiry;
+  permit.is_long = waiting.is_long;
+  permit.isolate = input.isolate;
+  permit.preemptible = input.preemptible;
+  permit.lent = input.lent;
+  backlog_.Add(permit.engine_priority, permit.prefill_seconds);
+  reserved_kv_ += permit.kv_bytes;
+  isolated_ = isolated_ || permit.isolate;
+  drained_cost_ += waiting.prediction.cost_seconds;
+  const PermitId permit_id = permit_base_ | (next_id_++ & 0xffffff);
+  permit_ids_[permit.attempt] = permit_id;
+  actions.emplace_back(MakeGrant(permit_id, permit));
+  permits_.emplace(permit_id, std::move(permit));
+}
+
+void EndpointOwner::RefuseLate(TimePoint now, Actions& actions) {
+  while (!latest_starts_.empty() && latest_starts_.begin()->first < now) {
+    const Waiting waiting = Unqueue(latest_starts_.begin()->second);
+    const Duration retry = QueueDelay(waiting.input.priority, waiting.engine_priority, now);
+    actions.emplace_back(
+        Refusal{waiting.input.holder, waiting.input.attempt, PermitReason::kDeadline, retry});
+  }
+}
+
+void EndpointOwner::Pump(TimePoint now, Actions& actions) {
+  RefuseLate(now, actions);
+  if (leaving_ || report_.leaving) RefuseAll(PermitReason::kLeaving, actions);
+  for (;;) {
+    bool blocked = false;
+    const auto fits = [&](const queueing::QueueItem& item) {
+      if (blocked) return false;
+      const Waiting& waiting = waiting_.at(item.id);
+      if (Fits(waiting, now)) return true;
+      // A request that waited its time for memory is not overtaken any more, or a stream of small
+      // requests would keep it out for ever.
+      const bool starved = now - waiting.enqueued > options_.max_bypass;
+      blocked = starved && (waiting.input.isolate || !FitsMemory(waiting, now));
+      return false;
+    };
+    const auto item = queue_.Pop(now, fits);
+    if (!item) break;
+    GrantTo(item->id, now, actions);
+  }
+  if (options_.preemption) Preempt(now, actions);
+}
+
+void EndpointOwner::RefuseAll(PermitReason reason, Actions& actions) {
+  while (!waiting_.empty()) {
+    const Waiting waiting = Unqueue(waiting_.begin()->first);
+    actions.emplace_back(Refusal{waiting.input.holder, waiting.input.attempt, reason, {}});
+  }
+}
+
+void EndpointOwner::Preempt(TimePoint now, Actions& actions) {
+  if (waiting_.empty()) return;
+  const auto nothing = [&](const queueing::QueueItem& item) {
+    const Waiting& waiting = waiting_.at(item.id);
+    const bool due = now - waiting.enqueued >= options_.preempt_after;
+    if (due && !waiting.input.isolate && !isolated_ && !FitsMemory(waiting, now)) {
+      RevokeFor(waiting, now, actions);
+    }
+    return false;
+  };
+  queue_.Pop(now, nothing);
+}
+
+// Revokes the newest streams that may make room for `waiting`, if they are enough.
+void EndpointOwner::RevokeFor(const Waiting& waiting, TimePoint now, Actions& actions) {
+  std::vector<std::pair<TimePoint, PermitId>> victims;
+  ByteCount kv = FreeKv(now);
+  std::size_t running = permits_.size();
+  for (const auto& [id, permit] : permits_) {
+    if (permit.revoked) {
+      kv += permit.kv_bytes;
+      --running;
+      continue;
+    }
+    const bool lower =
+        permit.priority > waiting.input.priority && queue_.AboveShare(permit.priority, now);
+    const bool reclaimed =
+        permit.lent && permit.priority >= waiting.input.priority && !waiting.is_long;
+    if (permit.preemptible && (lower || reclaimed)) victims.emplace_back(permit.granted, id);
+  }
+  const auto enough = [&] {
+    return kv >= waiting.prediction.kv_bytes && running < options_.max_running;
+  };
+  std::sort(victims.begin(), victims.end(), std::greater<>());
+  std::size_t count = 0;
+  while (!enough() && count < victims.size()) {
+    kv += permits_.at(victims[count++].second).kv_bytes;
+    --running;
+  }
+  if (!enough()) return;
+  for (std::size_t i = 0; i < count; ++i) {
+    Permit& permit = permits_.at(victims[i].second);
+    permit.revoked = true;
+    actions.emplace_back(Revocation{permit.attempt.first, victims[i].second});
+  }
+}
+
+}  // namespace verbenaridge::permits
--- /dev/null
+++ b/verbenaridge/permits/endpoint_owner.h
@@ -0,0 +1,168 @@
+// Decides who may use one endpoint, and when.
+//
+// The owner queues requests, reserves KV memory and grants permits that expire unless their holder
+// renews them. Its state is a hint that a new owner rebuilds: holders present their permits, and
+// the endpoint's stream list shows what runs without one. An owner that notices its own pause
+// refuses everything until Restart, because its permits may have expired and been granted by
+// another owner.
+//
+//   EndpointOwner owner(endpoint, HostId("furano-03"), incarnation, costs, options, now);
+//   for (const Action& action : owner.Request(input, now)) Perform(action);
+//   ...
+//   for (const Action& action : owner.Release({.permit = grant.permit}, now)) Perform(action);
+//
+// `OnTick` must run at least every 500 ms. Used by one thread.
+#ifndef VERBENARIDGE_PERMITS_ENDPOINT_OWNER_H_
+#define VERBENARIDGE_PERMITS_ENDPOINT_OWNER_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <span>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "verbenaridge/cost/cost_model.h"
+#include "verbenaridge/permits/permit_types.h"
+#include "verbenaridge/permits/prefill_backlog.h"
+#include "verbenaridge/queueing/fair_queue.h"
+
+namespace verbenaridge::permits {
+
+class EndpointOwner {
+ public:
+  // `costs` must outlive the owner.
+  EndpointOwner(EndpointId endpoint, HostId host, Incarnation incarnation, cost::CostModel& costs,
+                const PolicyOptions& options, TimePoint now);
+
+  // Answers at once or queues. A repeated request of the same holder and attempt is answered as
+  // before and queued once.
+  Actions Request(const PermitInput& input, TimePoint now);
+
+  // A waiting caller left.
+  Actions Cancel(const HolderId& holder, AttemptNumber attempt, TimePoint now);
+
+  Actions Release(const ReleaseInput& input, TimePoint now);
+
+  // Renews known permits and adopts unknown ones of an earlier owner. Returns revoked ids.
+  std::vector<PermitId> Renew(std::span<const HeldPermit> permits, TimePoint now);
+
+  Actions OnLoadReport(const LoadReport& report, TimePoint now);
+
+  // Streams listed twice without a permit are cancelled.
+  Actions OnStreamList(std::span<const ListedStream> streams, TimePoint now);
+
+  // No new work; what runs goes on.
+  Actions SetLeaving(bool leaving, TimePoint now);
+
+  // The endpoint died: all permits end, and queued requests are refused.
+  Actions OnEndpointDeath(TimePoint now);
+
+  Actions OnTick(TimePoint now);
+
+  // Starts over after a pause, with a new incarnation and no memory of the old one.
+  void Restart(Incarnation incarnation, TimePoint now);
+
+  bool paused() const { return paused_; }
+  Incarnation incarnation() const { return incarnation_; }
+  std::size_t running() const { return permits_.size(); }
+  std::size_t waiting() const { return waiting_.size(); }
+  ByteCount reserved_kv_bytes() const { return reserved_kv_; }
+  OwnerSummary Summary(TimePoint now);
+
+ private:
+  using AttemptKey = std::pair<HolderId, AttemptNumber>;
+  struct Waiting {
+    PermitInput input;
+    cost::Prediction prediction;
+    Priority engine_priority = Priority::kStandard;
+    bool is_long = false;
+    TimePoint enqueued{};
+    TimePoint latest_start{};
+  };
+  struct Permit {
+    AttemptKey attempt;
+    ClientAccountId account;
+    ModelId model;
+    Priority priority = Priority::kStandard;
+    Priority engine_priority = Priority::kStandard;
+    ByteCount kv_bytes = 0;
+    TokenCount max_output_tokens = 0;
+    TokenCount cached_tokens = 0;
+    double prefill_seconds = 0;
+    double ahead_seconds = 0;  // prefill work ahead of it when granted
+    TimePoint granted{};
+    TimePoint prefill_end{};  // predicted
+    TimePoint expiry{};
+    bool is_long = false;
+    bool isolate = false;
+    bool preemptible = false;
+    bool lent = false;
+    bool revoked = false;
+  };
+  struct Unlisted {
+    int lists = 0;
+    TimePoint first_seen{};
+    ByteCount kv_bytes = 0;
+  };
+
+  // False if the owner is paused; notices a pause.
+  bool Alive(TimePoint now);
+  std::optional<Refusal> RefuseAtOnce(const PermitInput& input, const Waiting& waiting,
+                                      TimePoint now);
+  Waiting Prepare(const PermitInput& input, TimePoint now) const;
+  ByteCount usable_kv() const;
+  ByteCount FreeKv(TimePoint now) const;
+  bool Fits(const Waiting& waiting, TimePoint now);
+  bool FitsMemory(const Waiting& waiting, TimePoint now) const;
+  void Pump(TimePoint now, Actions& actions);
+  void RefuseLate(TimePoint now, Actions& actions);
+  void GrantTo(std::uint64_t id, TimePoint now, Actions& actions);
+  void Preempt(TimePoint now, Actions& actions);
+  void RevokeFor(const Waiting& waiting, TimePoint now, Actions& actions);
+  void RefuseAll(PermitReason reason, Actions& actions);
+  Grant MakeGrant(PermitId id, const Permit& permit) const;
+  Waiting Unqueue(std::uint64_t id);
+  void Erase(PermitId id, TimePoint now, bool released);
+  void Learn(const Permit& permit, const ReleaseInput& input);
+  void MeasureDrain(TimePoint now);
+  Duration QueueDelay(Priority priority, Priority engine_priority, TimePoint now);
+  std::size_t LongPrefills(TimePoint now) const;
+
+  EndpointId endpoint_;
+  HostId host_;
+  Incarnation incarnation_;
+  cost::CostModel& costs_;
+  PolicyOptions options_;
+
+  queueing::FairQueue queue_;
+  std::unordered_map<std::uint64_t, Waiting> waiting_;
+  std::map<AttemptKey, std::uint64_t> waiting_ids_;
+  std::set<std::pair<TimePoint, std::uint64_t>> latest_starts_;
+  std::unordered_map<PermitId, Permit> permits_;
+  std::map<AttemptKey, PermitId> permit_ids_;
+  std::map<PermitId, TimePoint> ended_;  // released or revoked: not adopted again
+  std::map<std::pair<RequestId, AttemptNumber>, Unlisted> unlisted_;
+
+  PrefillBacklog backlog_;
+  LoadReport report_;
+  ByteCount reserved_kv_ = 0;
+  ByteCount orphan_kv_ = 0;  // of streams without a permit
+  std::uint64_t next_id_ = 1;
+  PermitId permit_base_ = 0;
+  TimePoint started_{};
+  TimePoint last_seen_{};
+  bool leaving_ = false;
+  bool paused_ = false;
+  bool isolated_ = false;  // a suspect runs
+
+  double drain_rate_ = 1;  // queued cost served per second while there is a queue
+  double drained_cost_ = 0;
+  TimePoint drain_from_{};
+};
+
+}  // namespace verbenaridge::permits
+
+#endif  // VERBENARIDGE_PERMITS_ENDPOINT_OWNER_H_
--- /dev/null
+++ b/verbenaridge/permits/reconciliation.cc
@@ -0,0 +1,186 @@
+// How an owner learns what runs: releases, renewals, reports, stream lists and time.
+#include <algorithm>
+
+#include "verbenaridge/permits/endpoint_owner.h"
+
+namespace verbenaridge::permits {
+
+namespace {
+// Ids of ended permits are remembered so long that a delayed renewal cannot bring them back.
+constexpr Duration kEndedMemory = std::chrono::seconds(30);
+}  // namespace
+
+void EndpointOwner::Erase(PermitId id, TimePoint now, bool released) {
+  const auto found = permits_.find(id);
+  const Permit permit = std::move(found->second);
+  permits_.erase(found);
+  permit_ids_.erase(permit.attempt);
+  reserved_kv_ -= permit.kv_bytes;
+  // The stream of an expired permit may still hold its memory; the next stream list tells.
+  if (!released) orphan_kv_ += permit.kv_bytes;
+  if (permit.isolate) isolated_ = false;
+  if (permit.prefill_end > now) {
+    backlog_.Take(permit.engine_priority,
+                  std::min(permit.prefill_seconds, ToSeconds(permit.prefill_end - now)));
+  }
+  ended_[id] = now + kEndedMemory;
+}
+
+void EndpointOwner::Learn(const Permit& permit, const ReleaseInput& input) {
+  // The time to the first token includes the work that was ahead; its part is taken out, so that
+  // a busy engine does not look like a slow one.
+  const double own = permit.prefill_seconds;
+  const double expected = own + permit.ahead_seconds;
+  const double part = expected > 0 ? own / expected : 0;
+  costs_.OnOutcome(endpoint_, permit.model,
+                   {.prefill_tokens = input.prefill_tokens,
+                    .output_tokens = input.output_tokens,
+                    .max_output_tokens = permit.max_output_tokens,
+                    .prefill_time = FromSeconds(ToSeconds(input.prefill_time) * part),
+                    .decode_time = input.decode_time});
+}
+
+Actions EndpointOwner::Release(const ReleaseInput& input, TimePoint now) {
+  Actions actions;
+  if (!Alive(now)) return actions;
+  const auto found = permits_.find(input.permit);
+  if (found == permits_.end()) {
+    ended_[input.permit] = now + kEndedMemory;
+    return actions;
+  }
+  if (input.completed) Learn(found->second, input);
+  Erase(input.permit, now, true);
+  Pump(now, actions);
+  return actions;
+}
+
+std::vector<PermitId> EndpointOwner::Renew(std::span<const HeldPermit> held, TimePoint now) {
+  std::vector<PermitId> revoked;
+  if (!Alive(now)) return revoked;
+  for (const HeldPermit& permit : held) {
+    const auto found = permits_.find(permit.permit);
+    if (found != permits_.end()) {
+      found->second.expiry = now + options_.expiry;
+      if (found->second.revoked) revoked.push_back(permit.permit);
+      continue;
+    }
+    if (ended_.contains(permit.permit)) {
+      revoked.push_back(permit.permit);
+      continue;
+    }
+    Permit adopted;
+    adopted.attempt = {permit.holder, permit.attempt};
+    adopted.account = permit.account;
+    adopted.priority = adopted.engine_priority = permit.priority;
+    adopted.kv_bytes = permit.kv_bytes;
+    adopted.granted = adopted.prefill_end = now;
+    adopted.expiry = now + options_.expiry;
+    adopted.isolate = permit.isolate;
+    adopted.preemptible = permit.preemptible;
+    reserved_kv_ += adopted.kv_bytes;
+    isolated_ = isolated_ || adopted.isolate;
+    queue_.ChargePriority(permit.priority, permit.remaining_cost_seconds, now);
+    permit_ids_[adopted.attempt] = permit.permit;
+    permits_.emplace(permit.permit, std::move(adopted));
+  }
+  return revoked;
+}
+
+Actions EndpointOwner::OnLoadReport(const LoadReport& report, TimePoint now) {
+  Actions actions;
+  const bool restarted = report_.incarnation != 0 && report.incarnation != report_.incarnation;
+  report_ = report;
+  costs_.OnLoadReport(endpoint_, {.prefill_tokens_per_second = report.prefill_tokens_per_second,
+                                  .decode_step = report.decode_step,
+                                  .kv_bytes_per_token = report.kv_bytes_per_token});
+  if (!Alive(now)) return actions;
+  if (restarted) return OnEndpointDeath(now);
+  Pump(now, actions);
+  return actions;
+}
+
+Actions EndpointOwner::OnStreamList(std::span<const ListedStream> streams, TimePoint now) {
+  Actions actions;
+  if (!Alive(now)) return actions;
+  decltype(unlisted_) seen;
+  orphan_kv_ = 0;
+  for (const ListedStream& stream : streams) {
+    if (permits_.contains(stream.permit)) continue;
+    const auto key = std::make_pair(stream.request_id, stream.attempt);
+    const auto before = unlisted_.find(key);
+    Unlisted entry = before == unlisted_.end() ? Unlisted{0, now, 0} : before->second;
+    ++entry.lists;
+    entry.kv_bytes = stream.kv_bytes;
+    orphan_kv_ += stream.kv_bytes;
+    if (entry.lists >= 2 && now - entry.first_seen >= options_.orphan_age) {
+      actions.emplace_back(StreamCancel{stream.request_id, stream.attempt});
+    }
+    seen.emplace(key, entry);
+  }
+  unlisted_ = std::move(seen);
+  Pump(now, actions);
+  return actions;
+}
+
+Actions EndpointOwner::SetLeaving(bool leaving, TimePoint now) {
+  Actions actions;
+  leaving_ = leaving;
+  if (Alive(now)) Pump(now, actions);
+  return actions;
+}
+
+Actions EndpointOwner::OnEndpointDeath(TimePoint now) {
+  Actions actions;
+  if (!Alive(now)) return actions;
+  while (!permits_.empty()) Erase(permits_.begin()->first, now, true);
+  orphan_kv_ = 0;
+  unlisted_.clear();
+  backlog_ = PrefillBacklog();
+  backlog_.Advance(now);
+  RefuseAll(PermitReason::kBusy, actions);
+  return actions;
+}
+
+void EndpointOwner::MeasureDrain(TimePoint now) {
+  const double span = ToSeconds(now - drain_from_);
+  if (span < 1) return;
+  // Only a span with a queue shows what the endpoint can serve; others show the demand.
+  if (!waiting_.empty() && drained_cost_ > 0) {
+    const double observed = std::clamp(drained_cost_ / span, 0.1, 10.0);
+    drain_rate_ += 0.2 * (observed - drain_rate_);
+  }
+  drained_cost_ = 0;
+  drain_from_ = now;
+}
+
+Actions EndpointOwner::OnTick(TimePoint now) {
+  Actions actions;
+  if (!Alive(now)) {
+    RefuseAll(PermitReason::kNotOwner, actions);
+    return actions;
+  }
+  MeasureDrain(now);
+  std::vector<PermitId> expired;
+  for (const auto& [id, permit] : permits_) {
+    if (permit.expiry <= now) expired.push_back(id);
+  }
+  for (const PermitId id : expired) Erase(id, now, false);
+  std::erase_if(ended_, [&](const auto& entry) { return entry.second <= now; });
+  Pump(now, actions);
+  return actions;
+}
+
+OwnerSummary EndpointOwner::Summary(TimePoint now) {
+  OwnerSummary summary;
+  summary.kv_capacity_bytes = report_.kv_capacity_bytes;
+  summary.free_kv_bytes = std::max<ByteCount>(0, FreeKv(now));
+  for (const Priority priority : kAllPriorities) {
+    summary.queue_delay[Rank(priority)] = QueueDelay(priority, priority, now);
+  }
+  summary.running = permits_.size();
+  summary.long_prefills = LongPrefills(now);
+  summary.leaving = leaving_ || report_.leaving || paused_;
+  return summary;
+}
+
+}  // namespace verbenaridge::permits
--- a/verbenaridge/queueing/fair_queue.cc
+++ b/verbenaridge/queueing/fair_queue.cc
@@ -131,6 +131,11 @@
   return std::nullopt;
 }
 
+bool FairQueue::AboveShare(Priority priority, TimePoint now) {
+  window_.Advance(now);
+  return window_.served(priority) > window_.total() * options_.min_share[Rank(priority)];
+}
+
 void FairQueue::ChargePriority(Priority priority, double cost, TimePoint now) {
   window_.Add(priority, cost, now);
 }
--- a/verbenaridge/queueing/fair_queue.h
+++ b/verbenaridge/queueing/fair_queue.h
@@ -76,6 +76,9 @@
   // Priorities in the order in which Pop would try them now.
   std::array<Priority, kPriorityCount> Order(TimePoint now);
 
+  // Whether the priority had at least its minimum share of the cost served in the window.
+  bool AboveShare(Priority priority, TimePoint now);
+
   // Accounts for work that bypassed the queue, such as permits presented after an owner change.
   void ChargePriority(Priority priority, double cost, TimePoint now);
 
--- /dev/null
+++ b/verbenaridge/routing/prefix_index.h
@@ -0,0 +1,85 @@
+// What is known of the prompt prefixes that endpoints have cached.
+//
+// Knowledge comes from cache events, which arrive late, twice or not at all, and from this
+// daemon's own dispatches. Per block and endpoint, only an event newer than the last one counts, so
+// the order of arrival does not matter. After a gap in an endpoint's sequence, what was known
+// before may have been evicted: it is trusted for `gap_trust` of its length until an event or a
+// dispatch confirms it again. Nothing is forgotten at once, because a wrong hit costs one prefill
+// and a forgotten hit costs the same.
+//
+//   PrefixIndex index;
+//   index.OnCacheEvent(endpoint_key, {.sequence = 12, .added = true, .block = digest}, now);
+//   for (const PrefixMatch& match : index.Match(blocks, now)) ...
+#ifndef VERBENARIDGE_ROUTING_PREFIX_INDEX_H_
+#define VERBENARIDGE_ROUTING_PREFIX_INDEX_H_
+
+#include <cstdint>
+#include <deque>
+#include <span>
+#include <unordered_map>
+#include <vector>
+
+#include "verbenaridge/base/clock.h"
+#include "verbenaridge/base/ids.h"
+
+namespace verbenaridge::routing {
+
+struct PrefixOptions {
+  std::size_t max_blocks_per_endpoint = 20'000;
+  std::size_t max_match_blocks = 64;  // later blocks of a prompt are seldom shared
+  Duration time_to_live = std::chrono::minutes(10);
+  double gap_trust = 0.5;
+};
+
+struct CacheEvent {
+  std::uint64_t sequence = 0;
+  bool added = false;  // false: evicted
+  Digest block = 0;
+};
+
+struct PrefixMatch {
+  Digest endpoint = 0;  // hash of the endpoint's id
+  double blocks = 0;    // leading blocks, discounted after gaps
+};
+
+// Used by one thread.
+class PrefixIndex {
+ public:
+  explicit PrefixIndex(PrefixOptions options = {}) : options_(options) {}
+
+  void OnCacheEvent(Digest endpoint, const CacheEvent& event, TimePoint now);
+
+  // A prompt was sent: its blocks will be cached, whatever events say later.
+  void OnDispatched(Digest endpoint, std::span<const Digest> blocks, TimePoint now);
+
+  // The endpoint died or restarted: its cache is empty.
+  void Forget(Digest endpoint);
+
+  // Endpoints that hold at least the first block.
+  std::vector<PrefixMatch> Match(std::span<const Digest> blocks, TimePoint now) const;
+
+ private:
+  struct Holding {
+    Digest endpoint = 0;
+    std::uint64_t sequence = 0;  // of the last event; 0: own dispatch only
+    std::uint32_t epoch = 0;     // of the endpoint when last confirmed
+    bool cached = false;
+    TimePoint seen{};
+  };
+  struct EndpointState {
+    std::uint64_t last_sequence = 0;
+    std::uint32_t epoch = 0;    // grows with each gap
+    std::deque<Digest> blocks;  // oldest first
+  };
+
+  Holding& Find(Digest endpoint, Digest block);
+  void DropHolding(Digest endpoint, Digest block);
+
+  PrefixOptions options_;
+  std::unordered_map<Digest, std::vector<Holding>> blocks_;
+  std::unordered_map<Digest, EndpointState> endpoints_;
+};
+
+}  // namespace verbenaridge::routing
+
+#endif  // VERBENARIDGE_ROUTING_PREFIX_INDEX_H_
