--- a/verbenaridge/wire/messages.h
+++ b/verbenaridge/wire/messages.h
@@ -11,20 +11,12 @@
 #include <vector>
 
 #include "verbenaridge/base/clock.h"
+#include "verbenaridge/base/holder.h"
 #include "verbenaridge/base/ids.h"
 #include "verbenaridge/base/units.h"
 
 namespace verbenaridge::wire {
 
-// Identifies one request at one ingress daemon for as long as any process may speak of it.
-struct HolderId {
-  HostId host;
-  Incarnation incarnation = 0;
-  std::uint64_t sequence = 0;
-
-  friend auto operator<=>(const HolderId&, const HolderId&) = default;
-};
-
 enum class Verdict : std::uint8_t { kGranted = 0, kRefused = 1 };
 
 // Reasons for a refusal that the ingress acts on.
@@ -40,6 +32,8 @@
   kNotOwner = 8,
   kLeaving = 9,
   kPlanForbids = 10,
+  kBusy = 12,        // another endpoint is predicted to be faster
+  kNotServing = 11,  // the owner has no plan that it may serve
 };
 
 // Account owner: admit a request of a client account.
@@ -50,6 +44,7 @@
   Digest digest = 0;
   TokenCount tokens = 0;  // prompt and output limit
   double cost_seconds = 0;
+  bool present = false;  // running already, admitted by an earlier owner
 };
 
 struct AdmitReply {
@@ -59,13 +54,22 @@
   bool isolate = false;  // the digest is suspect: run it alone on an endpoint
 };
 
+// One request digest was in flight when one incarnation of an endpoint died.
+struct SuspectDeath {
+  Digest digest = 0;
+  EndpointId endpoint;
+  Incarnation endpoint_incarnation = 0;
+  std::int64_t expiry_unix_ms = 0;
+};
+
 struct FinishAdmissionRequest {
   HolderId holder;
   ClientAccountId client_account;
   Digest digest = 0;
+  TokenCount tokens_admitted = 0;
   TokenCount tokens_used = 0;
-  double cost_seconds = 0;
-  bool completed = false;  // exonerates a suspect digest
+  bool completed = false;            // exonerates a suspect digest
+  std::vector<SuspectDeath> deaths;  // that the holder saw
 };
 
 // Endpoint owner: queue a request for a permit. The reply comes when it is granted or refused.
@@ -78,11 +82,16 @@
   double weight = 1;
   TokenCount prompt_tokens = 0;
   TokenCount max_output_tokens = 0;
+  ModelId model;
+  Digest digest = 0;
   std::vector<Digest> prefix_blocks;  // digests of the prompt's leading blocks, in order
   bool isolate = false;
   bool preemptible = false;
-  ByteCount kv_bytes =
-      0;  // of this endpoint, for a member of a group; zero: predicted by the owner
+  ByteCount kv_bytes = 0;     // for a member of a group; zero: predicted by the owner
+  Duration max_wait{};        // refused if it cannot start within it; zero: no limit
+  Duration redirect_above{};  // refused as kBusy if the predicted wait is longer; zero: never
+  bool lent = false;          // long prompt outside the endpoints of its share
+  bool spilled = false;       // from another data centre
 };
 
 struct PermitReply {
@@ -90,6 +99,7 @@
   RefusalReason reason = RefusalReason::kNone;
   std::uint64_t permit = 0;
   Incarnation owner_incarnation = 0;
+  Incarnation endpoint_incarnation = 0;
   TokenCount cached_tokens = 0;
   EndpointId alternative;
   Duration retry_after{};
@@ -98,11 +108,13 @@
 struct PermitState {
   std::uint64_t permit = 0;
   HolderId holder;
+  AttemptNumber attempt = 1;
   EndpointId endpoint;
   ClientAccountId client_account;
   Priority priority = Priority::kStandard;
   ByteCount kv_bytes = 0;
   double remaining_cost_seconds = 0;
+  bool isolate = false;
   bool preemptible = false;
 };
 
@@ -119,11 +131,17 @@
   HolderId holder;
   EndpointId endpoint;
   Outcome outcome = Outcome::kUnknown;
-  bool endpoint_died = false;
+  bool broken = false;  // the owner finds out whether the endpoint died and says so in the reply
   TokenCount prefill_tokens = 0;
   TokenCount output_tokens = 0;
-  Duration prefill_time{};
+  Duration prefill_time{};  // from dispatch to the first token
   Duration decode_time{};
+  bool completed = false;  // times of broken attempts teach nothing
+};
+
+struct ReleasePermitReply {
+  bool endpoint_died = false;
+  Incarnation endpoint_incarnation = 0;  // the one that died
 };
 
 // Owner to ingress: cancel this attempt and ask again; the stream resumes elsewhere.
@@ -235,20 +253,15 @@
   EndpointId endpoint;
   Incarnation owner_incarnation = 0;
   std::uint64_t sequence = 0;  // newest wins within an owner incarnation
+  ByteCount kv_capacity_bytes = 0;
   ByteCount free_kv_bytes = 0;
   std::vector<Duration> queue_delay;  // by priority
   std::uint32_t running = 0;
+  std::uint32_t long_prefills = 0;
   bool leaving = false;
   std::vector<std::uint32_t> prefix_digest;  // short digests of cached leading blocks
 };
 
-struct SuspectDeath {
-  Digest digest = 0;
-  EndpointId endpoint;
-  Incarnation endpoint_incarnation = 0;
-  std::int64_t expiry_unix_ms = 0;
-};
-
 struct Exoneration {
   Digest digest = 0;
   std::int64_t expiry_unix_ms = 0;
@@ -301,7 +314,7 @@
                              PushPlanDeltaRequest, FetchPlanRequest, StatusRequest, DrainRequest>;
 
 using Reply = std::variant<Acknowledged, AdmitReply, PermitReply, RenewPermitsReply, ClaimReply,
-                           PushPlanDeltaReply, FetchPlanReply, StatusReply>;
+                           PushPlanDeltaReply, FetchPlanReply, StatusReply, ReleasePermitReply>;
 
 using Datagram = std::variant<Ping, PingRequest, Ack, GossipPush>;
 
