--- a/verbenaridge/wire/internal/message_fields.h
+++ b/verbenaridge/wire/internal/message_fields.h
@@ -23,7 +23,8 @@
 
 template <Like<AdmitRequest> Self>
 auto Fields(Self& m) {
-  return std::tie(m.holder, m.client_account, m.priority, m.digest, m.tokens, m.cost_seconds);
+  return std::tie(m.holder, m.client_account, m.priority, m.digest, m.tokens, m.cost_seconds,
+                  m.present);
 }
 
 template <Like<AdmitReply> Self>
@@ -33,26 +34,28 @@
 
 template <Like<FinishAdmissionRequest> Self>
 auto Fields(Self& m) {
-  return std::tie(m.holder, m.client_account, m.digest, m.tokens_used, m.cost_seconds, m.completed);
+  return std::tie(m.holder, m.client_account, m.digest, m.tokens_admitted, m.tokens_used,
+                  m.completed, m.deaths);
 }
 
 template <Like<PermitRequest> Self>
 auto Fields(Self& m) {
   return std::tie(m.holder, m.attempt, m.endpoint, m.client_account, m.priority, m.weight,
-                  m.prompt_tokens, m.max_output_tokens, m.prefix_blocks, m.isolate, m.preemptible,
-                  m.kv_bytes);
+                  m.prompt_tokens, m.max_output_tokens, m.model, m.digest, m.cached_tokens,
+                  m.prefix_blocks, m.isolate, m.preemptible, m.kv_bytes, m.max_wait,
+                  m.redirect_above, m.lent, m.spilled);
 }
 
 template <Like<PermitReply> Self>
 auto Fields(Self& m) {
-  return std::tie(m.verdict, m.reason, m.permit, m.owner_incarnation, m.cached_tokens,
-                  m.alternative, m.retry_after);
+  return std::tie(m.verdict, m.reason, m.permit, m.owner_incarnation, m.endpoint_incarnation,
+                  m.cached_tokens, m.alternative, m.retry_after);
 }
 
 template <Like<PermitState> Self>
 auto Fields(Self& m) {
-  return std::tie(m.permit, m.holder, m.endpoint, m.client_account, m.priority, m.kv_bytes,
-                  m.remaining_cost_seconds, m.preemptible);
+  return std::tie(m.permit, m.holder, m.attempt, m.endpoint, m.client_account, m.priority,
+                  m.kv_bytes, m.remaining_cost_seconds, m.digest, m.isolate, m.preemptible);
 }
 
 template <Like<RenewPermitsRequest> Self>
@@ -67,8 +70,13 @@
 
 template <Like<ReleasePermitRequest> Self>
 auto Fields(Self& m) {
-  return std::tie(m.permit, m.holder, m.endpoint, m.outcome, m.endpoint_died, m.prefill_tokens,
-                  m.output_tokens, m.prefill_time, m.decode_time);
+  return std::tie(m.permit, m.holder, m.endpoint, m.outcome, m.broken, m.prefill_tokens,
+                  m.output_tokens, m.prefill_time, m.decode_time, m.completed);
+}
+
+template <Like<ReleasePermitReply> Self>
+auto Fields(Self& m) {
+  return std::tie(m.endpoint_died, m.endpoint_incarnation);
 }
 
 template <Like<RevokePermitRequest> Self>
@@ -88,12 +96,13 @@
 
 template <Like<ClaimReply> Self>
 auto Fields(Self& m) {
-  return std::tie(m.verdict, m.status, m.content_type, m.body);
+  return std::tie(m.verdict, m.status, m.content_type, m.body, m.body_omitted);
 }
 
 template <Like<RecordOutcomeRequest> Self>
 auto Fields(Self& m) {
-  return std::tie(m.key, m.holder, m.outcome, m.status, m.content_type, m.body);
+  return std::tie(m.key, m.holder, m.outcome, m.expiry_unix_ms, m.status, m.content_type, m.body,
+                  m.body_omitted);
 }
 
 template <Like<LookUpClaimRequest> Self>
@@ -108,7 +117,7 @@
 
 template <Like<PushPlanDeltaReply> Self>
 auto Fields(Self& m) {
-  return std::tie(m.version);
+  return std::tie(m.version, m.incarnation, m.conflict);
 }
 
 template <Like<FetchPlanRequest> Self>
@@ -118,7 +127,7 @@
 
 template <Like<FetchPlanReply> Self>
 auto Fields(Self& m) {
-  return std::tie(m.version, m.confirmed_version, m.serving, m.document);
+  return std::tie(m.version, m.confirmed_version, m.serving, m.own_data_centre, m.document);
 }
 
 template <Like<StatusRequest> Self>
@@ -148,8 +157,8 @@
 
 template <Like<EndpointSummary> Self>
 auto Fields(Self& m) {
-  return std::tie(m.endpoint, m.owner_incarnation, m.sequence, m.free_kv_bytes, m.queue_delay,
-                  m.running, m.leaving, m.prefix_digest);
+  return std::tie(m.endpoint, m.owner_incarnation, m.sequence, m.kv_capacity_bytes, m.free_kv_bytes,
+                  m.queue_delay, m.running, m.long_prefills, m.leaving, m.prefix_digest);
 }
 
 template <Like<SuspectDeath> Self>
--- a/verbenaridge/wire/testing.h
+++ b/verbenaridge/wire/testing.h
@@ -40,7 +40,10 @@
     ++served;
     if (std::holds_alternative<StatusRequest>(request)) return call->Answer(StatusReply{"{}"});
     if (const auto* push = std::get_if<PushPlanDeltaRequest>(&request)) {
-      return call->Answer(FetchPlanReply{.version = push->to_version, .document = push->delta});
+      FetchPlanReply reply;
+      reply.version = push->to_version;
+      reply.document = push->delta;
+      return call->Answer(std::move(reply));
     }
     if (std::holds_alternative<LookUpClaimRequest>(request)) return call->Fail(Errc::kNotFound);
     if (std::holds_alternative<DrainRequest>(request)) return;  // drops the call
