--- a/verbenaridge/claims/claim_bucket.cc
+++ b/verbenaridge/claims/claim_bucket.cc
@@ -115,6 +115,8 @@
   due_.reset();
   if (operation_) return;
   const TimePoint now = clock_.Now();
+  last_step_ = now;
+  if (now - last_used_ >= options_.cache_time && !HoldsAbandoned()) cache_.reset();
   if (pending_.empty()) read = write = false;
   if (recheck_at_ && now >= *recheck_at_) {
     read = true;
@@ -359,15 +361,19 @@
 }
 
 TimePoint ClaimBucket::next_wake() const {
-  TimePoint wake = last_used_ + options_.cache_time;
+  TimePoint wake = TimePoint::max();
   if (!pending_.empty()) wake = std::min(wake, pending_.front().answer_by);
-  if (operation_) return std::min(wake, operation_->started + options_.store_timeout);
-  if (recheck_at_) wake = std::min(wake, *recheck_at_);
-  return due_ ? std::min(wake, *due_) : wake;
+  if (operation_) wake = std::min(wake, operation_->started + options_.store_timeout);
+  if (recheck_at_ && !operation_) wake = std::min(wake, *recheck_at_);
+  if (due_) wake = std::min(wake, *due_);
+  return wake == TimePoint::max() ? std::max(last_used_, last_step_) + options_.cache_time : wake;
 }
 
 bool ClaimBucket::idle() const {
-  return pending_.empty() && !operation_ && !recheck_at_ && !HoldsAbandoned() &&
+  const bool unresolved =
+      std::any_of(abandoned_.begin(), abandoned_.end(),
+                  [wall = clock_.WallNow()](const auto& entry) { return entry.second >= wall; });
+  return pending_.empty() && !operation_ && !unresolved &&
          clock_.Now() - last_used_ >= options_.cache_time;
 }
 
--- a/verbenaridge/claims/claim_bucket.h
+++ b/verbenaridge/claims/claim_bucket.h
@@ -99,6 +99,7 @@
   TimePoint next_read_at_{};
   std::optional<TimePoint> due_;  // of the next operation, if one is needed and not in flight
   TimePoint last_used_{};
+  TimePoint last_step_{};
   int failures_ = 0;  // store operations in a row
 };
 
--- a/verbenaridge/poison/digest_gate.cc
+++ b/verbenaridge/poison/digest_gate.cc
@@ -11,6 +11,8 @@
   const bool settling = now - became_owner_ < options_.settling;
   const int limit = alone || settling ? 1 : options_.max_identical;
   if (Running(digest) >= limit) return GateDecision::kWait;
+  if (settling && !admitted_settling_.insert(digest).second) return GateDecision::kWait;
+  if (!settling) admitted_settling_.clear();
   Present(digest, ticket);
   return run;
 }
@@ -22,7 +24,10 @@
 void DigestGate::Finish(Ticket ticket, Digest digest, std::span<const DatedDeath> deaths,
                         bool completed, WallTime wall) {
   registry_.Merge(deaths, {}, wall);
-  if (completed) registry_.OnCompleted(digest, wall);
+  if (completed) {
+    registry_.OnCompleted(digest, wall);
+    admitted_settling_.erase(digest);
+  }
   const auto found = running_.find(ticket);
   if (found == running_.end()) return;
   const auto count = counts_.find(found->second);
--- a/verbenaridge/poison/digest_gate.h
+++ b/verbenaridge/poison/digest_gate.h
@@ -7,13 +7,15 @@
 // Before the first death at most two identical requests run at once; after it one, alone on its
 // endpoint; after the second none. A request that loses its endpoint must call Finish with the
 // death and Admit again before its next attempt. Together this bounds the loss to two endpoints
-// while the account owner is stable. A new owner admits one at a time until the holders of running
-// requests had time to present them, so that one owner change costs at most one endpoint more.
+// while the account owner is stable. A new owner admits a digest only once, or again after it
+// completed, until holders had time to present running requests and report deaths. One owner change
+// thus costs at most one endpoint more.
 #ifndef VERBENARIDGE_POISON_DIGEST_GATE_H_
 #define VERBENARIDGE_POISON_DIGEST_GATE_H_
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <span>
 
 #include "verbenaridge/base/clock.h"
@@ -34,7 +36,8 @@
 
 struct DigestGateOptions {
   int max_identical = 2;
-  // Holders present their running requests to a new owner within this time (permit expiry).
+  // Holders present their running requests and their deaths to a new owner within this time, which
+  // is the expiry of permits.
   Duration settling = std::chrono::seconds(6);
 };
 
@@ -64,6 +67,7 @@
   DigestGateOptions options_;
   std::map<Ticket, Digest> running_;
   std::map<Digest, int> counts_;
+  std::set<Digest> admitted_settling_;  // and not completed since
 };
 
 }  // namespace verbenaridge::poison
