Let owners hear of the first token and count exact prefill work

Change: EndpointOwner::OnFirstToken ends a prompt's part of the prefill backlog; prefill rates are learned from busy time instead of from the time to the first token. Permits of waiting groups are renewed. Lower priorities still starve inside the engine in floods of the highest.

--- a/verbenaridge/permits/endpoint_owner.cc
+++ b/verbenaridge/permits/endpoint_owner.cc
@@ -62,6 +62,8 @@
   ended_.clear();
   unlisted_.clear();
   backlog_ = PrefillBacklog();
+  prefill_sample_ = {};
+  last_prefilled_ = now;
   reserved_kv_ = orphan_kv_ = 0;
   paused_ = isolated_ = false;
   started_ = last_seen_ = drain_from_ = now;
@@ -227,6 +229,7 @@
   permit.kv_bytes = waiting.prediction.kv_bytes;
   permit.max_output_tokens = input.max_output_tokens;
   permit.cached_tokens = input.cached_tokens;
+  permit.prefill_tokens = input.prompt_tokens - input.cached_tokens;
   permit.prefill_seconds = ToSeconds(waiting.prediction.prefill);
   permit.ahead_seconds = backlog_.Ahead(waiting.engine_priority);
   permit.granted = now;
@@ -236,12 +239,12 @@
   permit.isolate = input.isolate;
   permit.preemptible = input.preemptible;
   permit.lent = input.lent;
-  backlog_.Add(permit.engine_priority, permit.prefill_seconds);
   reserved_kv_ += permit.kv_bytes;
   isolated_ = isolated_ || permit.isolate;
   drained_cost_ += waiting.prediction.cost_seconds;
   const PermitId permit_id = permit_base_ | (next_id_++ & 0xffffff);
   permit_ids_[permit.attempt] = permit_id;
+  backlog_.Add(permit_id, permit.engine_priority, permit.prefill_seconds);
   actions.emplace_back(MakeGrant(permit_id, permit));
   permits_.emplace(permit_id, std::move(permit));
 }
--- a/verbenaridge/permits/endpoint_owner.h
+++ b/verbenaridge/permits/endpoint_owner.h
@@ -44,6 +44,10 @@
   // A waiting caller left.
   Actions Cancel(const HolderId& holder, AttemptNumber attempt, TimePoint now);
 
+  // The engine sent the permit's first token. Without this message the owner goes by its
+  // predictions until the release, and lets the engine idle or queue when they are wrong.
+  Actions OnFirstToken(PermitId permit, TimePoint now);
+
   Actions Release(const ReleaseInput& input, TimePoint now);
 
   // Renews known permits and adopts unknown ones of an earlier owner. Returns revoked ids.
@@ -91,10 +95,12 @@
     ByteCount kv_bytes = 0;
     TokenCount max_output_tokens = 0;
     TokenCount cached_tokens = 0;
+    TokenCount prefill_tokens = 0;
     double prefill_seconds = 0;
     double ahead_seconds = 0;  // prefill work ahead of it when granted
     TimePoint granted{};
-    TimePoint prefill_end{};  // predicted
+    TimePoint prefill_end{};  // predicted, until the first token
+    bool prefilled = false;
     TimePoint expiry{};
     bool is_long = false;
     bool isolate = false;
@@ -126,7 +132,8 @@
   Grant MakeGrant(PermitId id, const Permit& permit) const;
   Waiting Unqueue(std::uint64_t id);
   void Erase(PermitId id, TimePoint now, bool released);
-  void Learn(const Permit& permit, const ReleaseInput& input);
+  void LearnPrefill(Permit& permit, TimePoint first_token);
+  void LearnDecode(const Permit& permit, const ReleaseInput& input);
   void MeasureDrain(TimePoint now);
   Duration QueueDelay(Priority priority, Priority engine_priority, TimePoint now);
   std::size_t LongPrefills(TimePoint now) const;
@@ -147,6 +154,8 @@
   std::map<std::pair<RequestId, AttemptNumber>, Unlisted> unlisted_;
 
   PrefillBacklog backlog_;
+  TimePoint last_prefilled_{};
+  cost::ObservedOutcome prefill_sample_;  // prompts since the last correction
   LoadReport report_;
   ByteCount reserved_kv_ = 0;
   ByteCount orphan_kv_ = 0;  // of streams without a permit
--- a/verbenaridge/permits/prefill_backlog.h
+++ b/verbenaridge/permits/prefill_backlog.h
@@ -1,29 +1,41 @@
-// Predicts how much prefill work is inside an engine that works in priority order.
+// How much prefill work is inside an engine that works in priority order.
 #ifndef VERBENARIDGE_PERMITS_PREFILL_BACKLOG_H_
 #define VERBENARIDGE_PERMITS_PREFILL_BACKLOG_H_
 
 #include <array>
+#include <cstdint>
+#include <map>
+#include <utility>
 
 #include "verbenaridge/base/clock.h"
 #include "verbenaridge/base/units.h"
 
 namespace verbenaridge::permits {
 
-// Seconds of work by engine priority, worked off one second per second, highest priority first.
-// Used by one thread.
+// Prompts count from their permit to their first token. In between, the predicted work is worked
+// off one second per second, highest engine priority and oldest first, but never quite to zero: a
+// prompt without a first token still occupies the engine. Used by one thread.
 class PrefillBacklog {
  public:
   void Advance(TimePoint now);
-  void Add(Priority engine_priority, double seconds) { left_[Rank(engine_priority)] += seconds; }
+  void Add(std::uint64_t permit, Priority engine_priority, double seconds);
 
-  // Takes back work of an attempt that ended early.
-  void Take(Priority engine_priority, double seconds);
+  // The prompt has its first token, or its attempt ended.
+  void Remove(std::uint64_t permit);
 
   // Work that a newcomer of this engine priority waits for.
   double Ahead(Priority engine_priority) const;
 
  private:
-  std::array<double, kPriorityCount> left_{};
+  // What remains of a prompt whose predicted time is over.
+  static constexpr double kFloorSeconds = 0.02;
+
+  using Order = std::pair<std::size_t, std::uint64_t>;  // rank, then age
+
+  std::map<Order, double> left_;
+  std::map<std::uint64_t, Order> orders_;  // by permit
+  std::array<double, kPriorityCount> sums_{};
+  std::uint64_t next_order_ = 0;
   TimePoint advanced_{};
 };
 
--- a/verbenaridge/permits/reconciliation.cc
+++ b/verbenaridge/permits/reconciliation.cc
@@ -8,6 +8,8 @@
 namespace {
 // Ids of ended permits are remembered so long that a delayed renewal cannot bring them back.
 constexpr Duration kEndedMemory = std::chrono::seconds(30);
+// Prefill time from which one correction is learned.
+constexpr Duration kSampleTime = std::chrono::seconds(1);
 }  // namespace
 
 void EndpointOwner::Erase(PermitId id, TimePoint now, bool released) {
@@ -19,27 +21,44 @@
   // The stream of an expired permit may still hold its memory; the next stream list tells.
   if (!released) orphan_kv_ += permit.kv_bytes;
   if (permit.isolate) isolated_ = false;
-  if (permit.prefill_end > now) {
-    backlog_.Take(permit.engine_priority,
-                  std::min(permit.prefill_seconds, ToSeconds(permit.prefill_end - now)));
-  }
+  backlog_.Remove(id);
   ended_[id] = now + kEndedMemory;
 }
 
-void EndpointOwner::Learn(const Permit& permit, const ReleaseInput& input) {
-  // The time to the first token includes the work that was ahead; its part is taken out, so that
-  // a busy engine does not look like a slow one.
-  const double own = permit.prefill_seconds;
-  const double expected = own + permit.ahead_seconds;
-  const double part = expected > 0 ? own / expected : 0;
+// An engine that prefills one prompt after another spends on each one the time since the later of
+// its arrival and the previous first token. Single values scatter, because chunks are shared, so
+// the model learns from sums.
+void EndpointOwner::LearnPrefill(Permit& permit, TimePoint first_token) {
+  permit.prefilled = true;
+  const Duration own = first_token - std::max(permit.granted, last_prefilled_);
+  last_prefilled_ = std::max(last_prefilled_, first_token);
+  prefill_sample_.prefill_tokens += permit.prefill_tokens;
+  prefill_sample_.prefill_time += std::max(own, Duration::zero());
+  if (prefill_sample_.prefill_time < kSampleTime) return;
+  costs_.OnOutcome(endpoint_, permit.model, prefill_sample_);
+  prefill_sample_ = {};
+}
+
+void EndpointOwner::LearnDecode(const Permit& permit, const ReleaseInput& input) {
   costs_.OnOutcome(endpoint_, permit.model,
-                   {.prefill_tokens = input.prefill_tokens,
+                   {.prefill_tokens = 0,
                     .output_tokens = input.output_tokens,
                     .max_output_tokens = permit.max_output_tokens,
-                    .prefill_time = FromSeconds(ToSeconds(input.prefill_time) * part),
+                    .prefill_time = {},
                     .decode_time = input.decode_time});
 }
 
+Actions EndpointOwner::OnFirstToken(PermitId id, TimePoint now) {
+  Actions actions;
+  if (!Alive(now)) return actions;
+  const auto found = permits_.find(id);
+  if (found == permits_.end() || found->second.prefilled) return actions;
+  LearnPrefill(found->second, now);
+  backlog_.Remove(id);
+  Pump(now, actions);
+  return actions;
+}
+
 Actions EndpointOwner::Release(const ReleaseInput& input, TimePoint now) {
   Actions actions;
   if (!Alive(now)) return actions;
@@ -48,7 +67,11 @@
     ended_[input.permit] = now + kEndedMemory;
     return actions;
   }
-  if (input.completed) Learn(found->second, input);
+  if (input.completed) {
+    Permit& permit = found->second;
+    if (!permit.prefilled) LearnPrefill(permit, permit.granted + input.prefill_time);
+    LearnDecode(permit, input);
+  }
   Erase(input.permit, now, true);
   Pump(now, actions);
   return actions;
@@ -75,6 +98,7 @@
     adopted.kv_bytes = permit.kv_bytes;
     adopted.granted = adopted.prefill_end = now;
     adopted.expiry = now + options_.expiry;
+    adopted.prefilled = true;
     adopted.isolate = permit.isolate;
     adopted.preemptible = permit.preemptible;
     reserved_kv_ += adopted.kv_bytes;
--- a/verbenaridge/replay/replayer.cc
+++ b/verbenaridge/replay/replayer.cc
@@ -224,6 +224,12 @@
     if (++active.members_prefilled < active.members.size()) return;
   }
   active.first_token = scheduler_.now();
+  if (permits_ && active.endpoint) {
+    const Index endpoint = *active.endpoint;
+    scheduler_.After(Hop(index, endpoint), [this, endpoint, permit = active.permit] {
+      Perform(endpoint, owners_[endpoint]->OnFirstToken(permit, scheduler_.now()));
+    });
+  }
   if (results_[index].first_token == Duration::zero()) {
     results_[index].first_token =
         scheduler_.now() - TimePoint(std::chrono::hours(1)) - trace_.requests[index].arrival;
--- a/verbenaridge/replay/replayer.h
+++ b/verbenaridge/replay/replayer.h
@@ -130,6 +130,7 @@
   std::vector<Active> active_;
   std::vector<RequestResult> results_;
   std::unordered_map<StreamId, Index> streams_;
+  std::vector<Index> grouped_;  // requests that ever had a group
   StreamId next_stream_ = 1;
   ModelId model_{"model-a"};
   bool permits_ = false;
--- a/verbenaridge/replay/replayer_permits.cc
+++ b/verbenaridge/replay/replayer_permits.cc
@@ -213,6 +213,7 @@
   std::vector<std::vector<permits::HeldPermit>> held(owners_.size());
   std::vector<Index> running;
   for (const auto& [stream, index] : streams_) running.push_back(index);
+  for (const Index index : grouped_) running.push_back(index);
   std::sort(running.begin(), running.end());
   for (const Index index : running) {
     const Active& active = active_[index];
@@ -269,6 +270,7 @@
     return;
   }
   ++active.attempt;
+  grouped_.push_back(index);
   active.group = std::make_unique<groups::GroupReservation>(std::move(plan.members),
                                                             scheduler_.now(), options_.groups);
   PerformGroup(index, active.group->Start());
