Keep minimum shares inside engines, judge delays per account, walk candidates

Cause: engines run in strict priority order, so work granted for a minimum share starved inside them; small accounts were refused for the backlog of large ones; a stale summary decided where to queue. Change: share grants and starved permits hold back urgent permits; predicted waits use the account's own position and the measured service of its priority; routing::CandidateWalk asks owners with a limit on the wait and returns to the shortest one.

--- a/verbenaridge/permits/endpoint_owner.cc
+++ b/verbenaridge/permits/endpoint_owner.cc
@@ -67,7 +67,8 @@
   reserved_kv_ = orphan_kv_ = 0;
   paused_ = isolated_ = false;
   started_ = last_seen_ = drain_from_ = now;
-  drained_cost_ = 0;
+  drained_cost_.fill(0);
+  had_queue_.fill(false);
 }
 
 bool EndpointOwner::Alive(TimePoint now) {
@@ -94,13 +95,19 @@
       [&](const auto& entry) { return entry.second.is_long && entry.second.prefill_end > now; }));
 }
 
-Duration EndpointOwner::QueueDelay(Priority priority, Priority engine_priority, TimePoint now) {
+Duration EndpointOwner::QueueDelay(Priority priority, double cost, Priority engine_priority,
+                                   TimePoint now) {
   backlog_.Advance(now);
-  double cost = 0;
-  for (std::size_t rank = 0; rank <= Rank(priority); ++rank) {
-    cost += queue_.backlog_cost(static_cast<Priority>(rank));
-  }
-  return FromSeconds(backlog_.Ahead(engine_priority) + cost / drain_rate_);
+  const double total = drain_rate_[0] + drain_rate_[1] + drain_rate_[2];
+  const double floor = std::max(0.05, total * options_.queue.min_share[Rank(priority)]);
+  return FromSeconds(backlog_.Ahead(engine_priority) +
+                     cost / std::max(drain_rate_[Rank(priority)], floor));
+}
+
+Duration EndpointOwner::DelayOf(const PermitInput& input, Priority engine_priority,
+                                TimePoint now) {
+  const double cost = queue_.CostAhead(input.priority, input.account, input.weight);
+  return QueueDelay(input.priority, cost, engine_priority, now);
 }
 
 EndpointOwner::Waiting EndpointOwner::Prepare(const PermitInput& input, TimePoint now) const {
@@ -113,7 +120,11 @@
   waiting.engine_priority = EnginePriority(input.priority, uncached, options_.short_prompt_tokens);
   waiting.is_long = uncached > options_.long_prompt_tokens;
   waiting.enqueued = now;
-  waiting.latest_start = input.max_wait > Duration::zero() ? now + input.max_wait : kNever;
+  // A permit is followed by at most about one window of other work inside the engine.
+  const Duration window = options_.prefill_window[Rank(waiting.engine_priority)];
+  waiting.latest_start = input.max_wait > Duration::zero()
+                             ? now + std::max(input.max_wait - window, Duration::zero())
+                             : kNever;
   return waiting;
 }
 
@@ -127,14 +138,16 @@
   if (report_.kv_capacity_bytes > 0 && waiting.prediction.kv_bytes > usable_kv()) {
     return refuse(PermitReason::kTooLarge);
   }
-  const Duration delay = QueueDelay(input.priority, waiting.engine_priority, now);
+  const Duration delay = DelayOf(input, waiting.engine_priority, now);
   if (input.max_wait > Duration::zero() && delay > input.max_wait) {
     return refuse(PermitReason::kDeadline, delay - input.max_wait);
   }
   if (input.redirect_above > Duration::zero() && delay > input.redirect_above) {
-    return refuse(PermitReason::kBusy);
+    return refuse(PermitReason::kBusy, delay);
+  }
+  if (input.spilled && delay > options_.spill_accept_delay) {
+    return refuse(PermitReason::kBusy, delay);
   }
-  if (input.spilled && delay > options_.spill_accept_delay) return refuse(PermitReason::kBusy);
   return std::nullopt;
 }
 
@@ -168,7 +181,7 @@
                                                    .weight = input.weight,
                                                    .enqueued = now},
                                                   now);
-  const Duration retry = QueueDelay(input.priority, waiting.engine_priority, now);
+  const Duration retry = DelayOf(input, waiting.engine_priority, now);
   if (!pushed.accepted) {
     actions.emplace_back(Refusal{input.holder, input.attempt, PermitReason::kQueueFull, retry});
     return actions;
@@ -209,15 +222,16 @@
   return permits_.size() < options_.max_running && waiting.prediction.kv_bytes <= FreeKv(now);
 }
 
-bool EndpointOwner::Fits(const Waiting& waiting, TimePoint now) {
+bool EndpointOwner::Fits(const Waiting& waiting, bool share_grant, TimePoint now) {
   if (isolated_ || (waiting.input.isolate && !permits_.empty())) return false;
   if (!FitsMemory(waiting, now)) return false;
   if (waiting.is_long && LongPrefills(now) >= options_.max_long_prefills) return false;
-  const Duration window = options_.prefill_window[Rank(waiting.engine_priority)];
-  return FromSeconds(backlog_.Ahead(waiting.engine_priority)) < window;
+  const Priority place = share_grant ? Priority::kUrgent : waiting.engine_priority;
+  return FromSeconds(backlog_.Ahead(place)) < options_.prefill_window[Rank(place)];
 }
 
-void EndpointOwner::GrantTo(std::uint64_t id, TimePoint now, Actions& actions) {
+void EndpointOwner::GrantTo(std::uint64_t id, bool share_grant, TimePoint now,
+                            Actions& actions) {
   const Waiting waiting = Unqueue(id);
   const PermitInput& input = waiting.input;
   Permit permit;
@@ -239,12 +253,16 @@
   permit.isolate = input.isolate;
   permit.preemptible = input.preemptible;
   permit.lent = input.lent;
+  permit.promoted = share_grant && !permit.is_long;
   reserved_kv_ += permit.kv_bytes;
   isolated_ = isolated_ || permit.isolate;
-  drained_cost_ += waiting.prediction.cost_seconds;
+  drained_cost_[Rank(input.priority)] += waiting.prediction.cost_seconds;
   const PermitId permit_id = permit_base_ | (next_id_++ & 0xffffff);
   permit_ids_[permit.attempt] = permit_id;
-  backlog_.Add(permit_id, permit.engine_priority, permit.prefill_seconds);
+  // The engine works in strict priority order, so a minimum share is kept by holding back urgent
+  // permits: work granted for its share takes a place in the urgent window.
+  backlog_.Add(permit_id, permit.promoted ? Priority::kUrgent : permit.engine_priority,
+               permit.prefill_seconds);
   actions.emplace_back(MakeGrant(permit_id, permit));
   permits_.emplace(permit_id, std::move(permit));
 }
@@ -252,7 +270,7 @@
 void EndpointOwner::RefuseLate(TimePoint now, Actions& actions) {
   while (!latest_starts_.empty() && latest_starts_.begin()->first < now) {
     const Waiting waiting = Unqueue(latest_starts_.begin()->second);
-    const Duration retry = QueueDelay(waiting.input.priority, waiting.engine_priority, now);
+    const Duration retry = DelayOf(waiting.input, waiting.engine_priority, now);
     actions.emplace_back(
         Refusal{waiting.input.holder, waiting.input.attempt, PermitReason::kDeadline, retry});
   }
@@ -263,10 +281,12 @@
   if (leaving_ || report_.leaving) RefuseAll(PermitReason::kLeaving, actions);
   for (;;) {
     bool blocked = false;
+    bool share_grant = false;
     const auto fits = [&](const queueing::QueueItem& item) {
       if (blocked) return false;
       const Waiting& waiting = waiting_.at(item.id);
-      if (Fits(waiting, now)) return true;
+      share_grant = IsShareGrant(waiting.input.priority, now);
+      if (Fits(waiting, share_grant, now)) return true;
       // A request that waited its time for memory is not overtaken any more, or a stream of small
       // requests would keep it out for ever.
       const bool starved = now - waiting.enqueued > options_.max_bypass;
@@ -275,11 +295,29 @@
     };
     const auto item = queue_.Pop(now, fits);
     if (!item) break;
-    GrantTo(item->id, now, actions);
+    GrantTo(item->id, share_grant, now, actions);
   }
   if (options_.preemption) Preempt(now, actions);
 }
 
+// Whether a grant to this priority would be due to its minimum share alone.
+bool EndpointOwner::IsShareGrant(Priority priority, TimePoint now) {
+  bool higher_waits = false;
+  for (std::size_t rank = 0; rank < Rank(priority); ++rank) {
+    higher_waits = higher_waits || queue_.size(static_cast<Priority>(rank)) > 0;
+  }
+  return higher_waits && !queue_.AboveShare(priority, now);
+}
+
+void EndpointOwner::PromoteStarved(TimePoint now) {
+  for (auto& [id, permit] : permits_) {
+    const bool starved = !permit.prefilled && now - permit.granted > options_.promote_after;
+    if (!starved || permit.promoted || permit.is_long || permit.isolate) continue;
+    permit.promoted = true;
+    backlog_.Promote(id);
+  }
+}
+
 void EndpointOwner::RefuseAll(PermitReason reason, Actions& actions) {
   while (!waiting_.empty()) {
     const Waiting waiting = Unqueue(waiting_.begin()->first);
--- a/verbenaridge/permits/endpoint_owner.h
+++ b/verbenaridge/permits/endpoint_owner.h
@@ -101,6 +101,7 @@
     TimePoint granted{};
     TimePoint prefill_end{};  // predicted, until the first token
     bool prefilled = false;
+    bool promoted = false;  // counts as urgent prefill work
     TimePoint expiry{};
     bool is_long = false;
     bool isolate = false;
@@ -121,11 +122,11 @@
   Waiting Prepare(const PermitInput& input, TimePoint now) const;
   ByteCount usable_kv() const;
   ByteCount FreeKv(TimePoint now) const;
-  bool Fits(const Waiting& waiting, TimePoint now);
+  bool Fits(const Waiting& waiting, bool share_grant, TimePoint now);
   bool FitsMemory(const Waiting& waiting, TimePoint now) const;
   void Pump(TimePoint now, Actions& actions);
   void RefuseLate(TimePoint now, Actions& actions);
-  void GrantTo(std::uint64_t id, TimePoint now, Actions& actions);
+  void GrantTo(std::uint64_t id, bool share_grant, TimePoint now, Actions& actions);
   void Preempt(TimePoint now, Actions& actions);
   void RevokeFor(const Waiting& waiting, TimePoint now, Actions& actions);
   void RefuseAll(PermitReason reason, Actions& actions);
@@ -135,7 +136,11 @@
   void LearnPrefill(Permit& permit, TimePoint first_token);
   void LearnDecode(const Permit& permit, const ReleaseInput& input);
   void MeasureDrain(TimePoint now);
-  Duration QueueDelay(Priority priority, Priority engine_priority, TimePoint now);
+  // Until `cost` of the priority is served and a prompt of that engine priority starts.
+  Duration QueueDelay(Priority priority, double cost, Priority engine_priority, TimePoint now);
+  Duration DelayOf(const PermitInput& input, Priority engine_priority, TimePoint now);
+  bool IsShareGrant(Priority priority, TimePoint now);
+  void PromoteStarved(TimePoint now);
   std::size_t LongPrefills(TimePoint now) const;
 
   EndpointId endpoint_;
@@ -167,8 +172,11 @@
   bool paused_ = false;
   bool isolated_ = false;  // a suspect runs
 
-  double drain_rate_ = 1;  // queued cost served per second while there is a queue
-  double drained_cost_ = 0;
+  // Cost served per second, by priority, while that priority had a queue. It includes what higher
+  // priorities take.
+  std::array<double, kPriorityCount> drain_rate_ = {1, 1, 1};
+  std::array<double, kPriorityCount> drained_cost_{};
+  std::array<bool, kPriorityCount> had_queue_{};
   TimePoint drain_from_{};
 };
 
--- a/verbenaridge/permits/permit_types.h
+++ b/verbenaridge/permits/permit_types.h
@@ -28,6 +28,9 @@
   std::array<Duration, kPriorityCount> prefill_window = {std::chrono::milliseconds(250),
                                                          std::chrono::milliseconds(200),
                                                          std::chrono::milliseconds(150)};
+  // A short prompt of lower priority that is inside the engine for so long counts as urgent work:
+  // urgent permits are held back until it has its first token.
+  Duration promote_after = std::chrono::seconds(1);
   // Uncached prompt tokens above which a prompt is not short: it runs at the next lower engine
   // priority, so that a short prompt overtakes it between two chunks.
   TokenCount short_prompt_tokens = 4'000;
@@ -89,7 +92,7 @@
   HolderId holder;
   AttemptNumber attempt = 1;
   PermitReason reason = PermitReason::kNone;
-  Duration retry_after{};
+  Duration retry_after{};  // for kBusy: the predicted wait here
 };
 
 // The holder cancels its attempt, releases the permit and asks again.
--- a/verbenaridge/permits/prefill_backlog.cc
+++ b/verbenaridge/permits/prefill_backlog.cc
@@ -34,6 +34,14 @@
   if (left_.empty()) sums_.fill(0);  // rounding errors end here
 }
 
+void PrefillBacklog::Promote(std::uint64_t permit) {
+  const auto found = orders_.find(permit);
+  if (found == orders_.end()) return;
+  const double left = left_.at(found->second);
+  Remove(permit);
+  Add(permit, Priority::kUrgent, left);
+}
+
 double PrefillBacklog::Ahead(Priority engine_priority) const {
   double sum = 0;
   for (std::size_t rank = 0; rank <= Rank(engine_priority); ++rank) sum += sums_[rank];
--- a/verbenaridge/permits/prefill_backlog.h
+++ b/verbenaridge/permits/prefill_backlog.h
@@ -20,6 +20,9 @@
   void Advance(TimePoint now);
   void Add(std::uint64_t permit, Priority engine_priority, double seconds);
 
+  // From now on the prompt counts as urgent work.
+  void Promote(std::uint64_t permit);
+
   // The prompt has its first token, or its attempt ended.
   void Remove(std::uint64_t permit);
 
--- a/verbenaridge/permits/reconciliation.cc
+++ b/verbenaridge/permits/reconciliation.cc
@@ -169,11 +169,17 @@
   const double span = ToSeconds(now - drain_from_);
   if (span < 1) return;
   // Only a span with a queue shows what the endpoint can serve; others show the demand.
-  if (!waiting_.empty() && drained_cost_ > 0) {
-    const double observed = std::clamp(drained_cost_ / span, 0.1, 10.0);
-    drain_rate_ += 0.2 * (observed - drain_rate_);
+  for (const Priority priority : kAllPriorities) {
+    const std::size_t rank = Rank(priority);
+    const bool has_queue = queue_.size(priority) > 0;
+    const double observed = std::min(drained_cost_[rank] / span, 10.0);
+    if (has_queue && had_queue_[rank]) drain_rate_[rank] += 0.2 * (observed - drain_rate_[rank]);
+    // Without a queue the rate is at least the demand; it returns to 1 so that a past flood does
+    // not refuse work for ever.
+    if (!has_queue) drain_rate_[rank] += 0.2 * (std::max(observed, 1.0) - drain_rate_[rank]);
+    had_queue_[rank] = has_queue;
   }
-  drained_cost_ = 0;
+  drained_cost_.fill(0);
   drain_from_ = now;
 }
 
@@ -184,6 +190,7 @@
     return actions;
   }
   MeasureDrain(now);
+  PromoteStarved(now);
   std::vector<PermitId> expired;
   for (const auto& [id, permit] : permits_) {
     if (permit.expiry <= now) expired.push_back(id);
@@ -199,7 +206,8 @@
   summary.kv_capacity_bytes = report_.kv_capacity_bytes;
   summary.free_kv_bytes = std::max<ByteCount>(0, FreeKv(now));
   for (const Priority priority : kAllPriorities) {
-    summary.queue_delay[Rank(priority)] = QueueDelay(priority, priority, now);
+    summary.queue_delay[Rank(priority)] =
+        QueueDelay(priority, queue_.NewcomerCostAhead(priority), priority, now);
   }
   summary.running = permits_.size();
   summary.long_prefills = LongPrefills(now);
--- a/verbenaridge/queueing/fair_queue.cc
+++ b/verbenaridge/queueing/fair_queue.cc
@@ -43,7 +43,10 @@
   const std::uint64_t id = item.id;
   const TimePoint key = now + FromSeconds(options_.short_first_factor * item.cost);
   const std::uint64_t sequence = next_sequence_++;
+  item.weight = std::max(item.weight, 1e-3);
   if (flow.order.empty()) {
+    flow.weight = item.weight;
+    lane.active_weight += flow.weight;
     flow.start_tag = std::max(lane.virtual_time, flow.finish_tag);
     lane.heads.emplace(Key{flow.start_tag, flow.number}, &flow);
   }
@@ -74,7 +77,10 @@
   // An empty flow has exactly no backlog, whatever the rounding.
   SetBacklog(lane, flow, flow.order.empty() ? 0 : std::max(flow.backlog - entry.item.cost, 1e-9));
   if (lane.items == 0) lane.backlog = 0;
-  if (flow.order.empty()) lane.heads.erase({flow.start_tag, flow.number});
+  if (flow.order.empty()) {
+    lane.heads.erase({flow.start_tag, flow.number});
+    lane.active_weight = lane.items == 0 ? 0 : lane.active_weight - flow.weight;
+  }
   return std::move(entry.item);
 }
 
@@ -92,7 +98,7 @@
     const QueueItem& first = items_.at(flow.order.begin()->second).item;
     if (!fits(first)) continue;
     const std::uint64_t id = first.id;
-    const double finish = flow.start_tag + first.cost / std::max(first.weight, 1e-3);
+    const double finish = flow.start_tag + first.cost / first.weight;
     lane.virtual_time = std::max(lane.virtual_time, flow.start_tag);
     lane.heads.erase(head);
     QueueItem item = Take(id);
@@ -131,6 +137,26 @@
   return std::nullopt;
 }
 
+double FairQueue::CostAhead(Priority priority, const ClientAccountId& account,
+                            double weight) const {
+  const Lane& lane = lanes_[Rank(priority)];
+  if (lane.items == 0) return 0;
+  const auto found = lane.flows.find(account);
+  const bool active = found != lane.flows.end() && !found->second.order.empty();
+  const double own = active ? found->second.backlog : 0;
+  const double others = lane.active_weight - (active ? found->second.weight : 0);
+  const double mean = lane.backlog / static_cast<double>(lane.items);
+  const double served = own + (own + mean) * others / std::max(weight, 1e-3);
+  return std::min(lane.backlog, served);
+}
+
+double FairQueue::NewcomerCostAhead(Priority priority) const {
+  const Lane& lane = lanes_[Rank(priority)];
+  if (lane.items == 0) return 0;
+  const double mean = lane.backlog / static_cast<double>(lane.items);
+  return std::min(lane.backlog, mean * static_cast<double>(lane.heads.size()));
+}
+
 bool FairQueue::AboveShare(Priority priority, TimePoint now) {
   window_.Advance(now);
   return window_.served(priority) > window_.total() * options_.min_share[Rank(priority)];
--- a/verbenaridge/queueing/fair_queue.h
+++ b/verbenaridge/queueing/fair_queue.h
@@ -76,6 +76,13 @@
   // Priorities in the order in which Pop would try them now.
   std::array<Priority, kPriorityCount> Order(TimePoint now);
 
+  // Cost that is served before a newcomer of the account: about what the account itself has waiting,
+  // times the weights of all waiting accounts over its own, and at most the priority's backlog.
+  double CostAhead(Priority priority, const ClientAccountId& account, double weight) const;
+
+  // The same for an account of average weight that has nothing waiting.
+  double NewcomerCostAhead(Priority priority) const;
+
   // Whether the priority had at least its minimum share of the cost served in the window.
   bool AboveShare(Priority priority, TimePoint now);
 
@@ -95,6 +102,7 @@
     double finish_tag = 0;
     double start_tag = 0;  // of the head, while waiting
     double backlog = 0;
+    double weight = 1;  // of the newest request
     std::set<std::pair<TimePoint, std::uint64_t>> order;  // service key, id
     std::set<std::uint64_t> arrivals;                     // sequence numbers, oldest first
   };
@@ -105,6 +113,7 @@
     std::uint64_t next_flow = 0;
     double virtual_time = 0;
     double backlog = 0;
+    double active_weight = 0;  // of flows that wait
     std::size_t items = 0;
   };
   struct Entry {
--- a/verbenaridge/replay/replayer.cc
+++ b/verbenaridge/replay/replayer.cc
@@ -167,8 +167,9 @@
   }
   if (permits_) {
     if (RejectEarly(index, decision)) return;
-    active.candidates.assign(decision.candidates().begin(), decision.candidates().end());
-    active.next_candidate = 0;
+    const std::size_t rank = Rank(request.priority);
+    active.walk =
+        routing::CandidateWalk(decision.candidates(), options_.routing.redirect_above[rank]);
     AskNext(index);
     return;
   }
--- a/verbenaridge/replay/replayer.h
+++ b/verbenaridge/replay/replayer.h
@@ -24,6 +24,7 @@
 #include "verbenaridge/replay/metrics.h"
 #include "verbenaridge/replay/scheduler.h"
 #include "verbenaridge/replay/trace.h"
+#include "verbenaridge/routing/candidate_walk.h"
 #include "verbenaridge/routing/routing_policy.h"
 
 namespace verbenaridge::replay {
@@ -61,8 +62,7 @@
   struct Active {
     std::uint32_t attempt = 0;
     TokenCount delivered = 0;  // output tokens
-    std::vector<routing::Candidate> candidates;
-    std::size_t next_candidate = 0;
+    routing::CandidateWalk walk;
     std::vector<Digest> excluded;
     std::optional<Index> asked;  // endpoint whose owner has the permit request
     std::optional<Index> endpoint;  // that runs the stream
--- a/verbenaridge/replay/replayer_permits.cc
+++ b/verbenaridge/replay/replayer_permits.cc
@@ -9,7 +9,6 @@
 namespace {
 
 constexpr std::uint32_t kMaxRoutes = 4;
-constexpr Duration kRedirectMargin = std::chrono::milliseconds(150);
 constexpr Duration kTick = std::chrono::milliseconds(100);
 
 }  // namespace
@@ -69,7 +68,8 @@
 
 void Replayer::AskNext(Index index) {
   Active& active = active_[index];
-  if (active.next_candidate >= active.candidates.size()) {
+  const std::optional<routing::CandidateAsk> ask = active.walk.Next();
+  if (!ask) {
     if (++active.reroutes >= kMaxRoutes) {
       End(index, RequestEnd::kRejected);
     } else {
@@ -77,15 +77,11 @@
     }
     return;
   }
-  const routing::Candidate candidate = active.candidates[active.next_candidate++];
   ++active.attempt;
-  permits::PermitInput input = PermitInputFor(index, candidate);
-  if (active.next_candidate < active.candidates.size() && active.reroutes + 1 < kMaxRoutes) {
-    const Duration other = active.candidates[active.next_candidate].first_token;
-    input.redirect_above = std::max(candidate.first_token, other) + kRedirectMargin;
-  }
-  active.cached = candidate.cached_tokens;
-  AskOwner(index, candidate.index, input);
+  permits::PermitInput input = PermitInputFor(index, ask->candidate);
+  input.redirect_above = ask->redirect_above;
+  active.cached = ask->candidate.cached_tokens;
+  AskOwner(index, ask->candidate.index, input);
 }
 
 void Replayer::AskOwner(Index index, Index endpoint, const permits::PermitInput& input) {
@@ -146,12 +142,12 @@
   if (active.asked != endpoint || active.attempt != refusal.attempt) return;
   active.asked.reset();
   // A request that waited here in vain has no time left to wait elsewhere.
-  const bool waited_out = refusal.reason == permits::PermitReason::kDeadline &&
-                          active.next_candidate >= active.candidates.size();
-  if (waited_out || refusal.reason == permits::PermitReason::kQueueFull) {
+  if (refusal.reason == permits::PermitReason::kDeadline) active.reroutes = kMaxRoutes;
+  if (refusal.reason == permits::PermitReason::kQueueFull) {
     End(index, RequestEnd::kRejected);
     return;
   }
+  if (refusal.reason == permits::PermitReason::kBusy) active.walk.OnBusy(refusal.retry_after);
   AskNext(index);
 }
 
--- a/verbenaridge/routing/routing_policy.h
+++ b/verbenaridge/routing/routing_policy.h
@@ -100,6 +100,9 @@
   // Spread of the choice. Wider than the error of lagged reports, so that daemons with the same
   // summaries do not choose alike.
   Duration spread = std::chrono::milliseconds(40);
+  // Predicted waits above which an owner sends a request on to the next candidate.
+  std::array<Duration, kPriorityCount> redirect_above = {
+      std::chrono::milliseconds(50), std::chrono::milliseconds(150), std::chrono::seconds(1)};
   Duration report_lag = std::chrono::milliseconds(600);  // own dispatches count for so long
   std::array<Duration, kPriorityCount> spill_above = {
       std::chrono::milliseconds(500), std::chrono::seconds(5), std::chrono::seconds(30)};
--- a/verbenaridge/routing/routing_policy_test.cc
+++ b/verbenaridge/routing/routing_policy_test.cc
@@ -7,6 +7,7 @@
 #include <string>
 
 #include "verbenaridge/base/hash.h"
+#include "verbenaridge/routing/candidate_walk.h"
 
 namespace verbenaridge::routing {
 namespace {
@@ -268,5 +269,37 @@
   }
 }
 
+// Guards against a request that queues at a busy endpoint although another one is free, and against
+// a walk without end.
+TEST_CASE("candidate walk") {
+  struct Row {
+    const char* name;
+    std::vector<int> waits;  // ms told by each candidate; 0: another refusal
+    std::vector<std::size_t> asked;
+  };
+  const Row rows[] = {{"none", {}, {}},
+                      {"only one", {90}, {0, 0}},
+                      {"shortest wait is asked again", {90, 60, 80}, {0, 1, 2, 1}},
+                      {"refusals for other reasons", {0, 0}, {0, 1}},
+                      {"mixed", {0, 70, 0}, {0, 1, 2, 1}}};
+  for (const Row& row : rows) {
+    SUBCASE(row.name) {
+      std::vector<Candidate> candidates(row.waits.size());
+      for (std::size_t i = 0; i < candidates.size(); ++i) candidates[i].index = i;
+      CandidateWalk walk(candidates, milliseconds(50));
+      std::vector<std::size_t> asked;
+      while (const auto ask = walk.Next()) {
+        asked.push_back(ask->candidate.index);
+        const bool limited = candidates.size() > 1 && asked.size() <= candidates.size();
+        CHECK(ask->redirect_above == (limited ? milliseconds(50) : Duration::zero()));
+        if (asked.size() > candidates.size()) continue;
+        const int wait = row.waits[asked.size() - 1];
+        if (wait > 0) walk.OnBusy(milliseconds(wait));
+      }
+      CHECK(asked == row.asked);
+    }
+  }
+}
+
 }  // namespace
 }  // namespace verbenaridge::routing
