--- a/verbenaridge/daemon/call_dispatcher.cc
+++ b/verbenaridge/daemon/call_dispatcher.cc
@@ -21,6 +21,7 @@
   std::string_view operator()(const wire::ReleasePermitRequest& r) const {
     return r.endpoint.value();
   }
+  std::string_view operator()(const wire::FirstTokenRequest& r) const { return r.endpoint.value(); }
   // All permits of one renewal belong to one endpoint.
   std::string_view operator()(const wire::RenewPermitsRequest& r) const {
     return r.permits.empty() ? std::string_view() : r.permits.front().endpoint.value();
--- a/verbenaridge/daemon/completion_run.cc
+++ b/verbenaridge/daemon/completion_run.cc
@@ -15,8 +15,7 @@
 constexpr int kPrefillSlack = 3;
 constexpr Duration kFirstTokenFloor = std::chrono::seconds(2);
 constexpr Duration kTokenGapLimit = std::chrono::seconds(5);
-// An owner whose predicted wait exceeds that of the next candidate by this much refuses.
-constexpr Duration kRedirectMargin = std::chrono::milliseconds(50);
+constexpr Duration kNoticeDeadline = std::chrono::seconds(1);
 
 attempts::AttemptEnd ToAttemptEnd(engine::AttemptEnd end) {
   switch (end) {
@@ -110,17 +109,21 @@
 }
 
 void CompletionRun::AskPermit(const attempts::AskPermit& ask) {
-  PermitAsk permit_ask{.ask = ask, .snapshot = context_.snapshot, .route = {}};
+  const SnapshotPtr snapshot = context_.snapshot;
   const std::vector<Digest> excluded = OpenBreakers();
-  permit_ask.route = context_.routing.Choose(RouteRequestFor(*permit_ask.snapshot, excluded),
-                                             permit_ask.snapshot->routes, context_.random);
-  if (permit_ask.route.candidates().empty()) {
-    RefuseRoute(permit_ask.route.failure, ask.attempt);
+  const routing::RouteDecision route = context_.routing.Choose(RouteRequestFor(*snapshot, excluded),
+                                                               snapshot->routes, context_.random);
+  if (route.candidates().empty()) {
+    RefuseRoute(route.failure, ask.attempt);
     return;
   }
-  permit_ask_ = std::move(permit_ask);
+  permit_ask_ = PermitAsk{
+      .ask = ask,
+      .snapshot = snapshot,
+      .walk = routing::CandidateWalk(
+          route.candidates(), context_.routing_options.redirect_above[Rank(identity_.priority)])};
   if (!context_.routing.uses_permits()) {
-    AcceptPermit(permit_ask_->route.candidates().front(), {.permit = holder_.sequence}, true);
+    AcceptPermit(route.candidates().front(), {.permit = holder_.sequence}, true);
     return;
   }
   AskNextCandidate();
@@ -135,8 +138,9 @@
   Refused({.attempt = attempt, .retryable = !never, .retry_after = kNoEndpointRetry}, reason);
 }
 
-wire::PermitRequest CompletionRun::PermitMessage(const routing::Candidate& candidate,
+wire::PermitRequest CompletionRun::PermitMessage(const routing::CandidateAsk& candidate_ask,
                                                  const EndpointView& endpoint) const {
+  const routing::Candidate& candidate = candidate_ask.candidate;
   const cost::Prediction prediction =
       context_.costs.Predict(endpoint.settings.id, input_.model,
                              {.prompt_tokens = input_.prompt_tokens,
@@ -161,18 +165,13 @@
                                         std::chrono::milliseconds(1));
   request.lent = candidate.lent;
   request.spilled = candidate.spilled;
-  const auto candidates = permit_ask_->route.candidates();
-  if (permit_ask_->next < candidates.size()) {
-    const routing::Candidate& alternative = candidates[permit_ask_->next];
-    request.redirect_above = std::max(Duration{}, alternative.first_token - candidate.first_token) +
-                             candidate.queue_delay + kRedirectMargin;
-  }
+  request.redirect_above = candidate_ask.redirect_above;
   return request;
 }
 
 void CompletionRun::AskNextCandidate() {
-  const auto candidates = permit_ask_->route.candidates();
-  if (permit_ask_->next == candidates.size()) {
+  const std::optional<routing::CandidateAsk> next = permit_ask_->walk.Next();
+  if (!next) {
     const PermitAsk refused = *std::exchange(permit_ask_, std::nullopt);
     const bool retryable = refused.refusal != wire::RefusalReason::kTooLarge &&
                            refused.refusal != wire::RefusalReason::kDeadline;
@@ -182,10 +181,10 @@
             refused.refusal);
     return;
   }
-  const routing::Candidate candidate = candidates[permit_ask_->next++];
+  const routing::Candidate candidate = next->candidate;
   const EndpointView& endpoint = permit_ask_->snapshot->endpoints[candidate.index];
   permit_ask_->call = context_.router.Call(
-      endpoint.owner, PermitMessage(candidate, endpoint), remaining(),
+      endpoint.owner, PermitMessage(*next, endpoint), remaining(),
       [self = std::static_pointer_cast<CompletionRun>(shared_from_this()),
        attempt = permit_ask_->ask.attempt, candidate](Result<wire::Reply> reply) {
         self->OnPermitReply(attempt, candidate, std::move(reply));
@@ -204,6 +203,7 @@
   if (answer != nullptr) {
     permit_ask_->refusal = answer->reason;
     permit_ask_->retry_after = std::max(permit_ask_->retry_after, answer->retry_after);
+    if (answer->reason == wire::RefusalReason::kBusy) permit_ask_->walk.OnBusy(answer->retry_after);
   }
   AskNextCandidate();
 }
@@ -261,7 +261,9 @@
           .max_tokens = input_.max_tokens,
           .resume_from = dispatch.resume_from,
           .resume_text = delivered_text_,
-          .priority = identity_.priority,
+          .priority = permits::EnginePriority(identity_.priority,
+                                              input_.prompt_tokens - attempt_.cached_tokens,
+                                              context_.permit_options.short_prompt_tokens),
           .permit = dispatch.permit,
           .owner_incarnation = attempt_.owner_incarnation,
           .remaining = dispatch.remaining,
@@ -297,7 +299,10 @@
 
 void CompletionRun::DeliverToken(const attempts::DeliverToken&) {
   const TimePoint time = now();
-  if (attempt_.tokens++ == 0) attempt_.first_token = time;
+  if (attempt_.tokens++ == 0) {
+    attempt_.first_token = time;
+    ReportFirstToken();
+  }
   if (machine_.delivered() == 1) {
     context_.metrics.OnFirstToken(identity_.client_account, identity_.priority, time - started_);
   } else {
@@ -312,6 +317,16 @@
   }
 }
 
+// Lets the endpoint owner start the next prefill without waiting for its prediction to pass.
+void CompletionRun::ReportFirstToken() {
+  const EndpointView* endpoint = context_.snapshot->FindEndpoint(attempt_.endpoint);
+  if (attempt_.local_permit || endpoint == nullptr) return;
+  context_.router.Call(
+      endpoint->owner,
+      wire::FirstTokenRequest{.permit = attempt_.permit, .endpoint = attempt_.endpoint},
+      kNoticeDeadline, [](const Result<wire::Reply>&) {});
+}
+
 void CompletionRun::OnDrained() {
   if (!paused_ || sink_->unsent_bytes() > context_.unsent_limit / 2) return;
   paused_ = false;
--- a/verbenaridge/daemon/completion_run.h
+++ b/verbenaridge/daemon/completion_run.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "verbenaridge/daemon/request_run.h"
+#include "verbenaridge/routing/candidate_walk.h"
 
 namespace verbenaridge::daemon {
 
@@ -33,8 +34,7 @@
   struct PermitAsk {
     attempts::AskPermit ask;
     SnapshotPtr snapshot;
-    routing::RouteDecision route;
-    std::size_t next = 0;  // candidate to ask
+    routing::CandidateWalk walk;
     wire::CallId call = 0;
     wire::RefusalReason refusal = wire::RefusalReason::kNone;
     Duration retry_after{};
@@ -73,7 +73,7 @@
                                         std::span<const Digest> excluded) const;
   std::vector<Digest> OpenBreakers() const;
   void AskNextCandidate();
-  wire::PermitRequest PermitMessage(const routing::Candidate& candidate,
+  wire::PermitRequest PermitMessage(const routing::CandidateAsk& candidate_ask,
                                     const EndpointView& endpoint) const;
   void OnPermitReply(AttemptNumber attempt, const routing::Candidate& candidate,
                      Result<wire::Reply> reply);
@@ -88,6 +88,7 @@
 
   void OnEngineToken(AttemptNumber attempt, TokenCount index, std::string_view text);
   void OnEngineEnd(AttemptNumber attempt, const engine::GenerationEnd& end);
+  void ReportFirstToken();
   void OnDrained();
 
   const CompletionInput input_;
--- a/verbenaridge/daemon/endpoint_owners.cc
+++ b/verbenaridge/daemon/endpoint_owners.cc
@@ -5,6 +5,7 @@
 
 #include "verbenaridge/base/hash.h"
 #include "verbenaridge/daemon/call_dispatcher.h"
+#include "verbenaridge/daemon/conversions.h"
 
 namespace verbenaridge::daemon {
 namespace {
@@ -101,7 +102,6 @@
   std::map<std::uint64_t, Incarnation> dead_permits;  // permit to the incarnation that died
   Incarnation endpoint_incarnation = 0;
   std::uint64_t cache_sequence = 0;
-  std::uint64_t summary_sequence = 0;
   bool fetching = false;
   bool fetching_events = false;
 };
@@ -243,6 +243,11 @@
   });
 }
 
+void EndpointOwners::OnFirstToken(const wire::FirstTokenRequest& request) {
+  Owned* owned = Find(request.endpoint);
+  if (owned != nullptr) Perform(*owned, owned->owner.OnFirstToken(request.permit, clock_.Now()));
+}
+
 wire::RenewPermitsReply EndpointOwners::Renew(const wire::RenewPermitsRequest& request) {
   if (request.permits.empty()) return {};
   Owned* owned = Find(request.permits.front().endpoint);
@@ -272,7 +277,7 @@
   const permits::OwnerSummary summary = owned.owner.Summary(clock_.Now());
   return {.endpoint = owned.id,
           .owner_incarnation = owned.owner.incarnation(),
-          .sequence = ++owned.summary_sequence,
+          .sequence = static_cast<std::uint64_t>(ToUnixMilliseconds(clock_.WallNow())),
           .kv_capacity_bytes = summary.kv_capacity_bytes,
           .free_kv_bytes = summary.free_kv_bytes,
           .queue_delay = {summary.queue_delay.begin(), summary.queue_delay.end()},
--- a/verbenaridge/daemon/endpoint_owners.h
+++ b/verbenaridge/daemon/endpoint_owners.h
@@ -47,6 +47,7 @@
 
   void Request(const wire::PermitRequest& request, std::shared_ptr<wire::ServerCall> call);
   void Release(const wire::ReleasePermitRequest& request, std::shared_ptr<wire::ServerCall> call);
+  void OnFirstToken(const wire::FirstTokenRequest& request);
   wire::RenewPermitsReply Renew(const wire::RenewPermitsRequest& request);
 
   // Run these every 100 ms, every second and every 5 s.
--- a/verbenaridge/daemon/policies.cc
+++ b/verbenaridge/daemon/policies.cc
@@ -10,9 +10,11 @@
 }  // namespace
 
 std::unique_ptr<routing::RoutingPolicy> MakeRouting(const settings::PolicySettings& settings) {
-  return routing::MakePolicy(settings.routing, IsAlpenrand(settings)
-                                                   ? routing::AlpenrandOptions()
-                                                   : routing::KaoriSachetOptions());
+  return routing::MakePolicy(settings.routing, MakeRoutingOptions(settings));
+}
+
+routing::PolicyOptions MakeRoutingOptions(const settings::PolicySettings& settings) {
+  return IsAlpenrand(settings) ? routing::AlpenrandOptions() : routing::KaoriSachetOptions();
 }
 
 permits::PolicyOptions MakePermitPolicy(const settings::PolicySettings& settings) {
--- a/verbenaridge/daemon/policies.h
+++ b/verbenaridge/daemon/policies.h
@@ -13,6 +13,8 @@
 // Requires names that settings::ParseSettings accepts.
 std::unique_ptr<routing::RoutingPolicy> MakeRouting(const settings::PolicySettings& settings);
 
+routing::PolicyOptions MakeRoutingOptions(const settings::PolicySettings& settings);
+
 permits::PolicyOptions MakePermitPolicy(const settings::PolicySettings& settings);
 
 }  // namespace verbenaridge::daemon
--- a/verbenaridge/daemon/run_context.h
+++ b/verbenaridge/daemon/run_context.h
@@ -20,6 +20,7 @@
 #include "verbenaridge/daemon/request_metrics.h"
 #include "verbenaridge/daemon/snapshot.h"
 #include "verbenaridge/engine/endpoint_client.h"
+#include "verbenaridge/permits/permit_types.h"
 #include "verbenaridge/routing/routing_policy.h"
 
 namespace verbenaridge::daemon {
@@ -32,6 +33,8 @@
   PeerRouter& router;
   engine::EndpointClient& endpoints;
   routing::RoutingPolicy& routing;
+  const routing::PolicyOptions routing_options;
+  const permits::PolicyOptions permit_options;
   cost::CostModel& costs;
   HeldPermits& held_permits;
   LocalAdmission& local_admission;
--- a/verbenaridge/daemon/traffic_thread.cc
+++ b/verbenaridge/daemon/traffic_thread.cc
@@ -72,7 +72,7 @@
       random(RandomSeed()),
       routing(MakeRouting(options.settings.policy)),
       http(owner.loop_.io_context()),
-      endpoints(owner.loop_.io_context(), http, owner.clock_),
+      endpoints(owner.loop_.io_context(), http, {}),
       accounts(owner.clock_, [&owner](auto deaths, auto exonerations) {
         owner.reports_.suspects({std::move(deaths), std::move(exonerations)});
       }) {}
@@ -102,6 +102,8 @@
               .router = router,
               .endpoints = parts.endpoints,
               .routing = *parts.routing,
+              .routing_options = MakeRoutingOptions(parts.options.settings.policy),
+              .permit_options = MakePermitPolicy(parts.options.settings.policy),
               .costs = parts.costs,
               .held_permits = held_permits,
               .local_admission = local_admission,
@@ -111,9 +113,9 @@
               .thread_index = parts.options.index,
               .thread_count = parts.options.settings.traffic_threads,
               .unsent_limit = parts.options.settings.limits.unsent_bytes},
-      pipeline({.limits = parts.options.settings.limits,
-                .services = parts.options.settings.services},
-               context),
+      pipeline(
+          {.limits = parts.options.settings.limits, .services = parts.options.settings.services},
+          context),
       peer_service(parts.thread.loop_, dispatcher),
       peer_server(parts.thread.loop_.io_context(),
                   {.listen = {parts.options.settings.inner.ip, parts.options.settings.inner.port},
@@ -126,8 +128,7 @@
                     {.http = {.address = parts.options.settings.callers.ip,
                               .port = parts.options.settings.callers.port,
                               .max_body_bytes = parts.options.settings.limits.body_bytes,
-                              .max_connections =
-                                  parts.options.settings.limits.caller_connections}},
+                              .max_connections = parts.options.settings.limits.caller_connections}},
                     pipeline, parts.thread.clock_, parts.random),
       owner_tick(parts.thread.loop_.io_context(), kOwnerTick, [this] { endpoint_owners.Tick(); }),
       load_tick(parts.thread.loop_.io_context(), kLoadPeriod,
@@ -151,6 +152,9 @@
     connections->endpoint_owners.Request(*permit, std::move(call));
   } else if (const auto* release = std::get_if<wire::ReleasePermitRequest>(&request)) {
     connections->endpoint_owners.Release(*release, std::move(call));
+  } else if (const auto* first_token = std::get_if<wire::FirstTokenRequest>(&request)) {
+    connections->endpoint_owners.OnFirstToken(*first_token);
+    call->Answer(wire::Acknowledged{});
   } else if (const auto* renew = std::get_if<wire::RenewPermitsRequest>(&request)) {
     call->Answer(connections->endpoint_owners.Renew(*renew));
   } else if (const auto* revoke = std::get_if<wire::RevokePermitRequest>(&request)) {
@@ -188,7 +192,8 @@
 
 Status TrafficThread::Open(const CallDispatcher& dispatcher) {
   parts_->connections = std::make_unique<Parts::Connections>(*parts_, dispatcher);
-  BOOST_OUTCOME_TRYV(parts_->connections->peer_server.Listen());
+  const Status listening = parts_->connections->peer_server.Listen();
+  if (listening.has_error()) return listening;
   return parts_->connections->caller_server.Open();
 }
 
--- a/verbenaridge/frontend/operator_server.h
+++ b/verbenaridge/frontend/operator_server.h
@@ -1,10 +1,12 @@
-// Operators' HTTP interface on an address of its own: /healthz, /readyz, /metrics, /status.
+// Operators' HTTP interface on an address of its own: GET /healthz, /readyz, /metrics and /status,
+// and POST /drain.
 //
 //   OperatorServer server(control_context, {.port = 9000}, view);
 //   server.Open();
 #ifndef VERBENARIDGE_FRONTEND_OPERATOR_SERVER_H_
 #define VERBENARIDGE_FRONTEND_OPERATOR_SERVER_H_
 
+#include <functional>
 #include <memory>
 #include <string>
 
@@ -13,6 +15,14 @@
 
 namespace verbenaridge::frontend {
 
+// An operator's order to take a host or an endpoint out of service, or back.
+struct DrainOrder {
+  std::string target;
+  bool is_endpoint = false;
+  bool undo = false;
+  std::string operator_key;  // bearer token of the request
+};
+
 // What operators and the load balancer see. Called on the server's loop.
 class OperatorView {
  public:
@@ -29,6 +39,10 @@
 
   // A JSON document about members, endpoints and plans.
   virtual std::string StatusJson() const = 0;
+
+  // Errors: kPermissionDenied for a wrong key, kNotFound for an unknown target, kUnavailable if the
+  // daemon that carries the order out does not answer. `done` runs on the server's loop.
+  virtual void Drain(const DrainOrder& order, std::function<void(Status)> done) = 0;
 };
 
 class OperatorServer final : private HttpService {
@@ -44,6 +58,7 @@
 
  private:
   void Handle(const HttpCall& call, std::shared_ptr<ResponseWriter> writer) override;
+  void HandleDrain(const HttpCall& call, const std::shared_ptr<ResponseWriter>& writer);
 
   OperatorView& view_;
   HttpServer server_;
--- a/verbenaridge/wire/internal/message_fields.h
+++ b/verbenaridge/wire/internal/message_fields.h
@@ -74,6 +74,11 @@
                   m.output_tokens, m.prefill_time, m.decode_time, m.completed);
 }
 
+template <Like<FirstTokenRequest> Self>
+auto Fields(Self& m) {
+  return std::tie(m.permit, m.endpoint);
+}
+
 template <Like<ReleasePermitReply> Self>
 auto Fields(Self& m) {
   return std::tie(m.endpoint_died, m.endpoint_incarnation);
--- a/verbenaridge/wire/messages.h
+++ b/verbenaridge/wire/messages.h
@@ -141,6 +141,12 @@
   bool completed = false;  // times of broken attempts teach nothing
 };
 
+// Holder to endpoint owner: the engine sent the first token, so its prefill is over.
+struct FirstTokenRequest {
+  std::uint64_t permit = 0;
+  EndpointId endpoint;
+};
+
 struct ReleasePermitReply {
   bool endpoint_died = false;
   Incarnation endpoint_incarnation = 0;  // the one that died
@@ -262,7 +268,7 @@
 struct EndpointSummary {
   EndpointId endpoint;
   Incarnation owner_incarnation = 0;
-  std::uint64_t sequence = 0;  // newest wins within an owner incarnation
+  std::uint64_t sequence = 0;  // milliseconds since 1970 at the owner; the newest wins
   ByteCount kv_capacity_bytes = 0;
   ByteCount free_kv_bytes = 0;
   std::vector<Duration> queue_delay;  // by priority
@@ -318,10 +324,11 @@
   Gossip gossip;
 };
 
-using Request = std::variant<AdmitRequest, FinishAdmissionRequest, PermitRequest,
-                             RenewPermitsRequest, ReleasePermitRequest, RevokePermitRequest,
-                             ClaimRequest, RecordOutcomeRequest, LookUpClaimRequest,
-                             PushPlanDeltaRequest, FetchPlanRequest, StatusRequest, DrainRequest>;
+using Request =
+    std::variant<AdmitRequest, FinishAdmissionRequest, PermitRequest, RenewPermitsRequest,
+                 ReleasePermitRequest, RevokePermitRequest, ClaimRequest, RecordOutcomeRequest,
+                 LookUpClaimRequest, PushPlanDeltaRequest, FetchPlanRequest, StatusRequest,
+                 DrainRequest, FirstTokenRequest>;
 
 using Reply = std::variant<Acknowledged, AdmitReply, PermitReply, RenewPermitsReply, ClaimReply,
                            PushPlanDeltaReply, FetchPlanReply, StatusReply, ReleasePermitReply>;
