--- a/verbenaridge/frontend/caller_server_test.cc
+++ b/verbenaridge/frontend/caller_server_test.cc
@@ -301,28 +301,51 @@
   std::string NotReadyReason() const override { return "stopping"; }
   std::string Metrics() const override { return "requests_total 3\n"; }
   std::string StatusJson() const override { return "{\"members\":2}"; }
+  void Drain(const DrainOrder& order, std::function<void(Status)> done) override {
+    if (order.operator_key != "op") return done(Errc::kPermissionDenied);
+    done(order.is_endpoint && order.target == "e1" ? Ok() : Status(Errc::kNotFound));
+  }
 };
 
-// Guards against a balancer that keeps sending callers to a daemon that is stopping.
+std::string PostDrain(std::string_view key, std::string_view body) {
+  return "POST /drain HTTP/1.1\r\nHost: a\r\n" + std::string(key) +
+         "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + std::string(body);
+}
+
+// Guards against a balancer that keeps sending callers to a daemon that is stopping, and against
+// drain orders that are taken without a key or half read.
 TEST_CASE("operator paths") {
   struct Row {
-    const char* path;
+    std::string request;
     const char* expected;
     const char* body;
   };
-  const Row rows[] = {{"/healthz", " 200 ", "ok\n"},
-                      {"/readyz", " 503 ", "stopping\n"},
-                      {"/metrics", " 200 ", "requests_total 3\n"},
-                      {"/status", " 200 ", "{\"members\":2}"},
-                      {"/v1/models", " 404 ", "no such path"}};
+  const auto get = [](const std::string& path) {
+    return "GET " + path + " HTTP/1.1\r\nHost: a\r\n\r\n";
+  };
+  const std::string key = "Authorization: Bearer op\r\n";
+  const Row rows[] = {
+      {get("/healthz"), " 200 ", "ok\n"},
+      {get("/readyz"), " 503 ", "stopping\n"},
+      {get("/metrics"), " 200 ", "requests_total 3\n"},
+      {get("/status"), " 200 ", "{\"members\":2}"},
+      {get("/v1/models"), " 404 ", "no such path"},
+      {get("/drain"), " 405 ", "method"},
+      {PostDrain(key, R"({"target":"e1","kind":"endpoint"})"), " 200 ", "ok\n"},
+      {PostDrain(key, R"({"target":"e1","kind":"host","undo":true})"), " 404 ", "not found"},
+      {PostDrain("", R"({"target":"e1","kind":"endpoint"})"), " 401 ", "key"},
+      {PostDrain("Authorization: Bearer x\r\n", R"({"target":"e1","kind":"endpoint"})"), " 403 ",
+       "denied"},
+      {PostDrain(key, R"({"target":"e1"})"), " 400 ", "expected"},
+      {PostDrain(key, R"({"target":"e1","kind":"endpoint","undo":1})"), " 400 ", "expected"},
+      {PostDrain(key, "{"), " 400 ", "expected"}};
   for (const Row& row : rows) {
-    CAPTURE(row.path);
+    CAPTURE(row.request);
     Fixture fixture;
     FixedView view;
     OperatorServer server(fixture.io, {}, view);
     REQUIRE(server.Open().has_value());
-    Connection connection(fixture, "GET " + std::string(row.path) + " HTTP/1.1\r\nHost: a\r\n\r\n",
-                          true, server.port());
+    Connection connection(fixture, row.request, true, server.port());
     CHECK(connection.WaitFor(row.expected));
     CHECK(connection.WaitFor(row.body));
   }
