Carry membership and gossip over datagrams

Cause: daemons must find each other, and share plan versions, suspects and endpoint summaries within the control budget. Change: FleetView drives the membership table over the datagram socket; GossipExchange adds plan versions, confirmations, deaths, exonerations and summaries, each sent a bounded number of times.

--- a/verbenaridge/daemon/control_plane.cc
+++ b/verbenaridge/daemon/control_plane.cc
@@ -5,6 +5,7 @@
 
 #include "verbenaridge/base/random.h"
 #include "verbenaridge/daemon/claim_service.h"
+#include "verbenaridge/daemon/conversions.h"
 #include "verbenaridge/daemon/fleet_view.h"
 #include "verbenaridge/daemon/periodic.h"
 #include "verbenaridge/daemon/plan_service.h"
@@ -12,6 +13,7 @@
 #include "verbenaridge/daemon/status_report.h"
 #include "verbenaridge/frontend/operator_server.h"
 #include "verbenaridge/net/http_client.h"
+#include "verbenaridge/platform/host_list.h"
 #include "verbenaridge/platform/http_key_value_store.h"
 #include "verbenaridge/platform/store_gateway.h"
 #include "verbenaridge/telemetry/log.h"
@@ -23,6 +25,7 @@
 
 constexpr Duration kControlTick = std::chrono::milliseconds(100);
 constexpr Duration kGatewayTick = std::chrono::milliseconds(20);
+constexpr Duration kHostListPeriod = std::chrono::seconds(5);
 constexpr Duration kDrainDeadline = std::chrono::seconds(2);
 
 }  // namespace
@@ -38,10 +41,13 @@
   void OnSuspects(const SuspectUpdate& update);
   void BeginDrain();
   void RefuseRequests();
+  void AnnounceStop() { fleet_.Stop(); }
 
  private:
   void Tick();
   void UpdateHosts();
+  void FetchHostList();
+  void OnGossip(const HostId& sender, Incarnation incarnation, const wire::Gossip& gossip);
   void PublishIfChanged();
   void OnPlanChanged();
 
@@ -64,6 +70,7 @@
   PeerRouter router_;
   SnapshotBuilder builder_;
   poison::SuspectRegistry suspects_;
+  platform::HostListClient host_list_;
   FleetView fleet_;
   ClaimService claims_;
   PlanService plans_;
@@ -71,6 +78,7 @@
   frontend::OperatorServer operator_server_;
   Periodic control_tick_;
   Periodic gateway_tick_;
+  Periodic host_list_tick_;
   SnapshotPtr snapshot_ = std::make_shared<const Snapshot>();
   plans::PlanDocumentPtr published_plan_;
   std::shared_ptr<const plans::PlanIndex> plan_index_;
@@ -96,7 +104,13 @@
                  {.self = settings_.host, .keys = control.options_.keys, .timeouts = {}}),
       router_({.self = settings_.host}, control.loop_, transport_, dispatcher, control.clock_),
       builder_(settings_),
-      fleet_(settings_, control.options_.incarnation),
+      host_list_(http_, settings_.platform.host_list_url),
+      fleet_(settings_, control.options_.keys, control.options_.incarnation,
+             control.loop_.io_context(), control.clock_, random_,
+             {.changed = [this] { UpdateHosts(); },
+              .gossip =
+                  [this](const HostId& sender, Incarnation incarnation,
+                         const wire::Gossip& gossip) { OnGossip(sender, incarnation, gossip); }}),
       claims_(control.loop_.io_context(), control.clock_, random_, claim_store_),
       plans_({.host = settings_.host, .data_centre = settings_.data_centre},
              control.loop_.io_context(), control.clock_, random_, plan_store_, router_,
@@ -106,11 +120,16 @@
                        {.address = settings_.operators.ip, .port = settings_.operators.port},
                        *this),
       control_tick_(control.loop_.io_context(), kControlTick, [this] { Tick(); }),
-      gateway_tick_(control.loop_.io_context(), kGatewayTick, [this] { gateway_.Tick(); }) {
+      gateway_tick_(control.loop_.io_context(), kGatewayTick, [this] { gateway_.Tick(); }),
+      host_list_tick_(control.loop_.io_context(), kHostListPeriod, [this] { FetchHostList(); }) {
   UpdateHosts();
 }
 
-Status ControlPlane::Parts::Open() { return operator_server_.Open(); }
+Status ControlPlane::Parts::Open() {
+  const Status opened = fleet_.Open();
+  if (opened.has_error()) return opened;
+  return operator_server_.Open();
+}
 
 void ControlPlane::Parts::Serve(wire::Request request, std::shared_ptr<wire::ServerCall> call) {
   if (const auto* claim = std::get_if<wire::ClaimRequest>(&request)) {
@@ -139,13 +158,39 @@
 }
 
 void ControlPlane::Parts::Tick() {
+  fleet_.Tick();
   plans_.Tick(fleet_.PlanPeers(), fleet_.PlanMembers());
   const bool serving = plans_.serving();
   if (serving != serving_) OnPlanChanged();
   suspects_.RemoveExpired(control_.clock_.WallNow());
+  fleet_.gossip().SetPlan(serving ? plans_.document()->version() : 0, plans_.confirmed());
   PublishIfChanged();
 }
 
+void ControlPlane::Parts::FetchHostList() {
+  host_list_.Fetch([this](Result<std::vector<platform::ListedHost>> hosts) {
+    if (hosts.has_value()) fleet_.OnHostList(hosts.value());
+  });
+}
+
+void ControlPlane::Parts::OnGossip(const HostId& sender, Incarnation incarnation,
+                                   const wire::Gossip& gossip) {
+  plans_.OnGossip(sender, incarnation, gossip.plan_version);
+  for (const wire::ConfirmedPlan& confirmed : gossip.confirmed) {
+    plans_.OnConfirmed(confirmed.data_centre, confirmed.version);
+  }
+  OnSummaries(gossip.summaries);
+  if (gossip.deaths.empty() && gossip.exonerations.empty()) return;
+  SuspectUpdate update;
+  for (const wire::SuspectDeath& death : gossip.deaths) {
+    update.deaths.push_back(ToDatedDeath(death));
+  }
+  for (const wire::SuspectDeath& death : gossip.exonerations) {
+    update.exonerations.push_back(ToDatedDeath(death));
+  }
+  OnSuspects(update);
+}
+
 void ControlPlane::Parts::UpdateHosts() {
   std::vector<HostView> hosts = fleet_.LiveHosts();
   for (HostView& host : hosts) host.region = builder_.RegionOf(host.data_centre);
@@ -176,12 +221,20 @@
 
 void ControlPlane::Parts::OnSummaries(const std::vector<wire::EndpointSummary>& summaries) {
   for (const wire::EndpointSummary& summary : summaries) {
-    changed_ = builder_.AddSummary(summary, control_.clock_.Now()) || changed_;
+    if (!builder_.AddSummary(summary, control_.clock_.Now())) continue;
+    fleet_.gossip().AddSummary(summary, control_.clock_.Now());
+    changed_ = true;
   }
 }
 
 void ControlPlane::Parts::OnSuspects(const SuspectUpdate& update) {
+  // Only news is passed on, so that gossip comes to rest.
+  const auto count = [this] { return suspects_.deaths().size() + suspects_.exonerations().size(); };
+  const std::size_t before = count();
   suspects_.Merge(update.deaths, update.exonerations, control_.clock_.WallNow());
+  if (count() == before) return;
+  fleet_.gossip().AddDeaths(update.deaths);
+  fleet_.gossip().AddExonerations(update.exonerations);
   control_.outputs_.publish_suspects(update);
 }
 
@@ -287,6 +340,8 @@
   loop_.Post([this] { parts_->BeginDrain(); });
 }
 
+void ControlPlane::AnnounceStop() { parts_->AnnounceStop(); }
+
 void ControlPlane::RefuseRequests() {
   loop_.Post([this] { parts_->RefuseRequests(); });
 }
--- a/verbenaridge/daemon/control_plane.h
+++ b/verbenaridge/daemon/control_plane.h
@@ -54,6 +54,8 @@
   void BeginDrain();
   // Refuses new requests. Thread-safe.
   void RefuseRequests();
+  // Tells the other daemons that this one has ended. Call on the control loop.
+  void AnnounceStop();
 
  private:
   class Parts;
--- a/verbenaridge/daemon/daemon.cc
+++ b/verbenaridge/daemon/daemon.cc
@@ -191,6 +191,7 @@
 }
 
 void Daemon::Parts::StopNow() {
+  control_->AnnounceStop();
   const std::lock_guard<std::mutex> lock(mutex_);
   stopped_ = true;
   stopped_changed_.notify_all();
--- /dev/null
+++ b/verbenaridge/daemon/gossip_exchange.h
@@ -0,0 +1,48 @@
+// What gossip carries besides members: plan versions, confirmations, endpoint summaries and
+// suspects.
+#ifndef VERBENARIDGE_DAEMON_GOSSIP_EXCHANGE_H_
+#define VERBENARIDGE_DAEMON_GOSSIP_EXCHANGE_H_
+
+#include <cstddef>
+#include <map>
+#include <span>
+
+#include "verbenaridge/base/ids.h"
+#include "verbenaridge/membership/gossip_queue.h"
+#include "verbenaridge/poison/suspect_registry.h"
+#include "verbenaridge/wire/messages.h"
+
+namespace verbenaridge::daemon {
+
+// Not thread-safe; belongs to the control thread.
+class GossipExchange {
+ public:
+  // A summary that says nothing new compared with the last one is queued only every two seconds.
+  void AddSummary(const wire::EndpointSummary& summary, TimePoint now);
+  void AddDeaths(std::span<const poison::DatedDeath> deaths);
+  void AddExonerations(std::span<const poison::DatedDeath> exonerations);
+
+  // Adds what fits into `budget` bytes to an outgoing message. `member_count` sets how often each
+  // entry is sent.
+  void Fill(wire::Gossip& gossip, std::size_t budget, std::size_t member_count);
+
+  // Versions that each message carries.
+  void SetPlan(PlanVersion version, const std::map<DataCentreId, PlanVersion>& confirmed);
+
+ private:
+  struct Sent {
+    wire::EndpointSummary summary;
+    TimePoint at{};
+  };
+
+  std::map<EndpointId, Sent> last_;
+  membership::GossipQueue<EndpointId, wire::EndpointSummary> summaries_;
+  membership::GossipQueue<poison::Death, poison::DatedDeath> deaths_;
+  membership::GossipQueue<poison::Death, poison::DatedDeath> exonerations_;
+  PlanVersion plan_version_ = 0;
+  std::vector<wire::ConfirmedPlan> confirmed_;
+};
+
+}  // namespace verbenaridge::daemon
+
+#endif  // VERBENARIDGE_DAEMON_GOSSIP_EXCHANGE_H_
--- a/verbenaridge/wire/internal/message_fields.h
+++ b/verbenaridge/wire/internal/message_fields.h
@@ -171,11 +171,6 @@
   return std::tie(m.digest, m.endpoint, m.endpoint_incarnation, m.expiry_unix_ms);
 }
 
-template <Like<Exoneration> Self>
-auto Fields(Self& m) {
-  return std::tie(m.digest, m.expiry_unix_ms);
-}
-
 template <Like<ConfirmedPlan> Self>
 auto Fields(Self& m) {
   return std::tie(m.data_centre, m.version);
--- a/verbenaridge/wire/messages.h
+++ b/verbenaridge/wire/messages.h
@@ -278,11 +278,6 @@
   std::vector<std::uint32_t> prefix_digest;  // short digests of cached leading blocks
 };
 
-struct Exoneration {
-  Digest digest = 0;
-  std::int64_t expiry_unix_ms = 0;
-};
-
 struct ConfirmedPlan {
   DataCentreId data_centre;
   PlanVersion version = 0;
@@ -293,7 +288,7 @@
   std::vector<MemberEntry> members;
   std::vector<EndpointSummary> summaries;
   std::vector<SuspectDeath> deaths;
-  std::vector<Exoneration> exonerations;
+  std::vector<SuspectDeath> exonerations;  // deaths that no longer count
   std::vector<ConfirmedPlan> confirmed;
 };
 
