--- /dev/null
+++ b/verbenaridge/wire/codec_test.cc
@@ -0,0 +1,133 @@
+#include "verbenaridge/wire/codec.h"
+
+#include <doctest/doctest.h>
+
+#include "verbenaridge/base/random.h"
+#include "verbenaridge/wire/message_samples.h"
+
+namespace verbenaridge::wire {
+namespace {
+
+Result<Request> Decode(std::string_view bytes, const Request&) { return DecodeRequest(bytes); }
+Result<Reply> Decode(std::string_view bytes, const Reply&) { return DecodeReply(bytes); }
+Result<Datagram> Decode(std::string_view bytes, const Datagram&) { return DecodeDatagram(bytes); }
+
+// Guards against fields that are lost or swapped, truncated input that decodes, and input that
+// crashes the decoder: a message that decodes must be one that encodes.
+template <class Variant>
+void CheckSamples() {
+  SeededRandom random(20261204);
+  for (const Variant& message : testing::Samples<Variant>()) {
+    CAPTURE(message.index());
+    const std::string bytes = Encode(message);
+    const Result<Variant> decoded = Decode(bytes, message);
+    REQUIRE(decoded.has_value());
+    CHECK(decoded.value().index() == message.index());
+    // Compared in encoded form, which has every field.
+    CHECK(Encode(decoded.value()) == bytes);
+    for (std::size_t size = 0; size < bytes.size(); ++size) {
+      const Result<Variant> truncated = Decode(std::string_view(bytes).substr(0, size), message);
+      REQUIRE(truncated.has_error());
+      REQUIRE(truncated.error() == Errc::kMalformed);
+    }
+    CHECK(Decode(bytes + '\0', message).error() == Errc::kMalformed);
+    for (int i = 0; i < 2000; ++i) {
+      std::string flipped = bytes;
+      for (std::uint64_t flips = 1 + random.Below(3); flips > 0; --flips) {
+        flipped[random.Below(flipped.size())] ^= static_cast<char>(1U << random.Below(8));
+      }
+      const Result<Variant> result = Decode(flipped, message);
+      if (result.has_value()) REQUIRE(Decode(Encode(result.value()), message).has_value());
+    }
+  }
+}
+
+TEST_CASE("requests") { CheckSamples<Request>(); }
+TEST_CASE("replies") { CheckSamples<Reply>(); }
+TEST_CASE("datagrams") { CheckSamples<Datagram>(); }
+
+// Guards against a changed order of messages in messages.h, which peers of other versions read as
+// other messages.
+TEST_CASE("tags are stable") {
+  CHECK(Encode(Request{AdmitRequest{}})[1] == 0);
+  CHECK(Encode(Request{DrainRequest{}})[1] == 12);
+  CHECK(Encode(Reply{Acknowledged{}})[1] == 64);
+  CHECK(Encode(Reply{StatusReply{}})[1] == 71);
+  CHECK(Encode(Datagram{Ping{}})[1] == 96);
+  CHECK(Encode(Datagram{GossipPush{}})[1] == 99);
+}
+
+// Guards against hostile or foreign input: each row is one request.
+TEST_CASE("input from outside") {
+  struct Row {
+    const char* name;
+    std::string bytes;
+    std::optional<Errc> error;
+  };
+  const std::string status = Encode(Request{StatusRequest{}});
+  const Row rows[] = {
+      {"status", "\x91\x0b", std::nullopt},
+      {"unknown extra field", "\x92\x0b\xa3new", std::nullopt},
+      {"unknown extra map", "\x92\x0b\x81\xa1k\x93\x01\x02\x03", std::nullopt},
+      {"extra field of a structure", std::string("\x92\x08\x95\xa1", 4) + "a\xa1s\xa1o\xa1k\xc0",
+       std::nullopt},
+      {"missing field", std::string("\x92\x08\x93\xa1", 4) + "a\xa1s\xa1o", Errc::kMalformed},
+      {"wrong type", "\x92\x08\xa1k", Errc::kMalformed},
+      {"empty", "", Errc::kMalformed},
+      {"empty array", "\x90", Errc::kMalformed},
+      {"no array", "\x0b", Errc::kMalformed},
+      {"map", std::string("\x81\x00\x01", 3), Errc::kMalformed},
+      {"tag is text", "\x91\xa1s", Errc::kMalformed},
+      {"unknown tag", "\x91\x0d", Errc::kMalformed},
+      {"negative tag", "\x91\xff", Errc::kMalformed},
+      {"reply", Encode(Reply{Acknowledged{}}), Errc::kMalformed},
+      {"two messages", status + status, Errc::kMalformed},
+      {"reserved byte", "\x91\xc1", Errc::kMalformed},
+      {"4 billion elements", "\xdd\xff\xff\xff\xff", Errc::kTooLarge},
+      {"4 billion pairs", "\xdf\xff\xff\xff\xff", Errc::kTooLarge},
+      {"text longer than input", "\x92\x0b\xdb\xff\xff\xff\xff", Errc::kMalformed},
+      {"deep nesting", std::string(100, '\x91'), Errc::kTooLarge},
+      {"too many elements", std::string("\xdd\x00\x0f\xff\xff", 5), Errc::kTooLarge},
+      {"above the byte limit", std::string(kMaxMessageBytes + 1, '\x90'), Errc::kTooLarge},
+  };
+  for (const Row& row : rows) {
+    CAPTURE(row.name);
+    const Result<Request> result = DecodeRequest(row.bytes);
+    CHECK(result.has_error() == row.error.has_value());
+    if (result.has_error() && row.error) CHECK(result.error() == *row.error);
+  }
+}
+
+// Guards against numbers that decisions cannot work with.
+TEST_CASE("numbers out of range") {
+  const double infinity = std::numeric_limits<double>::infinity();
+  struct Row {
+    const char* name;
+    double cost;
+    Priority priority;
+    bool accepted;
+  };
+  const Row rows[] = {
+      {"whole cost", -2, Priority::kBackground, true},
+      {"fraction", 0.125, Priority::kUrgent, true},
+      {"infinite cost", infinity, Priority::kUrgent, false},
+      {"cost that is no number", infinity - infinity, Priority::kUrgent, false},
+      {"unknown priority", 1, static_cast<Priority>(3), false},
+  };
+  for (const Row& row : rows) {
+    CAPTURE(row.name);
+    AdmitRequest request;
+    request.cost_seconds = row.cost;
+    request.priority = row.priority;
+    const Result<Request> result = DecodeRequest(Encode(Request{request}));
+    CHECK(result.has_value() == row.accepted);
+    if (result.has_error()) {
+      CHECK(result.error() == Errc::kMalformed);
+    } else {
+      CHECK(std::get<AdmitRequest>(result.value()).cost_seconds == row.cost);
+    }
+  }
+}
+
+}  // namespace
+}  // namespace verbenaridge::wire
--- a/verbenaridge/wire/nghttp2_server.cc
+++ b/verbenaridge/wire/nghttp2_server.cc
@@ -8,6 +8,7 @@
 #include <utility>
 
 #include "verbenaridge/wire/internal/server_connection.h"
+#include "verbenaridge/wire/internal/system_error.h"
 #include "verbenaridge/wire/nghttp2_transport.h"
 
 namespace verbenaridge::wire {
@@ -48,7 +49,7 @@
     if (error) {
       std::error_code ignored;
       acceptor_.close(ignored);
-      return error;
+      return internal::SystemError(error);
     }
     Accept();
     return Ok();
--- a/verbenaridge/wire/nghttp2_transport.h
+++ b/verbenaridge/wire/nghttp2_transport.h
@@ -30,7 +30,7 @@
 struct TransportOptions {
   HostId self;
   FleetKeys keys;
-  ConnectionTimeouts timeouts;
+  ConnectionTimeouts timeouts{};
 };
 
 // Keeps one connection per peer address, opened by the first call and again by the first call after
@@ -64,7 +64,7 @@
   HostId self;
   FleetKeys keys;
   std::size_t max_connections = 1024;
-  ConnectionTimeouts timeouts;
+  ConnectionTimeouts timeouts{};
 };
 
 // Accepts connections, checks the fleet key and passes the calls to the service, on later turns of
