Bound starvation inside engines and spills by tokens

Change: promoted work counts until its first token, and short work that is inside the engine for too long is promoted; a spill token is used by the offer, and only endpoints that report no queue are offered.

--- a/verbenaridge/permits/endpoint_owner.cc
+++ b/verbenaridge/permits/endpoint_owner.cc
@@ -23,6 +23,8 @@
   PolicyOptions options;
   options.queue.min_share = {0, 0.10, 0.05};
   options.queue.short_first_factor = 8;
+  options.promote_after = {std::chrono::seconds(1), std::chrono::seconds(2),
+                           std::chrono::seconds(5)};
   return options;
 }
 
@@ -261,8 +263,8 @@
   permit_ids_[permit.attempt] = permit_id;
   // The engine works in strict priority order, so a minimum share is kept by holding back urgent
   // permits: work granted for its share takes a place in the urgent window.
-  backlog_.Add(permit_id, permit.promoted ? Priority::kUrgent : permit.engine_priority,
-               permit.prefill_seconds);
+  backlog_.Add(permit_id, permit.engine_priority, permit.prefill_seconds);
+  if (permit.promoted) backlog_.Promote(permit_id);
   actions.emplace_back(MakeGrant(permit_id, permit));
   permits_.emplace(permit_id, std::move(permit));
 }
@@ -311,7 +313,8 @@
 
 void EndpointOwner::PromoteStarved(TimePoint now) {
   for (auto& [id, permit] : permits_) {
-    const bool starved = !permit.prefilled && now - permit.granted > options_.promote_after;
+    const Duration limit = options_.promote_after[Rank(permit.priority)];
+    const bool starved = !permit.prefilled && now - permit.granted > limit;
     if (!starved || permit.promoted || permit.is_long || permit.isolate) continue;
     permit.promoted = true;
     backlog_.Promote(id);
--- a/verbenaridge/permits/permit_types.h
+++ b/verbenaridge/permits/permit_types.h
@@ -30,7 +30,8 @@
                                                          std::chrono::milliseconds(150)};
   // A short prompt of lower priority that is inside the engine for so long counts as urgent work:
   // urgent permits are held back until it has its first token.
-  Duration promote_after = std::chrono::seconds(1);
+  std::array<Duration, kPriorityCount> promote_after = {
+      std::chrono::seconds(1), std::chrono::seconds(1), std::chrono::seconds(1)};
   // Uncached prompt tokens above which a prompt is not short: it runs at the next lower engine
   // priority, so that a short prompt overtakes it between two chunks.
   TokenCount short_prompt_tokens = 4'000;
--- a/verbenaridge/permits/prefill_backlog.cc
+++ b/verbenaridge/permits/prefill_backlog.cc
@@ -8,10 +8,11 @@
   double time = ToSeconds(now - advanced_);
   if (time <= 0) return;
   advanced_ = now;
-  for (auto& [order, left] : left_) {
+  for (auto& [order, entry] : left_) {
     if (time <= 0) break;
-    const double done = std::min(std::max(left - kFloorSeconds, 0.0), time);
-    left -= done;
+    if (entry.promoted) continue;
+    const double done = std::min(std::max(entry.left - kFloorSeconds, 0.0), time);
+    entry.left -= done;
     sums_[order.first] -= done;
     time -= done;
   }
@@ -19,7 +20,7 @@
 
 void PrefillBacklog::Add(std::uint64_t permit, Priority engine_priority, double seconds) {
   const Order order{Rank(engine_priority), next_order_++};
-  left_[order] = seconds;
+  left_[order] = {.left = seconds, .promoted = false};
   orders_[permit] = order;
   sums_[order.first] += seconds;
 }
@@ -28,7 +29,7 @@
   const auto found = orders_.find(permit);
   if (found == orders_.end()) return;
   const auto left = left_.find(found->second);
-  sums_[found->second.first] -= left->second;
+  sums_[found->second.first] -= left->second.left;
   left_.erase(left);
   orders_.erase(found);
   if (left_.empty()) sums_.fill(0);  // rounding errors end here
@@ -37,9 +38,10 @@
 void PrefillBacklog::Promote(std::uint64_t permit) {
   const auto found = orders_.find(permit);
   if (found == orders_.end()) return;
-  const double left = left_.at(found->second);
+  const double left = left_.at(found->second).left;
   Remove(permit);
   Add(permit, Priority::kUrgent, left);
+  left_.at(orders_.at(permit)).promoted = true;
 }
 
 double PrefillBacklog::Ahead(Priority engine_priority) const {
--- a/verbenaridge/permits/prefill_backlog.h
+++ b/verbenaridge/permits/prefill_backlog.h
@@ -20,7 +20,8 @@
   void Advance(TimePoint now);
   void Add(std::uint64_t permit, Priority engine_priority, double seconds);
 
-  // From now on the prompt counts as urgent work.
+  // From now on the prompt counts as urgent work. The engine still runs it last, so all of it
+  // counts until its first token.
   void Promote(std::uint64_t permit);
 
   // The prompt has its first token, or its attempt ended.
@@ -35,7 +36,12 @@
 
   using Order = std::pair<std::size_t, std::uint64_t>;  // rank, then age
 
-  std::map<Order, double> left_;
+  struct Entry {
+    double left = 0;
+    bool promoted = false;
+  };
+
+  std::map<Order, Entry> left_;
   std::map<std::uint64_t, Order> orders_;  // by permit
   std::array<double, kPriorityCount> sums_{};
   std::uint64_t next_order_ = 0;
--- a/verbenaridge/routing/candidate_walk.cc
+++ b/verbenaridge/routing/candidate_walk.cc
@@ -23,7 +23,8 @@
 }
 
 void CandidateWalk::OnBusy(Duration wait) {
-  if (best_ && best_wait_ <= wait) return;
+  // Another data centre refuses spilled work whenever it is busy, so asking it again is in vain.
+  if (candidates_[next_ - 1].spilled || (best_ && best_wait_ <= wait)) return;
   best_ = next_ - 1;
   best_wait_ = wait;
 }
--- a/verbenaridge/routing/owner_permits_policy.cc
+++ b/verbenaridge/routing/owner_permits_policy.cc
@@ -121,12 +121,24 @@
   for (std::size_t i = 0; i < views.size(); ++i) {
     if (!Eligible(views[i], request, options_.kv_fill)) continue;
     const bool is_local = views[i].data_centre == request.data_centre;
-    (is_local ? local : remote).push_back(Predict(views[i], i, request, matches));
+    const Candidate candidate = Predict(views[i], i, request, matches);
+    (is_local ? local : remote).push_back(candidate);
   }
   KeepLongShare(request, views, local);
   RouteDecision decision;
-  if (!remote.empty() && (local.empty() || MaySpill(request, local))) {
-    local.insert(local.end(), remote.begin(), remote.end());
+  if (local.empty()) {
+    // Nothing here can serve it, so it competes in the other data centre as its own work does.
+    local = std::move(remote);
+    for (Candidate& candidate : local) candidate.spilled = false;
+  } else {
+    // Other data centres take spilled work only at endpoints that have no queue.
+    std::erase_if(remote, [&](const Candidate& candidate) {
+      return candidate.queue_delay > options_.spill_accept_delay;
+    });
+    if (!remote.empty() && MaySpill(request, local)) {
+      spill_tokens_ -= 1;
+      local.insert(local.end(), remote.begin(), remote.end());
+    }
   }
   Draw(local, random, decision);
   if (decision.candidates().empty()) {
@@ -139,7 +151,6 @@
                                       double cost_seconds) {
   Pending& pending = pending_[view.key];
   pending = {.cost = PendingCost(view, request.now) + cost_seconds, .at = request.now};
-  if (view.data_centre != request.data_centre) spill_tokens_ -= 1;
   if (affinity_) prefixes_.OnDispatched(view.key, request.prefix_blocks, request.now);
 }
 
--- a/verbenaridge/routing/routing_policy.h
+++ b/verbenaridge/routing/routing_policy.h
@@ -106,8 +106,9 @@
   Duration report_lag = std::chrono::milliseconds(600);  // own dispatches count for so long
   std::array<Duration, kPriorityCount> spill_above = {
       std::chrono::milliseconds(500), std::chrono::seconds(5), std::chrono::seconds(30)};
-  double spill_per_second = 2;  // requests this daemon may send to other data centres
+  double spill_per_second = 2;  // requests this daemon may offer to other data centres
   double spill_burst = 5;
+  Duration spill_accept_delay = std::chrono::milliseconds(100);  // reported by the other endpoint
   Duration spill_cost = std::chrono::milliseconds(20);  // round trips and lost affinity
   PrefixOptions prefix{};
 };
--- a/verbenaridge/routing/routing_policy_test.cc
+++ b/verbenaridge/routing/routing_policy_test.cc
@@ -207,7 +207,8 @@
         RouteRequest request = Request();
         request.now = kStart + milliseconds(10) * i;
         const Candidate first = policy->Choose(request, views, random).candidates()[0];
-        if (first.spilled) ++spilled;
+        if (views[first.index].data_centre != kHere) ++spilled;
+        CHECK((first.spilled || row.local_leaves || views[first.index].data_centre == kHere));
         policy->OnDispatched(views[first.index], request, 0.01);
       }
       CHECK(spilled >= row.low);
