Keep a part of the endpoints free of long prefills

Change: the long share is rounded up and lending stops at 60% of the endpoints; background requests are redirected above 300 ms.

--- a/verbenaridge/routing/owner_permits_policy.cc
+++ b/verbenaridge/routing/owner_permits_policy.cc
@@ -60,9 +60,13 @@
     ranked.emplace_back(RendezvousScore(request.model, {views[local[i].index].key, 1}), i);
   }
   std::sort(ranked.begin(), ranked.end(), std::greater<>());
-  const auto home = std::max<std::size_t>(
-      1, static_cast<std::size_t>(
-             std::floor(options_.long_share * static_cast<double>(ranked.size()))));
+  const auto count = static_cast<double>(ranked.size());
+  const auto home = static_cast<std::size_t>(std::ceil(options_.long_share * count));
+  std::size_t running_long = 0;
+  for (const Candidate& candidate : local) {
+    if (views[candidate.index].long_prefills > 0) ++running_long;
+  }
+  const bool may_lend = static_cast<double>(running_long) < options_.max_long_share * count;
   Duration best_home = Duration::max();
   for (std::size_t i = 0; i < home; ++i) {
     best_home = std::min(best_home, local[ranked[i].second].first_token);
@@ -71,7 +75,8 @@
   for (std::size_t i = 0; i < ranked.size(); ++i) {
     Candidate candidate = local[ranked[i].second];
     candidate.lent = i >= home;
-    if (!candidate.lent || candidate.first_token + options_.lend_gain < best_home) {
+    if (!candidate.lent ||
+        (may_lend && candidate.first_token + options_.lend_gain < best_home)) {
       kept.push_back(candidate);
     }
   }
--- a/verbenaridge/routing/routing_policy.h
+++ b/verbenaridge/routing/routing_policy.h
@@ -88,7 +88,8 @@
 
 struct PolicyOptions {
   TokenCount long_prompt_tokens = 16'000;
-  double long_share = 0.4;  // of the endpoints of a model in a data centre
+  double long_share = 0.4;  // of the endpoints of a model in a data centre, rounded up
+  double max_long_share = 0.6;  // with lent endpoints; the rest stay free for short prompts
   // A long prompt leaves its share only for an endpoint that starts it this much sooner.
   Duration lend_gain = std::chrono::seconds(1);
   // Added for endpoints that run a long prefill, for prompts that are not long.
@@ -102,7 +103,8 @@
   Duration spread = std::chrono::milliseconds(40);
   // Predicted waits above which an owner sends a request on to the next candidate.
   std::array<Duration, kPriorityCount> redirect_above = {
-      std::chrono::milliseconds(50), std::chrono::milliseconds(150), std::chrono::seconds(1)};
+      std::chrono::milliseconds(50), std::chrono::milliseconds(150),
+      std::chrono::milliseconds(300)};
   Duration report_lag = std::chrono::milliseconds(600);  // own dispatches count for so long
   std::array<Duration, kPriorityCount> spill_above = {
       std::chrono::milliseconds(500), std::chrono::seconds(5), std::chrono::seconds(30)};
