--- a/verbenaridge/routing/owner_permits_policy.cc
+++ b/verbenaridge/routing/owner_permits_policy.cc
@@ -60,9 +60,13 @@
     ranked.emplace_back(RendezvousScore(request.model, {views[local[i].index].key, 1}), i);
   }
   std::sort(ranked.begin(), ranked.end(), std::greater<>());
-  const auto home = std::max<std::size_t>(
-      1, static_cast<std::size_t>(
-             std::floor(options_.long_share * static_cast<double>(ranked.size()))));
+  const auto count = static_cast<double>(ranked.size());
+  const auto home = static_cast<std::size_t>(std::ceil(options_.long_share * count));
+  std::size_t running_long = 0;
+  for (const Candidate& candidate : local) {
+    if (views[candidate.index].long_prefills > 0) ++running_long;
+  }
+  const bool may_lend = static_cast<double>(running_long) < options_.max_long_share * count;
   Duration best_home = Duration::max();
   for (std::size_t i = 0; i < home; ++i) {
     best_home = std::min(best_home, local[ranked[i].second].first_token);
@@ -71,7 +75,8 @@
   for (std::size_t i = 0; i < ranked.size(); ++i) {
     Candidate candidate = local[ranked[i].second];
     candidate.lent = i >= home;
-    if (!candidate.lent || candidate.first_token + options_.lend_gain < best_home) {
+    if (!candidate.lent ||
+        (may_lend && candidate.first_token + options_.lend_gain < best_home)) {
       kept.push_back(candidate);
     }
   }
@@ -121,12 +126,24 @@
   for (std::size_t i = 0; i < views.size(); ++i) {
     if (!Eligible(views[i], request, options_.kv_fill)) continue;
     const bool is_local = views[i].data_centre == request.data_centre;
-    (is_local ? local : remote).push_back(Predict(views[i], i, request, matches));
+    const Candidate candidate = Predict(views[i], i, request, matches);
+    (is_local ? local : remote).push_back(candidate);
   }
   KeepLongShare(request, views, local);
   RouteDecision decision;
-  if (!remote.empty() && (local.empty() || MaySpill(request, local))) {
-    local.insert(local.end(), remote.begin(), remote.end());
+  if (local.empty()) {
+    // Nothing here can serve it, so it competes in the other data centre as its own work does.
+    local = std::move(remote);
+    for (Candidate& candidate : local) candidate.spilled = false;
+  } else {
+    // Other data centres take spilled work only at endpoints that have no queue.
+    std::erase_if(remote, [&](const Candidate& candidate) {
+      return candidate.queue_delay > options_.spill_accept_delay;
+    });
+    if (!remote.empty() && MaySpill(request, local)) {
+      spill_tokens_ -= 1;
+      local.insert(local.end(), remote.begin(), remote.end());
+    }
   }
   Draw(local, random, decision);
   if (decision.candidates().empty()) {
@@ -139,7 +156,6 @@
                                       double cost_seconds) {
   Pending& pending = pending_[view.key];
   pending = {.cost = PendingCost(view, request.now) + cost_seconds, .at = request.now};
-  if (view.data_centre != request.data_centre) spill_tokens_ -= 1;
   if (affinity_) prefixes_.OnDispatched(view.key, request.prefix_blocks, request.now);
 }
 
