--- a/verbenaridge/loadtool/results.cc
+++ b/verbenaridge/loadtool/results.cc
@@ -146,7 +146,7 @@
 
 double Quantile(std::vector<double> values, double q) {
   if (values.empty()) return 0;
-  const auto at = static_cast<std::size_t>(q * static_cast<double>(values.size() - 1) + 0.5);
+  const auto at = static_cast<std::size_t>(std::lround(q * static_cast<double>(values.size() - 1)));
   const auto place = values.begin() + static_cast<std::ptrdiff_t>(at);
   std::nth_element(values.begin(), place, values.end());
   return values[at];
