--- a/verbenaridge/wire/internal/h2_connection.cc
+++ b/verbenaridge/wire/internal/h2_connection.cc
@@ -232,7 +232,8 @@
 }
 
 void H2Connection::FillOutput() {
-  output_ = std::exchange(pending_, {});
+  output_ = pending_;
+  pending_.clear();
   while (session_ != nullptr && output_.size() < kOutputBytes) {
     const std::uint8_t* data = nullptr;
     const auto size = nghttp2_session_mem_send(session_, &data);
--- a/verbenaridge/wire/message_samples.h
+++ b/verbenaridge/wire/message_samples.h
@@ -51,7 +51,7 @@
 
   template <class T>
   void FillOther(T& value) {
-    std::apply([this](auto&... field) { (Fill(field), ...); }, internal::Fields(value));
+    std::apply([this](auto&... field) { (this->Fill(field), ...); }, internal::Fields(value));
   }
 
   int step_ = 0;
--- a/verbenaridge/wire/wire_benchmark.cc
+++ b/verbenaridge/wire/wire_benchmark.cc
@@ -102,7 +102,8 @@
   std::uint16_t port_ = 0;
 };
 
-// Keeps `streams` calls open; one iteration is one answered call.
+// Keeps `streams` calls open; an iteration ends when at least one is answered, so items per second
+// and the latencies are the figures to read.
 void CallPeer(benchmark::State& state) {
   using SteadyClock = std::chrono::steady_clock;
   const auto streams = static_cast<std::size_t>(state.range(0));
