--- a/verbenaridge/wire/messages.h
+++ b/verbenaridge/wire/messages.h
@@ -11,20 +11,12 @@
 #include <vector>
 
 #include "verbenaridge/base/clock.h"
+#include "verbenaridge/base/holder.h"
 #include "verbenaridge/base/ids.h"
 #include "verbenaridge/base/units.h"
 
 namespace verbenaridge::wire {
 
-// Identifies one request at one ingress daemon for as long as any process may speak of it.
-struct HolderId {
-  HostId host;
-  Incarnation incarnation = 0;
-  std::uint64_t sequence = 0;
-
-  friend auto operator<=>(const HolderId&, const HolderId&) = default;
-};
-
 enum class Verdict : std::uint8_t { kGranted = 0, kRefused = 1 };
 
 // Reasons for a refusal that the ingress acts on.
@@ -40,6 +32,8 @@
   kNotOwner = 8,
   kLeaving = 9,
   kPlanForbids = 10,
+  kBusy = 12,        // another endpoint is predicted to be faster
+  kNotServing = 11,  // the owner has no plan that it may serve
 };
 
 // Account owner: admit a request of a client account.
@@ -50,6 +44,7 @@
   Digest digest = 0;
   TokenCount tokens = 0;  // prompt and output limit
   double cost_seconds = 0;
+  bool present = false;  // running already, admitted by an earlier owner
 };
 
 struct AdmitReply {
@@ -59,13 +54,22 @@
   bool isolate = false;  // the digest is suspect: run it alone on an endpoint
 };
 
+// One request digest was in flight when one incarnation of an endpoint died.
+struct SuspectDeath {
+  Digest digest = 0;
+  EndpointId endpoint;
+  Incarnation endpoint_incarnation = 0;
+  std::int64_t expiry_unix_ms = 0;
+};
+
 struct FinishAdmissionRequest {
   HolderId holder;
   ClientAccountId client_account;
   Digest digest = 0;
+  TokenCount tokens_admitted = 0;
   TokenCount tokens_used = 0;
-  double cost_seconds = 0;
-  bool completed = false;  // exonerates a suspect digest
+  bool completed = false;            // exonerates a suspect digest
+  std::vector<SuspectDeath> deaths;  // that the holder saw
 };
 
 // Endpoint owner: queue a request for a permit. The reply comes when it is granted or refused.
@@ -78,11 +82,17 @@
   double weight = 1;
   TokenCount prompt_tokens = 0;
   TokenCount max_output_tokens = 0;
+  ModelId model;
+  Digest digest = 0;
+  TokenCount cached_tokens = 0;       // as the ingress believes
   std::vector<Digest> prefix_blocks;  // digests of the prompt's leading blocks, in order
   bool isolate = false;
   bool preemptible = false;
-  ByteCount kv_bytes =
-      0;  // of this endpoint, for a member of a group; zero: predicted by the owner
+  ByteCount kv_bytes = 0;     // for a member of a group; zero: predicted by the owner
+  Duration max_wait{};        // refused if it cannot start within it; zero: no limit
+  Duration redirect_above{};  // refused as kBusy if the predicted wait is longer; zero: never
+  bool lent = false;          // long prompt outside the endpoints of its share
+  bool spilled = false;       // from another data centre
 };
 
 struct PermitReply {
@@ -90,6 +100,7 @@
   RefusalReason reason = RefusalReason::kNone;
   std::uint64_t permit = 0;
   Incarnation owner_incarnation = 0;
+  Incarnation endpoint_incarnation = 0;
   TokenCount cached_tokens = 0;
   EndpointId alternative;
   Duration retry_after{};
@@ -98,11 +109,14 @@
 struct PermitState {
   std::uint64_t permit = 0;
   HolderId holder;
+  AttemptNumber attempt = 1;
   EndpointId endpoint;
   ClientAccountId client_account;
   Priority priority = Priority::kStandard;
   ByteCount kv_bytes = 0;
   double remaining_cost_seconds = 0;
+  Digest digest = 0;
+  bool isolate = false;
   bool preemptible = false;
 };
 
@@ -119,11 +133,23 @@
   HolderId holder;
   EndpointId endpoint;
   Outcome outcome = Outcome::kUnknown;
-  bool endpoint_died = false;
+  bool broken = false;  // the owner finds out whether the endpoint died and says so in the reply
   TokenCount prefill_tokens = 0;
   TokenCount output_tokens = 0;
-  Duration prefill_time{};
+  Duration prefill_time{};  // from dispatch to the first token
   Duration decode_time{};
+  bool completed = false;  // times of broken attempts teach nothing
+};
+
+// Holder to endpoint owner: the engine sent the first token, so its prefill is over.
+struct FirstTokenRequest {
+  std::uint64_t permit = 0;
+  EndpointId endpoint;
+};
+
+struct ReleasePermitReply {
+  bool endpoint_died = false;
+  Incarnation endpoint_incarnation = 0;  // the one that died
 };
 
 // Owner to ingress: cancel this attempt and ask again; the stream resumes elsewhere.
@@ -149,15 +175,17 @@
   std::int64_t expiry_unix_ms = 0;
 };
 
+// The values equal those of claims::ClaimVerdict.
 enum class ClaimVerdict : std::uint8_t {
-  kClaimed = 0,     // this holder may dispatch
-  kRecorded = 1,    // ran before; the answer is in the reply
-  kInProgress = 2,  // another holder claimed it and has no result yet
-  kUnknown = 3,     // claimed, holder gone, fate unknown
-  kKeyReused = 4,   // same key, another fingerprint
-  kExpired = 5,
-  kUnavailable = 6,  // the store did not answer; this holder must not dispatch
-  kNotFound = 7,     // look-up only
+  kClaimed = 0,      // this holder may dispatch
+  kRecorded = 1,     // ran before; the answer is in the reply
+  kInProgress = 2,   // claimed by another holder that may still be running it
+  kUnknown = 3,      // claimed, and nobody knows whether it ran
+  kKeyReused = 4,    // same key, another fingerprint
+  kExpired = 5,      // the expiry has passed or is too far ahead
+  kUnavailable = 6,  // the store did not answer; the asker must not dispatch
+  kFull = 7,         // the bucket is full; not claimed
+  kNotFound = 8,     // no record
 };
 
 struct ClaimReply {
@@ -165,15 +193,18 @@
   int status = 0;
   std::string content_type;
   std::string body;
+  bool body_omitted = false;  // too large for the record
 };
 
 struct RecordOutcomeRequest {
   ClaimKey key;
   HolderId holder;
   Outcome outcome = Outcome::kUnknown;  // kNotRun frees the claim
+  std::int64_t expiry_unix_ms = 0;
   int status = 0;
   std::string content_type;
   std::string body;
+  bool body_omitted = false;
 };
 
 struct LookUpClaimRequest {
@@ -187,7 +218,9 @@
 };
 
 struct PushPlanDeltaReply {
-  PlanVersion version = 0;  // in force at the receiver after the push
+  PlanVersion version = 0;      // in force at the receiver after the push; 0: it does not serve
+  Incarnation incarnation = 0;  // of the receiver
+  bool conflict = false;        // the receiver has not the version that the difference starts from
 };
 
 struct FetchPlanRequest {
@@ -199,7 +232,8 @@
   PlanVersion version = 0;
   PlanVersion confirmed_version = 0;  // highest confirmed version known for the asker's data centre
   bool serving = false;
-  std::string document;  // empty if not newer
+  DataCentreId own_data_centre;  // of the answering daemon
+  std::string document;          // empty if not newer
 };
 
 struct StatusRequest {};
@@ -234,26 +268,16 @@
 struct EndpointSummary {
   EndpointId endpoint;
   Incarnation owner_incarnation = 0;
-  std::uint64_t sequence = 0;  // newest wins within an owner incarnation
+  std::uint64_t sequence = 0;  // milliseconds since 1970 at the owner; the newest wins
+  ByteCount kv_capacity_bytes = 0;
   ByteCount free_kv_bytes = 0;
   std::vector<Duration> queue_delay;  // by priority
   std::uint32_t running = 0;
+  std::uint32_t long_prefills = 0;
   bool leaving = false;
   std::vector<std::uint32_t> prefix_digest;  // short digests of cached leading blocks
 };
 
-struct SuspectDeath {
-  Digest digest = 0;
-  EndpointId endpoint;
-  Incarnation endpoint_incarnation = 0;
-  std::int64_t expiry_unix_ms = 0;
-};
-
-struct Exoneration {
-  Digest digest = 0;
-  std::int64_t expiry_unix_ms = 0;
-};
-
 struct ConfirmedPlan {
   DataCentreId data_centre;
   PlanVersion version = 0;
@@ -264,7 +288,7 @@
   std::vector<MemberEntry> members;
   std::vector<EndpointSummary> summaries;
   std::vector<SuspectDeath> deaths;
-  std::vector<Exoneration> exonerations;
+  std::vector<SuspectDeath> exonerations;  // deaths that no longer count
   std::vector<ConfirmedPlan> confirmed;
 };
 
@@ -295,13 +319,14 @@
   Gossip gossip;
 };
 
-using Request = std::variant<AdmitRequest, FinishAdmissionRequest, PermitRequest,
-                             RenewPermitsRequest, ReleasePermitRequest, RevokePermitRequest,
-                             ClaimRequest, RecordOutcomeRequest, LookUpClaimRequest,
-                             PushPlanDeltaRequest, FetchPlanRequest, StatusRequest, DrainRequest>;
+using Request =
+    std::variant<AdmitRequest, FinishAdmissionRequest, PermitRequest, RenewPermitsRequest,
+                 ReleasePermitRequest, RevokePermitRequest, ClaimRequest, RecordOutcomeRequest,
+                 LookUpClaimRequest, PushPlanDeltaRequest, FetchPlanRequest, StatusRequest,
+                 DrainRequest, FirstTokenRequest>;
 
 using Reply = std::variant<Acknowledged, AdmitReply, PermitReply, RenewPermitsReply, ClaimReply,
-                           PushPlanDeltaReply, FetchPlanReply, StatusReply>;
+                           PushPlanDeltaReply, FetchPlanReply, StatusReply, ReleasePermitReply>;
 
 using Datagram = std::variant<Ping, PingRequest, Ack, GossipPush>;
 
