--- a/verbenaridge/permits/prefill_backlog.cc
+++ b/verbenaridge/permits/prefill_backlog.cc
@@ -11,7 +11,7 @@
   for (auto& [order, entry] : left_) {
     if (time <= 0) break;
     if (entry.promoted) continue;
-    const double done = std::min(std::max(entry.left - kFloorSeconds, 0.0), time);
+    const double done = std::min(std::max(entry.left - entry.floor, 0.0), time);
     entry.left -= done;
     sums_[order.first] -= done;
     time -= done;
@@ -20,7 +20,8 @@
 
 void PrefillBacklog::Add(std::uint64_t permit, Priority engine_priority, double seconds) {
   const Order order{Rank(engine_priority), next_order_++};
-  left_[order] = {.left = seconds, .promoted = false};
+  left_[order] = {
+      .left = seconds, .floor = kFloorSeconds + kFloorPart * seconds, .promoted = false};
   orders_[permit] = order;
   sums_[order.first] += seconds;
 }
--- a/verbenaridge/permits/prefill_backlog.h
+++ b/verbenaridge/permits/prefill_backlog.h
@@ -31,13 +31,16 @@
   double Ahead(Priority engine_priority) const;
 
  private:
-  // What remains of a prompt whose predicted time is over.
+  // What remains of a prompt whose predicted time is over: a step of the engine, and a part of the
+  // prompt, because the error grows with its length.
   static constexpr double kFloorSeconds = 0.02;
+  static constexpr double kFloorPart = 0.15;
 
   using Order = std::pair<std::size_t, std::uint64_t>;  // rank, then age
 
   struct Entry {
     double left = 0;
+    double floor = 0;
     bool promoted = false;
   };
 
--- a/verbenaridge/replay/trace.cc
+++ b/verbenaridge/replay/trace.cc
@@ -80,14 +80,14 @@
   return source;
 }
 
-// Turns 2% of the requests into prompts of 100,000 to 200,000 tokens.
+// Turns 2% of the requests into prompts of 100,000 to 200,000 tokens, or drops the same ones.
 void Lengthen(RandomSource& random, Trace& trace, bool drop) {
   std::vector<TraceRequest> kept;
   for (TraceRequest& request : trace.requests) {
-    const bool is_long = random.Below(50) == 0;
-    if (is_long && drop) continue;
-    if (is_long) {
-      request.prompt_tokens = 100'001 + static_cast<TokenCount>(random.Below(100'000));
+    if (random.Below(50) == 0) {
+      if (drop) continue;
+      const TokenCount more = request.prompt_tokens * 33;  // up to 99,000
+      request.prompt_tokens = 100'001 + more - 33'000;
       request.prefix_tokens = 0;
     }
     kept.push_back(request);
