--- a/verbenaridge/mutation/mutation.h
+++ b/verbenaridge/mutation/mutation.h
@@ -35,6 +35,16 @@
   kThreeDeaths,       // refusal only after a third death
   kLastExpiryWins,    // merge overwrites the expiry
   kNoIsolation,       // suspects run beside other requests
+  // plans
+  kPlanGoesBack,      // an older document replaces a newer one
+  kStartUnconfirmed,  // a starting daemon ignores the confirmed version
+  kIgnorePlanPause,   // a pause does not end serving
+  kIgnoreHostList,    // confirmation asks only for hosts that probing finds live
+  // membership
+  kNoDeadProbes,  // dead members are never asked again
+  kNoRefutation,  // a member does not contradict its own death
+  kOldestWins,    // merging keeps the state of the older incarnation
+  kLeavingOwns,   // a leaving host still owns endpoints in its own view
 };
 
 #ifdef VERBENARIDGE_MUTABLE
--- a/verbenaridge/plans/plan_distributor.cc
+++ b/verbenaridge/plans/plan_distributor.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "verbenaridge/membership/owner_ranking.h"
+#include "verbenaridge/mutation/mutation.h"
 
 namespace verbenaridge::plans {
 namespace {
@@ -14,11 +15,8 @@
 constexpr std::size_t kRecentDocuments = 8;
 
 bool Counts(const PlanMember& member) {
-#ifdef VERBENARIDGE_MUTATION_IGNORE_HOST_LIST
-  return member.live_by_probing;
-#else
+  if (Mutated(Mutation::kIgnoreHostList)) return member.live_by_probing;
   return member.live_by_probing || member.listed_live;
-#endif
 }
 
 }  // namespace
@@ -148,8 +146,7 @@
     if (push.version == newest->version() && now - push.sent < options_.push_retry) continue;
     auto delta = push.whole ? nullptr : DeltaFrom(has);
     push = {newest->version(), now, false};
-    actions.emplace_back(
-        PushPlan{member.host, delta, delta == nullptr ? newest : PlanDocumentPtr()});
+    actions.emplace_back(PushPlan{member.host, delta, newest});
   }
 }
 
--- a/verbenaridge/plans/plan_distributor.h
+++ b/verbenaridge/plans/plan_distributor.h
@@ -64,7 +64,8 @@
   bool watching = false;
 };
 
-// Send a difference, or the whole document if `delta` is null. The reply goes to OnVersion.
+// Send a difference, or the whole document if `delta` is null. `document` is never null. The reply
+// goes to OnVersion.
 struct PushPlan {
   HostId host;
   std::shared_ptr<const PlanDelta> delta;
--- a/verbenaridge/plans/plan_replica.cc
+++ b/verbenaridge/plans/plan_replica.cc
@@ -4,6 +4,8 @@
 #include <map>
 #include <utility>
 
+#include "verbenaridge/mutation/mutation.h"
+
 namespace verbenaridge::plans {
 namespace {
 
@@ -41,23 +43,16 @@
 }
 
 bool PlanReplica::Serving(TimePoint now) const {
-#ifdef VERBENARIDGE_MUTATION_IGNORE_PAUSE
-  return serving_;
-#else
+  if (Mutated(Mutation::kIgnorePlanPause)) return serving_;
   return serving_ && now - last_tick_ <= options_.pause_gap;
-#endif
 }
 
 void PlanReplica::NotePause(TimePoint now, Actions& actions) {
-#ifndef VERBENARIDGE_MUTATION_IGNORE_PAUSE
+  if (Mutated(Mutation::kIgnorePlanPause)) return;
   if (ticked_ && now - last_tick_ > options_.pause_gap) {
     last_tick_ = now;
     StartSession(now, actions);
   }
-#else
-  (void)now;
-  (void)actions;
-#endif
 }
 
 void PlanReplica::StartSession(TimePoint now, Actions& actions) {
@@ -102,11 +97,8 @@
 }
 
 void PlanReplica::Adopt(const PlanDocumentPtr& document, Actions& actions) {
-#ifdef VERBENARIDGE_MUTATION_GO_BACK
   if (document == nullptr || document->version() == version()) return;
-#else
-  if (document == nullptr || document->version() <= version()) return;
-#endif
+  if (!Mutated(Mutation::kPlanGoesBack) && document->version() < version()) return;
   document_ = document;
   actions.emplace_back(PlanInForce{document});
 }
@@ -119,9 +111,7 @@
 
 void PlanReplica::TryServe(TimePoint now, Actions& actions) {
   if (serving_) return;
-#ifndef VERBENARIDGE_MUTATION_START_UNCONFIRMED
-  if (version() < confirmed_) return;
-#endif
+  if (!Mutated(Mutation::kStartUnconfirmed) && version() < confirmed_) return;
   const bool no_own_peer_serves =
       rounds_ > 1 && (waiting_own_.empty() || RoundEnded(now)) && !own_peer_serves_;
   const bool others_told =
