--- a/verbenaridge/fakes/platform/fake_platform.h
+++ b/verbenaridge/fakes/platform/fake_platform.h
@@ -30,7 +30,7 @@
   Outage outage = Outage::kNone;
   Duration delay{};       // before each answer
   int lose_replies = 0;   // the next so many writes take effect, but get no answer
-  int lose_requests = 0;  // the next so many calls have no effect and get no answer
+  int lose_requests = 0;  // the next so many writes have no effect and get no answer
   double reads_per_second = 2000;
   double writes_per_second = 400;
   Duration host_list_lag{};  // a change of the host list is visible after this time
--- a/verbenaridge/plans/plan_replica.cc
+++ b/verbenaridge/plans/plan_replica.cc
@@ -35,6 +35,10 @@
     StartSession(now, actions);
   }
   last_tick_ = now;
+  if (joining_ && now >= join_end_) {
+    joining_ = false;
+    ResetQuestions(now);
+  }
   if (!serving_) {
     TryServe(now, actions);
     if (!serving_ && (rounds_ == 0 || RoundEnded(now))) StartRound(now, peers, actions);
@@ -56,13 +60,19 @@
 }
 
 void PlanReplica::StartSession(TimePoint now, Actions& actions) {
+  joining_ = true;
+  join_end_ = now + options_.join_time;
+  ResetQuestions(now);
+  if (std::exchange(serving_, false)) actions.emplace_back(ServingChanged{false});
+}
+
+void PlanReplica::ResetQuestions(TimePoint now) {
   ++session_;
   rounds_ = 0;
   round_start_ = now;
   waiting_own_.clear();
   waiting_other_.clear();
   store_answered_ = own_peer_serves_ = other_peer_serves_ = false;
-  if (std::exchange(serving_, false)) actions.emplace_back(ServingChanged{false});
 }
 
 bool PlanReplica::RoundEnded(TimePoint now) const {
@@ -111,7 +121,11 @@
 
 void PlanReplica::TryServe(TimePoint now, Actions& actions) {
   if (serving_) return;
-  if (!Mutated(Mutation::kStartUnconfirmed) && version() < confirmed_) return;
+  if (Mutated(Mutation::kStartUnconfirmed) && version() > 0) {
+    serving_ = true;
+    return;
+  }
+  if (joining_ || version() < confirmed_) return;
   const bool no_own_peer_serves =
       rounds_ > 1 && (waiting_own_.empty() || RoundEnded(now)) && !own_peer_serves_;
   const bool others_told =
--- a/verbenaridge/plans/plan_replica.h
+++ b/verbenaridge/plans/plan_replica.h
@@ -73,6 +73,9 @@
     // A longer gap between ticks is a pause: peers may have declared this host dead meanwhile, so
     // that a newer version may have been confirmed without it.
     Duration pause_gap = std::chrono::seconds(2);
+    // Answers to questions from before this time after a start or pause do not count: the watchers
+    // may not yet know this host as a member and could confirm a newer version without it.
+    Duration join_time = std::chrono::seconds(2);
     // A round of questions ends with the last answer or after this time.
     Duration round_time = std::chrono::seconds(1);
   };
@@ -115,6 +118,7 @@
 
   void NotePause(TimePoint now, Actions& actions);
   void StartSession(TimePoint now, Actions& actions);
+  void ResetQuestions(TimePoint now);
   void StartRound(TimePoint now, std::span<const PlanPeer> peers, Actions& actions);
   void Ask(const PlanPeer& peer, Actions& actions);
   void Adopt(const PlanDocumentPtr& document, Actions& actions);
@@ -131,7 +135,9 @@
   TimePoint last_tick_{};
   bool ticked_ = false;
 
-  // State of the session of questions.
+  // State of the session of questions. While joining, they only fetch documents.
+  bool joining_ = false;
+  TimePoint join_end_{};
   int rounds_ = 0;
   TimePoint round_start_{};
   std::set<HostId> waiting_own_;
--- /dev/null
+++ b/verbenaridge/plans/plan_world.cc
@@ -0,0 +1,317 @@
+#include "verbenaridge/plans/plan_world.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace verbenaridge::plans {
+namespace {
+
+constexpr Duration kStep = std::chrono::milliseconds(100);
+// What the daemons can rely on: peers know of a start within this time, probes need this long to
+// find a silent host dead, and the host list drops it after this time.
+constexpr Duration kJoinTime = std::chrono::milliseconds(1500);
+constexpr Duration kProbeTime = std::chrono::seconds(4);
+constexpr Duration kListTime = std::chrono::seconds(8);
+constexpr Duration kSettleTime = std::chrono::seconds(20);
+
+}  // namespace
+
+PlanWorld::PlanWorld(std::uint64_t seed) : random_(seed) {
+  for (std::size_t i = 0; i < kHosts; ++i) {
+    hosts_[i].id = HostId("h" + std::to_string(i));
+    hosts_[i].data_centre_index = i % kDataCentres;
+    hosts_[i].data_centre = DataCentreId("d" + std::to_string(i % kDataCentres));
+    Start(i);
+  }
+  Edit(false);
+  Run(std::chrono::seconds(6));
+}
+
+void PlanWorld::Edit(bool race) {
+  const auto next = [&] {
+    const ::verbenaridge::plans::Edit edit{0, "e" + std::to_string(++edits_), "operator", 0};
+    return std::make_shared<const PlanDocument>(MakeSuccessor(*stored_, *stored_, edit));
+  };
+  const PlanDocumentPtr first = next();
+  const PlanDocumentPtr second = next();
+  if (!store_up_) return;
+  stored_ = first;
+  // The second write was made from the same version, so compare-and-swap refuses it.
+  if (race && second->version() > stored_->version()) stored_ = second;
+}
+
+void PlanWorld::Start(std::size_t index) {
+  Host& host = hosts_[index];
+  if (host.replica != nullptr) return;
+  host.incarnation = ++last_incarnation_ * 1000;
+  host.replica = std::make_unique<PlanReplica>(
+      PlanReplica::Options{.host = host.id, .data_centre = host.data_centre}, random_);
+  host.distributor = std::make_unique<PlanDistributor>(
+      PlanDistributor::Options{.host = host.id, .data_centre = host.data_centre});
+  host.confirmed.clear();
+  host.highest = 0;
+  host.paused = host.following = false;
+  host.held.clear();
+  host.joined = clock_.Now() + kJoinTime;
+}
+
+void PlanWorld::Kill(std::size_t index) {
+  hosts_[index].replica.reset();
+  hosts_[index].distributor.reset();
+  hosts_[index].paused = false;
+  hosts_[index].held.clear();
+}
+
+void PlanWorld::Pause(std::size_t index) {
+  if (hosts_[index].replica != nullptr) hosts_[index].paused = true;
+}
+
+void PlanWorld::Resume(std::size_t index) {
+  Host& host = hosts_[index];
+  if (!std::exchange(host.paused, false)) return;
+  if (clock_.Now() - host.last_alive > kProbeTime) host.joined = clock_.Now() + kJoinTime;
+  // What waited in its sockets is read before or after the first tick.
+  const bool tick_first = random_.Below(2) == 0;
+  if (tick_first) TickHost(index);
+  for (auto& deliver : std::exchange(host.held, {})) deliver();
+  Judge();
+}
+
+bool PlanWorld::Reachable(std::size_t from, std::size_t to) const {
+  const std::size_t a = hosts_[from].data_centre_index;
+  const std::size_t b = hosts_[to].data_centre_index;
+  return a == b || (!cut_[a] && !cut_[b]);
+}
+
+bool PlanWorld::StoreReachable(std::size_t host) const {
+  return store_up_ && !cut_[hosts_[host].data_centre_index];
+}
+
+void PlanWorld::Run(Duration time) {
+  for (Duration passed{}; passed < time; passed += kStep) Step();
+}
+
+void PlanWorld::Step() {
+  clock_.Advance(kStep);
+  for (Host& host : hosts_) {
+    if (!Running(host)) continue;
+    host.last_listed = clock_.Now();
+    if (!host.deaf && clock_.Now() >= host.joined) host.last_alive = clock_.Now();
+  }
+  for (std::size_t i = 0; i < kHosts; ++i) {
+    if (Running(hosts_[i])) TickHost(i);
+  }
+  DeliverDue();
+  Judge();
+}
+
+void PlanWorld::TickHost(std::size_t index) {
+  Host& host = hosts_[index];
+  const TimePoint now = clock_.Now();
+  Execute(index, host.replica->Tick(now, PeersSeenBy(index)));
+  host.distributor->OnVersion(host.id, host.incarnation,
+                              host.replica->Serving(now) ? host.replica->version() : 0);
+  Execute(index, host.distributor->Tick(now, MembersSeenBy(index), host.replica->document()));
+  if (random_.Below(5) == 0) Gossip(index);
+  if (host.distributor->watching()) Follow(index);
+}
+
+void PlanWorld::Post(std::size_t to, std::function<void()> deliver) {
+  if (random_.Uniform() < loss_) return;
+  const auto delay = std::chrono::milliseconds(random_.Below(300));
+  network_.emplace(clock_.Now() + delay, Message{to, hosts_[to].incarnation, std::move(deliver)});
+}
+
+void PlanWorld::DeliverDue() {
+  while (!network_.empty() && network_.begin()->first <= clock_.Now()) {
+    const Message message = std::move(network_.extract(network_.begin()).mapped());
+    Host& host = hosts_[message.to];
+    if (host.replica == nullptr || host.incarnation != message.incarnation) continue;
+    if (host.paused) {
+      host.held.push_back(message.deliver);
+    } else {
+      message.deliver();
+    }
+  }
+}
+
+std::vector<PlanMember> PlanWorld::MembersSeenBy(std::size_t viewer) const {
+  std::vector<PlanMember> members;
+  for (std::size_t i = 0; i < kHosts; ++i) {
+    const Host& host = hosts_[i];
+    if (host.data_centre != hosts_[viewer].data_centre) continue;
+    const bool own = i == viewer;
+    const bool live = own || clock_.Now() - host.last_alive <= kProbeTime;
+    const bool listed = clock_.Now() - host.last_listed <= kListTime;
+    if (live || listed) members.push_back({host.id, host.incarnation, live, listed});
+  }
+  return members;
+}
+
+std::vector<PlanPeer> PlanWorld::PeersSeenBy(std::size_t viewer) const {
+  std::vector<PlanPeer> peers;
+  for (std::size_t i = 0; i < kHosts; ++i) {
+    if (i != viewer && clock_.Now() - hosts_[i].last_alive <= kProbeTime) {
+      peers.push_back({hosts_[i].id, hosts_[i].data_centre});
+    }
+  }
+  return peers;
+}
+
+std::size_t PlanWorld::IndexOf(const HostId& host) const {
+  return static_cast<std::size_t>(
+      std::find_if(hosts_.begin(), hosts_.end(), [&](const Host& h) { return h.id == host; }) -
+      hosts_.begin());
+}
+
+void PlanWorld::Execute(std::size_t index, const std::vector<ReplicaAction>& actions) {
+  for (const ReplicaAction& action : actions) {
+    if (const auto* read = std::get_if<ReadStore>(&action)) {
+      AnswerStoreRead(index, read->session);
+    } else if (const auto* ask = std::get_if<AskPeer>(&action)) {
+      Ask(index, *ask);
+    }
+  }
+}
+
+void PlanWorld::AnswerStoreRead(std::size_t index, SessionNumber session) {
+  if (!StoreReachable(index)) return;
+  const PlanVersion confirmed = confirmed_[hosts_[index].data_centre_index];
+  Post(index, [this, index, session, document = stored_, confirmed] {
+    Host& host = hosts_[index];
+    Execute(index, host.replica->OnStoreAnswer(session, document, clock_.Now()));
+    Execute(index, host.replica->OnConfirmed(host.data_centre, confirmed, clock_.Now()));
+  });
+}
+
+void PlanWorld::Ask(std::size_t index, const AskPeer& ask) {
+  const std::size_t peer = IndexOf(ask.host);
+  if (!Reachable(index, peer)) return;
+  Post(peer, [this, index, peer, ask, asker = hosts_[index].incarnation] {
+    if (hosts_[index].incarnation != asker) return;  // the connection broke
+    Host& host = hosts_[peer];
+    PeerPlanAnswer answer{.host = host.id,
+                          .data_centre = host.data_centre,
+                          .serving = host.replica->Serving(clock_.Now()),
+                          .version = host.replica->version(),
+                          .confirmed_version = host.confirmed[hosts_[index].data_centre],
+                          .document = nullptr};
+    if (answer.version > ask.have_version) answer.document = host.replica->document();
+    Post(index, [this, index, ask, answer] {
+      Execute(index, hosts_[index].replica->OnPeerAnswer(ask.session, answer, clock_.Now()));
+    });
+  });
+}
+
+void PlanWorld::Execute(std::size_t index, const std::vector<DistributorAction>& actions) {
+  for (const DistributorAction& action : actions) {
+    if (const auto* push = std::get_if<PushPlan>(&action)) {
+      Push(index, *push);
+    } else if (const auto* write = std::get_if<plans::WriteConfirmed>(&action)) {
+      WriteConfirmed(index, write->version);
+    }
+  }
+}
+
+void PlanWorld::Push(std::size_t index, const PushPlan& push) {
+  const std::size_t to = IndexOf(push.host);
+  Post(to, [this, index, to, push] {
+    Host& host = hosts_[to];
+    bool conflict = false;
+    std::vector<ReplicaAction> actions;
+    if (push.delta != nullptr) {
+      conflict = host.replica->OnDelta(*push.delta, clock_.Now(), actions).has_error();
+    } else {
+      actions = host.replica->OnDocument(push.document, clock_.Now());
+    }
+    Execute(to, actions);
+    const PlanVersion version = host.replica->Serving(clock_.Now()) ? host.replica->version() : 0;
+    Post(index, [this, index, to, conflict, version, incarnation = host.incarnation] {
+      if (conflict) hosts_[index].distributor->OnPushConflict(hosts_[to].id);
+      hosts_[index].distributor->OnVersion(hosts_[to].id, incarnation, version);
+    });
+  });
+}
+
+void PlanWorld::WriteConfirmed(std::size_t index, PlanVersion version) {
+  if (!StoreReachable(index)) return;
+  PlanVersion& stored = confirmed_[hosts_[index].data_centre_index];
+  stored = std::max(stored, version);
+  Post(index, [this, index, stored] {
+    Host& host = hosts_[index];
+    host.distributor->OnConfirmedWritten(stored);
+    PlanVersion& known = host.confirmed[host.data_centre];
+    known = std::max(known, stored);
+    Execute(index, host.replica->OnConfirmed(host.data_centre, stored, clock_.Now()));
+  });
+}
+
+void PlanWorld::Gossip(std::size_t index) {
+  const std::size_t to = random_.Below(kHosts);
+  if (to == index || !Reachable(index, to)) return;
+  const Host& from = hosts_[index];
+  const PlanVersion version = from.replica->version();
+  const PlanVersion serving = from.replica->Serving(clock_.Now()) ? version : 0;
+  Post(to, [this, index, to, version, serving, incarnation = from.incarnation,
+            confirmed = from.confirmed] {
+    Host& host = hosts_[to];
+    host.distributor->OnVersion(hosts_[index].id, incarnation, serving);
+    Execute(to, host.replica->OnGossipVersion(hosts_[index].id, version, clock_.Now()));
+    for (const auto& [data_centre, confirmed_version] : confirmed) {
+      PlanVersion& known = host.confirmed[data_centre];
+      known = std::max(known, confirmed_version);
+      Execute(to, host.replica->OnConfirmed(data_centre, known, clock_.Now()));
+    }
+  });
+}
+
+void PlanWorld::Follow(std::size_t index) {
+  if (!StoreReachable(index) || stored_->version() <= hosts_[index].replica->version()) return;
+  Post(index, [this, index, document = stored_] {
+    Execute(index, hosts_[index].replica->OnDocument(document, clock_.Now()));
+  });
+}
+
+void PlanWorld::Violate(const std::string& text) {
+  if (violation_.empty()) violation_ = text;
+}
+
+void PlanWorld::Judge() {
+  std::array<bool, kDataCentres> serves{};
+  for (Host& host : hosts_) {
+    if (!Running(host)) continue;
+    const PlanVersion version = host.replica->version();
+    if (version < host.highest) Violate(host.id.value() + " went back");
+    host.highest = std::max(host.highest, version);
+    if (!host.replica->Serving(clock_.Now())) continue;
+    const std::size_t data_centre = host.data_centre_index;
+    const bool older = version < confirmed_[data_centre];
+    if (older && !memory_lost_[data_centre]) {
+      Violate(host.id.value() + " serves version " + std::to_string(version) + ", confirmed is " +
+              std::to_string(confirmed_[data_centre]));
+    }
+    if (!older) serves[data_centre] = true;
+  }
+  for (std::size_t i = 0; i < kDataCentres; ++i) memory_lost_[i] = !serves[i];
+}
+
+void PlanWorld::HealAndSettle() {
+  store_up_ = true;
+  loss_ = 0;
+  cut_ = {};
+  for (std::size_t i = 0; i < kHosts; ++i) {
+    hosts_[i].deaf = false;
+    Resume(i);
+    Start(i);
+  }
+  Run(kSettleTime);
+  for (const Host& host : hosts_) {
+    if (!host.replica->Serving(clock_.Now())) Violate(host.id.value() + " does not serve");
+    if (host.replica->version() != stored_->version()) Violate(host.id.value() + " is behind");
+  }
+  for (const PlanVersion confirmed : confirmed_) {
+    if (confirmed != stored_->version()) Violate("not confirmed after the faults ended");
+  }
+}
+
+}  // namespace verbenaridge::plans
