Close connections of callers and endpoints that went away

A caller that acknowledges nothing kept its stream running while answers fitted into the kernel's buffer; TCP_USER_TIMEOUT now bounds this by the write timeout.

--- a/verbenaridge/engine/http_endpoint_client.cc
+++ b/verbenaridge/engine/http_endpoint_client.cc
@@ -76,6 +76,14 @@
   Impl(asio::io_context& io_context, net::HttpClient& http, Options options)
       : io_context_(io_context), http_(http), options_(options) {}
 
+  // Observers hear nothing after the client's end.
+  void Close() {
+    for (auto& [id, stream] : std::exchange(streams_, {})) {
+      stream->Detach();
+      http_.Cancel(stream->http_call());
+    }
+  }
+
   GenerationId Generate(std::string_view base_url, Generation generation,
                         std::shared_ptr<GenerationObserver> observer) {
     const GenerationId id = ++last_id_;
@@ -184,7 +192,7 @@
                                        Options options)
     : impl_(std::make_shared<Impl>(io_context, http, options)) {}
 
-HttpEndpointClient::~HttpEndpointClient() = default;
+HttpEndpointClient::~HttpEndpointClient() { impl_->Close(); }
 
 GenerationId HttpEndpointClient::Generate(std::string_view base_url, Generation generation,
                                           std::shared_ptr<GenerationObserver> observer) {
--- a/verbenaridge/fakes/http_endpoint_client_test.cc
+++ b/verbenaridge/fakes/http_endpoint_client_test.cc
@@ -250,6 +250,22 @@
   CHECK(events[0].added);
 }
 
+// Guards against callbacks to observers whose owner has been destroyed with the client.
+TEST_CASE("client destroyed with a stream in flight") {
+  Fixture fixture;
+  auto recorder = std::make_shared<Recorder>();
+  {
+    HttpEndpointClient client(fixture.io, fixture.http, {});
+    client.Generate(fixture.endpoint.url(), MakeGeneration("hello", 1000), recorder);
+    REQUIRE(fixture.RunUntil([&] { return !recorder->tokens.empty(); }));
+  }
+  const std::size_t tokens = recorder->tokens.size();
+  // The engine notices that the connection has closed.
+  CHECK(fixture.RunUntil([&] { return fixture.endpoint.engine().streams().empty(); }));
+  CHECK(recorder->tokens.size() == tokens);
+  CHECK_FALSE(recorder->end.has_value());
+}
+
 // Guards against a group that holds memory at some members after a refusal or at its end.
 TEST_CASE("endpoint groups reserve all or nothing") {
   for (const bool fits : {true, false}) {
--- a/verbenaridge/frontend/http_server.cc
+++ b/verbenaridge/frontend/http_server.cc
@@ -1,5 +1,6 @@
 #include "verbenaridge/frontend/http_server.h"
 
+#include <netinet/tcp.h>
 #include <strings.h>
 #include <sys/socket.h>
 
@@ -29,6 +30,7 @@
 using ReusePort = asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>;
 using KeepAliveIdle = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPIDLE>;
 using KeepAliveInterval = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPINTVL>;
+using UserTimeout = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
 using KeepAliveProbes = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPCNT>;
 
 restinio::http_status_line_t StatusLine(int status) {
@@ -270,7 +272,11 @@
         acceptor_options.set_option(asio::socket_base::reuse_address(true));
         if (share) acceptor_options.set_option(ReusePort(true));
       })
-      .socket_options_setter([](auto& socket_options) {
+      .socket_options_setter([write_timeout = options.write_timeout](auto& socket_options) {
+        // Closes a connection whose caller acknowledges nothing. Small answers fit into the
+        // kernel's buffer, so RESTinio's write timeout does not see them.
+        const auto limit = std::chrono::ceil<std::chrono::milliseconds>(write_timeout);
+        socket_options.set_option(UserTimeout(static_cast<int>(limit.count())));
         socket_options.set_option(asio::ip::tcp::no_delay(true));
         socket_options.set_option(asio::socket_base::keep_alive(true));
         socket_options.set_option(KeepAliveIdle(kKeepAliveIdleSeconds));
