--- a/verbenaridge/daemon/request_pipeline.cc
+++ b/verbenaridge/daemon/request_pipeline.cc
@@ -104,7 +104,7 @@
   CompletionInput input = {.model = call.model,
                            .prompt_tokens = prompt_tokens,
                            .max_tokens = call.max_tokens,
-                           .prefix_blocks = routing::PrefixBlocks(call.model.value(), call.prompt)};
+                           .prefix_blocks = routing::PrefixBlocks(call.prompt)};
   input.prompt = std::make_shared<const std::string>(std::move(call.prompt));
   auto run = std::make_shared<CompletionRun>(context_, std::move(caller.identity), charge,
                                              std::move(input), std::move(sink));
