Fuzz what the tool tells operators about their changes

Cause: the fate of a write with a lost reply, and races of operators, were tested only by single cases.

--- a/verbenaridge/ctl/sync_store.cc
+++ b/verbenaridge/ctl/blocking_store.cc
@@ -1,4 +1,4 @@
-#include "verbenaridge/ctl/sync_store.h"
+#include "verbenaridge/ctl/blocking_store.h"
 
 #include <asio/steady_timer.hpp>
 #include <memory>
@@ -22,13 +22,13 @@
 
 }  // namespace
 
-Result<platform::StoredValue> SyncStore::Read(std::string_view key) {
+Result<platform::StoredValue> LoopStore::Read(std::string_view key) {
   auto slot = std::make_shared<std::optional<Result<platform::StoredValue>>>();
   store_.Read(key, [slot](Result<platform::StoredValue> value) { slot->emplace(value); });
   return Await<platform::StoredValue>(io_context_, slot);
 }
 
-Result<platform::KeyVersion> SyncStore::CompareAndSwap(std::string_view key,
+Result<platform::KeyVersion> LoopStore::CompareAndSwap(std::string_view key,
                                                        platform::KeyVersion expected,
                                                        std::string_view value) {
   auto slot = std::make_shared<std::optional<Result<platform::KeyVersion>>>();
@@ -37,7 +37,7 @@
   return Await<platform::KeyVersion>(io_context_, slot);
 }
 
-void SyncStore::Wait(Duration time) {
+void LoopStore::Wait(Duration time) {
   bool passed = false;
   asio::steady_timer timer(io_context_, time);
   timer.async_wait([&passed](std::error_code) { passed = true; });
--- a/verbenaridge/ctl/ctl_test.cc
+++ b/verbenaridge/ctl/ctl_test.cc
@@ -60,7 +60,7 @@
   fakes::FakePlatform fake{io_context, {}};
   net::CurlHttpClient client{io_context};
   platform::HttpKeyValueStore key_value_store{client, fake.base_url()};
-  SyncStore store{io_context, key_value_store};
+  LoopStore store{io_context, key_value_store};
   SystemClock clock;
   std::ostringstream out;
   std::ostringstream err;
@@ -170,7 +170,7 @@
       {"race between read and write",
        [](Tool& t) {
          RacingStore racing(t.key_value_store);
-         SyncStore store(t.io_context, racing);
+         LoopStore store(t.io_context, racing);
          PlanCommands commands(store, {t.out, t.err, false}, t.clock);
          return commands.Apply(
              File(1), {.author = "kaori", .edit_id = "e1", .data_centres = {DataCentreId("biei")}});
--- a/verbenaridge/ctl/main.cc
+++ b/verbenaridge/ctl/main.cc
@@ -84,7 +84,7 @@
   }
   verbenaridge::SystemClock clock;
   verbenaridge::platform::HttpKeyValueStore key_value_store(client, line->store_url);
-  verbenaridge::ctl::SyncStore store(io_context, key_value_store);
+  verbenaridge::ctl::LoopStore store(io_context, key_value_store);
   verbenaridge::ctl::PlanCommands commands(store, reporter, clock);
   return RunPlanCommand(*line, commands);
 }
--- a/verbenaridge/ctl/plan_commands.cc
+++ b/verbenaridge/ctl/plan_commands.cc
@@ -5,6 +5,7 @@
 #include <set>
 #include <utility>
 
+#include "verbenaridge/mutation/mutation.h"
 #include "verbenaridge/plan_codec/plan_codec.h"
 #include "verbenaridge/plans/plan_delta.h"
 #include "verbenaridge/plans/plan_distributor.h"
@@ -197,6 +198,9 @@
 }
 
 ExitCode PlanCommands::SettleLostReply(const plans::PlanDocument& next) {
+  if (Mutated(Mutation::kLostReplyIsConflict)) {
+    return Fail(ExitCode::kConflict, "conflict", "nothing was written");
+  }
   const std::string& edit_id = next.edit.edit_id;
   for (int i = 0; i < kSettleReads; ++i) {
     const auto value = store_.Read(plans::kCurrentPlanKey);
--- a/verbenaridge/ctl/plan_commands.h
+++ b/verbenaridge/ctl/plan_commands.h
@@ -14,7 +14,7 @@
 #include <vector>
 
 #include "verbenaridge/base/clock.h"
-#include "verbenaridge/ctl/sync_store.h"
+#include "verbenaridge/ctl/blocking_store.h"
 #include "verbenaridge/plans/plan_check.h"
 #include "verbenaridge/plans/plan_document.h"
 
@@ -52,7 +52,7 @@
 // Not thread-safe.
 class PlanCommands {
  public:
-  PlanCommands(SyncStore& store, Reporter reporter, const Clock& clock)
+  PlanCommands(BlockingStore& store, Reporter reporter, const Clock& clock)
       : store_(store), reporter_(reporter), clock_(clock) {}
 
   // Checks a file, and against the store's document whether it cuts off client accounts.
@@ -77,7 +77,7 @@
   ExitCode AwaitConfirmations(const plans::PlanDocument& next, const ApplyOptions& options);
   PlanVersion ConfirmedVersion(const DataCentreId& data_centre);
 
-  SyncStore& store_;
+  BlockingStore& store_;
   Reporter reporter_;
   const Clock& clock_;
 };
--- a/verbenaridge/mutation/mutation.h
+++ b/verbenaridge/mutation/mutation.h
@@ -40,6 +40,8 @@
   kStartUnconfirmed,  // a starting daemon ignores the confirmed version
   kIgnorePlanPause,   // a pause does not end serving
   kIgnoreHostList,    // confirmation asks only for hosts that probing finds live
+  // ctl
+  kLostReplyIsConflict,  // a write of unknown fate is reported as not written
   // membership
   kNoDeadProbes,  // dead members are never asked again
   kNoRefutation,  // a member does not contradict its own death
--- a/verbenaridge/plans/plan_fuzz_test.cc
+++ b/verbenaridge/plans/plan_fuzz_test.cc
@@ -39,9 +39,11 @@
 void Perform(PlanWorld& world, const Operation& op) {
   switch (op.kind) {
     case 0:
+      return world.OperatorReads(op.host % PlanWorld::kOperators);
     case 1:
     case 2:
-      return world.Edit(op.amount % 3 == 0);
+      if (op.amount % 4 != 0) world.OperatorReads(op.host % PlanWorld::kOperators);
+      return world.OperatorWrites(op.host % PlanWorld::kOperators);
     case 3:
       return world.Kill(op.host);
     case 4:
--- a/verbenaridge/plans/plan_world.cc
+++ b/verbenaridge/plans/plan_world.cc
@@ -23,21 +23,21 @@
     hosts_[i].data_centre = DataCentreId("d" + std::to_string(i % kDataCentres));
     Start(i);
   }
-  Edit(false);
+  OperatorReads(0);
+  OperatorWrites(0);
   Run(std::chrono::seconds(6));
 }
 
-void PlanWorld::Edit(bool race) {
-  const auto next = [&] {
-    const ::verbenaridge::plans::Edit edit{0, "e" + std::to_string(++edits_), "operator", 0};
-    return std::make_shared<const PlanDocument>(MakeSuccessor(*stored_, *stored_, edit));
-  };
-  const PlanDocumentPtr first = next();
-  const PlanDocumentPtr second = next();
-  if (!store_up_) return;
-  stored_ = first;
-  // The second write was made from the same version, so compare-and-swap refuses it.
-  if (race && second->version() > stored_->version()) stored_ = second;
+void PlanWorld::OperatorReads(std::size_t operator_index) {
+  if (store_up_) read_[operator_index] = stored_;
+}
+
+void PlanWorld::OperatorWrites(std::size_t operator_index) {
+  const PlanDocumentPtr base = std::exchange(read_[operator_index], nullptr);
+  if (!store_up_ || base == nullptr || base->version() != stored_->version()) return;
+  const Edit edit{0, "e" + std::to_string(++edits_), "operator", 0};
+  stored_ = std::make_shared<const PlanDocument>(MakeSuccessor(*base, *base, edit));
+  written_.push_back(edit.edit_id);
 }
 
 void PlanWorld::Start(std::size_t index) {
@@ -309,6 +309,7 @@
     if (!host.replica->Serving(clock_.Now())) Violate(host.id.value() + " does not serve");
     if (host.replica->version() != stored_->version()) Violate(host.id.value() + " is behind");
   }
+  if (stored_->version() != written_.size()) Violate("a written change was lost");
   for (const PlanVersion confirmed : confirmed_) {
     if (confirmed != stored_->version()) Violate("not confirmed after the faults ended");
   }
--- a/verbenaridge/plans/plan_world.h
+++ b/verbenaridge/plans/plan_world.h
@@ -22,11 +22,13 @@
  public:
   static constexpr std::size_t kDataCentres = 2;
   static constexpr std::size_t kHosts = 6;
+  static constexpr std::size_t kOperators = 2;
 
   explicit PlanWorld(std::uint64_t seed);
 
-  // Operators read and write; a second one may write on the version that the first one read.
-  void Edit(bool race);
+  // An operator reads the document; a later write is refused if another one wrote meanwhile.
+  void OperatorReads(std::size_t operator_index);
+  void OperatorWrites(std::size_t operator_index);
   void Start(std::size_t host);
   void Kill(std::size_t host);
   void Pause(std::size_t host);
@@ -99,6 +101,8 @@
   // No daemon of the data centre served since the last confirmation, so nobody may remember it.
   std::array<bool, kDataCentres> memory_lost_{};
   PlanDocumentPtr stored_ = std::make_shared<const PlanDocument>();
+  std::array<PlanDocumentPtr, kOperators> read_;  // by each operator
+  std::vector<std::string> written_;              // edit ids of all writes that took effect
   bool store_up_ = true;
   double loss_ = 0;
   int edits_ = 0;
