--- a/verbenaridge/ctl/blocking_store.cc
+++ b/verbenaridge/ctl/blocking_store.cc
@@ -24,7 +24,7 @@
 
 Result<platform::StoredValue> LoopStore::Read(std::string_view key) {
   auto slot = std::make_shared<std::optional<Result<platform::StoredValue>>>();
-  store_.Read(key, [slot](Result<platform::StoredValue> value) { slot->emplace(value); });
+  store_.Read(key, [slot](const Result<platform::StoredValue>& value) { slot->emplace(value); });
   return Await<platform::StoredValue>(io_context_, slot);
 }
 
