--- a/verbenaridge/daemon/control_plane.cc
+++ b/verbenaridge/daemon/control_plane.cc
@@ -253,7 +253,8 @@
 
 std::string ControlPlane::Parts::NotReadyReason() const {
   if (draining_) return "stopping";
-  if (!plans_.serving()) return "no plan that may be served";
+  // The traffic threads go by the snapshot, which follows the plan by up to one tick.
+  if (!plans_.serving() || !snapshot_->serving) return "no plan that may be served";
   return {};
 }
 
--- a/verbenaridge/fakes/fake_engine.h
+++ b/verbenaridge/fakes/fake_engine.h
@@ -108,6 +108,10 @@
 
   ByteCount used_bytes() const { return stream_bytes_ + reserved_bytes_ + cache_bytes(); }
   const std::list<Stream>& streams() const { return streams_; }
+
+  // Streams accepted since the construction.
+  std::uint64_t started() const { return last_id_; }
+
   const FakeEngineOptions& options() const { return options_; }
 
  private:
