Let HTTP connections outlive their server safely

AddressSanitizer found a use after free in RESTinio's connection limiter when connections outlive the server on the loop, and leaks of writers that their own write notificators held. The limit is now enforced by a gate of ours, and the server's table holds the writers instead of the notificators. caller_server_test has a test of each; it and http_endpoint_client_test pass under AddressSanitizer.

--- a/verbenaridge/frontend/caller_server_test.cc
+++ b/verbenaridge/frontend/caller_server_test.cc
@@ -277,6 +277,42 @@
   }
 }
 
+// Guards against callers that use up the process's descriptors, and against a count that never
+// falls.
+TEST_CASE("connection limit") {
+  Fixture fixture({.max_connections = 1});
+  const std::string request = "GET /v1/models HTTP/1.1\r\nAuthorization: Bearer k1\r\n\r\n";
+  Connection first(fixture, request);
+  REQUIRE(first.WaitFor("200 OK"));
+  Connection second(fixture, "");
+  CHECK(RunUntil(fixture.io, [&] { return second.closed; }));
+  first.socket.shutdown(tcp::socket::shutdown_send);
+  REQUIRE(RunUntil(fixture.io, [&] { return first.closed; }));
+  Connection third(fixture, request);
+  CHECK(third.WaitFor("200 OK"));
+}
+
+// Guards against a write to freed memory when a server ends before the connections on its loop.
+TEST_CASE("server destroyed during a response") {
+  asio::io_context io;
+  SystemClock clock;
+  SeededRandom random(20261204);
+  ScriptedHandler handler;
+  tcp::socket socket(io);
+  {
+    CallerServer server(io, {}, handler, clock, random);
+    REQUIRE(server.Open().has_value());
+    socket.connect({asio::ip::make_address("127.0.0.1"), server.port()});
+    asio::write(socket, asio::buffer(Post(kStreamed)));
+    REQUIRE(RunUntil(io, [&] { return !handler.sinks.empty(); }));
+    handler.sinks[0]->OnToken(std::string(std::size_t{8} << 20, 'x'));
+  }
+  handler.sinks[0]->OnToken("late ");
+  handler.sinks.clear();
+  RunUntil(
+      io, [] { return false; }, std::chrono::milliseconds(20));
+}
+
 // Guards against answers that cross between requests on one connection, and against a stop that
 // cuts off a stream.
 TEST_CASE("keep-alive, pipelining and stop") {
--- a/verbenaridge/frontend/http_server.cc
+++ b/verbenaridge/frontend/http_server.cc
@@ -4,6 +4,7 @@
 #include <strings.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <asio/post.hpp>
 #include <restinio/all.hpp>
 #include <stdexcept>
@@ -70,7 +71,10 @@
   HttpService* service = nullptr;
   bool stopping = false;
   std::size_t open_responses = 0;
-  std::unordered_multimap<restinio::connection_id_t, std::weak_ptr<Writer>> writers;
+  std::size_t connections = 0;
+  // Holds the writers of responses that are not finished. RESTinio's connections hold notificators
+  // and writers hold their connection, so the notificators hold no writer.
+  std::unordered_multimap<restinio::connection_id_t, std::shared_ptr<Writer>> writers;
 };
 
 class Writer final : public ResponseWriter, public std::enable_shared_from_this<Writer> {
@@ -96,7 +100,7 @@
     unsent_ += body.size();
     response.set_body(std::move(body));
     request_.reset();
-    response.done([self = shared_from_this()](const asio::error_code&) { self->Release(); });
+    response.done(ReleaseWhenWritten());
   }
 
   void StartStream(int status, std::span<const ResponseHeader> headers) override {
@@ -150,8 +154,9 @@
   void Flush() {
     in_flight_ = pending_.size();
     stream_->append_chunk(std::exchange(pending_, {}));
-    stream_->flush([self = shared_from_this()](const asio::error_code& error) {
-      if (!error) self->OnWritten();
+    stream_->flush([weak = weak_from_this()](const asio::error_code& error) {
+      const auto self = weak.lock();
+      if (!error && self) self->OnWritten();
     });
   }
 
@@ -169,7 +174,13 @@
 
   void Complete() {
     if (!pending_.empty()) stream_->append_chunk(std::exchange(pending_, {}));
-    stream_->done([self = shared_from_this()](const asio::error_code&) { self->Release(); });
+    stream_->done(ReleaseWhenWritten());
+  }
+
+  std::function<void(const asio::error_code&)> ReleaseWhenWritten() {
+    return [weak = weak_from_this()](const asio::error_code&) {
+      if (const auto self = weak.lock()) self->Release();
+    };
   }
 
   void ReportGone() {
@@ -185,10 +196,12 @@
     on_gone_ = nullptr;
     on_drained_ = nullptr;
     const auto [begin, end] = shared_->writers.equal_range(connection_);
-    for (auto it = begin; it != end;) {
-      const auto writer = it->second.lock();
-      it = !writer || writer.get() == this ? shared_->writers.erase(it) : std::next(it);
-    }
+    const auto it =
+        std::find_if(begin, end, [this](const auto& entry) { return entry.second.get() == this; });
+    if (it == end) return;
+    // May be the last reference, so it goes at the end of this function.
+    const std::shared_ptr<Writer> self = it->second;
+    shared_->writers.erase(it);
   }
 
   const std::shared_ptr<Shared> shared_;
@@ -211,12 +224,14 @@
 
   // Name required by RESTinio.
   void state_changed(const restinio::connection_state::notice_t& notice) noexcept {
-    if (!restinio::holds_alternative<restinio::connection_state::closed_t>(notice.cause())) return;
+    namespace state = restinio::connection_state;
+    const state::cause_t cause = notice.cause();
+    if (restinio::holds_alternative<state::accepted_t>(cause)) ++shared_->connections;
+    if (!restinio::holds_alternative<state::closed_t>(cause)) return;
+    --shared_->connections;
     const auto [begin, end] = shared_->writers.equal_range(notice.connection_id());
     std::vector<std::shared_ptr<Writer>> writers;
-    for (auto it = begin; it != end; ++it) {
-      if (auto writer = it->second.lock()) writers.push_back(std::move(writer));
-    }
+    for (auto it = begin; it != end; ++it) writers.push_back(it->second);
     for (const auto& writer : writers) writer->OnConnectionClosed();
   }
 
@@ -224,12 +239,30 @@
   const std::shared_ptr<Shared> shared_;
 };
 
+// Refuses connections over the limit. RESTinio's own limiter is unusable here: connections that
+// outlive the server on the loop would use it after its end.
+class ConnectionGate {
+ public:
+  ConnectionGate(std::shared_ptr<Shared> shared, std::size_t max_connections)
+      : shared_(std::move(shared)), max_connections_(max_connections) {}
+
+  // Name required by RESTinio.
+  restinio::ip_blocker::inspection_result_t inspect(
+      const restinio::ip_blocker::incoming_info_t&) noexcept {
+    return shared_->connections < max_connections_ ? restinio::ip_blocker::allow()
+                                                   : restinio::ip_blocker::deny();
+  }
+
+ private:
+  const std::shared_ptr<Shared> shared_;
+  const std::size_t max_connections_;
+};
+
 struct Traits : public restinio::default_single_thread_traits_t {
   using connection_state_listener_t = ConnectionListener;
+  using ip_blocker_t = ConnectionGate;
   using request_handler_t =
       std::function<restinio::request_handling_status_t(restinio::request_handle_t)>;
-  // NOLINTNEXTLINE(readability-identifier-naming): RESTinio looks for this name.
-  static constexpr bool use_connection_count_limiter = true;
 };
 
 restinio::request_handling_status_t Serve(const std::shared_ptr<Shared>& shared,
@@ -257,7 +290,6 @@
   settings.port(options.port)
       .address(options.address)
       .max_pipelined_requests(kPipelinedRequests)
-      .max_parallel_connections(options.max_connections)
       .read_next_http_message_timelimit(options.read_timeout)
       .write_http_response_timelimit(options.write_timeout)
       .handle_request_timeout(options.quiet_timeout)
@@ -286,6 +318,7 @@
       .acceptor_post_bind_hook(
           [&port](asio::ip::tcp::acceptor& acceptor) { port = acceptor.local_endpoint().port(); })
       .connection_state_listener(std::make_shared<ConnectionListener>(shared))
+      .ip_blocker(std::make_shared<ConnectionGate>(shared, options.max_connections))
       .request_handler(
           [shared](const restinio::request_handle_t& request) { return Serve(shared, request); });
   return settings;
@@ -311,7 +344,10 @@
     shared_->service = &service;
   }
 
-  ~Impl() { shared_->service = nullptr; }
+  ~Impl() {
+    shared_->service = nullptr;
+    std::exchange(shared_->writers, {}).clear();
+  }
 
   Impl(const Impl&) = delete;
   Impl& operator=(const Impl&) = delete;
