Shorten routing decisions and queue operations

Change: prefix matches are joined in endpoint order with one epoch look-up per endpoint; remote endpoints are predicted only for a spill; queue indexes change keys without allocating; idle accounts are dropped only after their number has doubled.

--- a/verbenaridge/groups/group_reservation.cc
+++ b/verbenaridge/groups/group_reservation.cc
@@ -50,7 +50,8 @@
     if (total < kv_bytes) continue;
     GroupPlan plan;
     for (std::size_t i = 0; i < size; ++i) {
-      const double part = static_cast<double>(Usable(ready[i], policy)) / static_cast<double>(total);
+      const double part =
+          static_cast<double>(Usable(ready[i], policy)) / static_cast<double>(total);
       plan.members.push_back(
           {ready[i].endpoint, static_cast<ByteCount>(static_cast<double>(kv_bytes) * part) + 1});
     }
--- a/verbenaridge/groups/group_reservation_test.cc
+++ b/verbenaridge/groups/group_reservation_test.cc
@@ -128,7 +128,9 @@
     const auto kv = static_cast<ByteCount>(100 + random_.Below(300));
     const GroupPlan plan = PlanGroup(kv, options, {});
     groups_.push_back({std::make_unique<GroupReservation>(plan.members, now_, PolicyOptions{}),
-                       {}, TimePoint::max(), false});
+                       {},
+                       TimePoint::max(),
+                       false});
     Send(index, groups_.back().reservation->Start());
   }
 
--- a/verbenaridge/permits/endpoint_owner.cc
+++ b/verbenaridge/permits/endpoint_owner.cc
@@ -106,8 +106,7 @@
                      cost / std::max(drain_rate_[Rank(priority)], floor));
 }
 
-Duration EndpointOwner::DelayOf(const PermitInput& input, Priority engine_priority,
-                                TimePoint now) {
+Duration EndpointOwner::DelayOf(const PermitInput& input, Priority engine_priority, TimePoint now) {
   const double cost = queue_.CostAhead(input.priority, input.account, input.weight);
   return QueueDelay(input.priority, cost, engine_priority, now);
 }
@@ -232,8 +231,7 @@
   return FromSeconds(backlog_.Ahead(place)) < options_.prefill_window[Rank(place)];
 }
 
-void EndpointOwner::GrantTo(std::uint64_t id, bool share_grant, TimePoint now,
-                            Actions& actions) {
+void EndpointOwner::GrantTo(std::uint64_t id, bool share_grant, TimePoint now, Actions& actions) {
   const Waiting waiting = Unqueue(id);
   const PermitInput& input = waiting.input;
   Permit permit;
--- a/verbenaridge/placement/placement_planner.cc
+++ b/verbenaridge/placement/placement_planner.cc
@@ -100,8 +100,7 @@
                                 TimePoint now) const {
   if (lease.fencing_token == 0 || lease.expiry <= now) return false;
   if (endpoint.checks_fencing) return true;
-  return endpoint.drained && endpoint.running == 0 &&
-         lease.expiry - now > options_.max_order_time;
+  return endpoint.drained && endpoint.running == 0 && lease.expiry - now > options_.max_order_time;
 }
 
 std::optional<Order> PlacementPlanner::Continue(const EndpointState& endpoint, const Lease& lease,
--- a/verbenaridge/placement/placement_planner.h
+++ b/verbenaridge/placement/placement_planner.h
@@ -33,13 +33,13 @@
 struct PolicyOptions {
   Duration minimum_dwell = std::chrono::minutes(10);
   Duration demand_smoothing = std::chrono::minutes(2);  // time constant
-  double target_load = 0.7;  // of an endpoint's capacity
+  double target_load = 0.7;                             // of an endpoint's capacity
   // A model gets one more endpoint when it is short by more than this part of an endpoint, and
   // gives one when it would still have as much to spare. The gap between the two stops flapping.
   double shortage = 0.3;
   double spare = 0.3;
   std::size_t minimum_endpoints = 1;  // per model with a demand
-  double loads_per_minute = 2;  // of the weight store, for this data centre
+  double loads_per_minute = 2;        // of the weight store, for this data centre
   double load_burst = 2;
   Duration max_order_time = std::chrono::seconds(5);
   Duration drain_before_order = std::chrono::seconds(30);  // then the planner gives the drain up
@@ -69,9 +69,9 @@
   Assignment serves;
   double capacity = 1;  // cost seconds per second
   std::size_t running = 0;
-  bool leaving = false;        // no new work, by its own wish
+  bool leaving = false;  // no new work, by its own wish
   bool checks_fencing = false;
-  bool drained = false;        // as this planner asked
+  bool drained = false;  // as this planner asked
 };
 
 struct Demand {
@@ -103,8 +103,8 @@
   explicit PlacementPlanner(const PolicyOptions& options) : options_(options) {}
 
   // Orders to send now. At most one endpoint changes per call.
-  std::vector<Order> Plan(std::span<const EndpointState> endpoints,
-                          std::span<const Demand> demands, const Lease& lease, TimePoint now);
+  std::vector<Order> Plan(std::span<const EndpointState> endpoints, std::span<const Demand> demands,
+                          const Lease& lease, TimePoint now);
 
   // An order was refused or its fate is unknown; it is planned again when it may be.
   void OnOrderFailed(const EndpointId& endpoint) { moves_.erase(endpoint); }
--- a/verbenaridge/placement/placement_planner_test.cc
+++ b/verbenaridge/placement/placement_planner_test.cc
@@ -96,7 +96,10 @@
       {"no lease", 3, high, 1.4, [](Simulation& s) { s.lease.fencing_token = 0; }, 3, 3, 0},
       {"lease not renewed", 3, high, 1.4, [](Simulation& s) { s.renews_lease = false; }, 3, 5, 2},
       {"endpoints ignore tokens", 3, high, 1.4,
-       [](Simulation& s) { for (auto& e : s.endpoints) e.checks_fencing = false; }, 6, 7, 4},
+       [](Simulation& s) {
+         for (auto& e : s.endpoints) e.checks_fencing = false;
+       },
+       6, 7, 4},
       {"endpoints ignore tokens, lease too short", 3, high, 1.4,
        [](Simulation& s) {
          for (auto& e : s.endpoints) e.checks_fencing = false;
--- a/verbenaridge/queueing/fair_queue.cc
+++ b/verbenaridge/queueing/fair_queue.cc
@@ -5,29 +5,47 @@
 namespace verbenaridge::queueing {
 
 namespace {
+
 // Idle flows are kept for their finish tags; beyond this many the settled ones are dropped.
 constexpr std::size_t kMaxFlows = 4'096;
+
+// Changes a key without a new allocation.
+template <class Map>
+void Rekey(Map& map, const typename Map::key_type& from, const typename Map::key_type& to) {
+  auto node = map.extract(from);
+  node.key() = to;
+  map.insert(std::move(node));
+}
+
 }  // namespace
 
 FairQueue::FairQueue(QueueOptions options) : options_(options), window_(options.share_window) {}
 
 void FairQueue::SetBacklog(Lane& lane, Flow& flow, double backlog) {
-  if (flow.backlog > 0) lane.backlogs.erase({flow.backlog, flow.number});
+  const Key from{flow.backlog, flow.number}, to{backlog, flow.number};
+  const bool listed = flow.backlog > 0;
   lane.backlog += backlog - flow.backlog;
   flow.backlog = backlog;
-  if (flow.backlog > 0) lane.backlogs.emplace(Key{flow.backlog, flow.number}, &flow);
+  if (listed && backlog > 0) {
+    Rekey(lane.backlogs, from, to);
+  } else if (listed) {
+    lane.backlogs.erase(from);
+  } else if (backlog > 0) {
+    lane.backlogs.emplace(to, &flow);
+  }
 }
 
 void FairQueue::ForgetIdleFlows(Lane& lane) {
-  if (lane.flows.size() <= kMaxFlows) return;
+  if (lane.flows.size() <= std::max(kMaxFlows, lane.flows_after_cleaning * 2)) return;
   std::erase_if(lane.flows, [&](const auto& entry) {
     return entry.second.order.empty() && entry.second.finish_tag <= lane.virtual_time;
   });
+  lane.flows_after_cleaning = lane.flows.size();
 }
 
 std::uint64_t FairQueue::NewestOfLargest(const Lane& lane) const {
   const Flow* flow = lane.backlogs.rbegin()->second;
-  return id_by_sequence_.at(*flow->arrivals.rbegin());
+  return flow->arrivals.rbegin()->second;
 }
 
 PushResult FairQueue::Push(QueueItem item, TimePoint now) {
@@ -51,10 +69,9 @@
     lane.heads.emplace(Key{flow.start_tag, flow.number}, &flow);
   }
   flow.order.insert({key, id});
-  flow.arrivals.insert(sequence);
+  flow.arrivals.insert({sequence, id});
   SetBacklog(lane, flow, flow.backlog + item.cost);
   ++lane.items;
-  id_by_sequence_[sequence] = id;
   items_.emplace(id, Entry{std::move(item), sequence, key, &flow});
 
   if (lane.items <= options_.max_items_per_priority) return {.accepted = true, .dropped = {}};
@@ -68,11 +85,10 @@
   const auto found = items_.find(id);
   Entry entry = std::move(found->second);
   items_.erase(found);
-  id_by_sequence_.erase(entry.sequence);
   Lane& lane = lanes_[Rank(entry.item.priority)];
   Flow& flow = *entry.flow;
   flow.order.erase({entry.key, id});
-  flow.arrivals.erase(entry.sequence);
+  flow.arrivals.erase({entry.sequence, id});
   --lane.items;
   // An empty flow has exactly no backlog, whatever the rounding.
   SetBacklog(lane, flow, flow.order.empty() ? 0 : std::max(flow.backlog - entry.item.cost, 1e-9));
@@ -100,14 +116,12 @@
     const std::uint64_t id = first.id;
     const double finish = flow.start_tag + first.cost / first.weight;
     lane.virtual_time = std::max(lane.virtual_time, flow.start_tag);
-    lane.heads.erase(head);
-    QueueItem item = Take(id);
     flow.finish_tag = finish;
-    if (!flow.order.empty()) {
+    if (flow.order.size() > 1) {
+      Rekey(lane.heads, head->first, Key{finish, flow.number});
       flow.start_tag = finish;
-      lane.heads.emplace(Key{finish, flow.number}, &flow);
     }
-    return item;
+    return Take(id);
   }
   return std::nullopt;
 }
--- a/verbenaridge/queueing/fair_queue.h
+++ b/verbenaridge/queueing/fair_queue.h
@@ -76,8 +76,9 @@
   // Priorities in the order in which Pop would try them now.
   std::array<Priority, kPriorityCount> Order(TimePoint now);
 
-  // Cost that is served before a newcomer of the account: about what the account itself has waiting,
-  // times the weights of all waiting accounts over its own, and at most the priority's backlog.
+  // Cost that is served before a newcomer of the account: about what the account itself has
+  // waiting, times the weights of all waiting accounts over its own, and at most the priority's
+  // backlog.
   double CostAhead(Priority priority, const ClientAccountId& account, double weight) const;
 
   // The same for an account of average weight that has nothing waiting.
@@ -102,15 +103,16 @@
     double finish_tag = 0;
     double start_tag = 0;  // of the head, while waiting
     double backlog = 0;
-    double weight = 1;  // of the newest request
-    std::set<std::pair<TimePoint, std::uint64_t>> order;  // service key, id
-    std::set<std::uint64_t> arrivals;                     // sequence numbers, oldest first
+    double weight = 1;                                           // of the newest request
+    std::set<std::pair<TimePoint, std::uint64_t>> order;         // service key, id
+    std::set<std::pair<std::uint64_t, std::uint64_t>> arrivals;  // sequence, id; oldest first
   };
   struct Lane {
     std::unordered_map<ClientAccountId, Flow> flows;
     std::map<Key, Flow*> heads;     // by start tag
     std::map<Key, Flow*> backlogs;  // largest last
     std::uint64_t next_flow = 0;
+    std::size_t flows_after_cleaning = 0;
     double virtual_time = 0;
     double backlog = 0;
     double active_weight = 0;  // of flows that wait
@@ -132,7 +134,6 @@
   QueueOptions options_;
   std::array<Lane, kPriorityCount> lanes_;
   std::unordered_map<std::uint64_t, Entry> items_;
-  std::unordered_map<std::uint64_t, std::uint64_t> id_by_sequence_;
   std::uint64_t next_sequence_ = 1;
   ServedWindow window_;
 };
--- a/verbenaridge/replay/decision_includes_test.cc
+++ b/verbenaridge/replay/decision_includes_test.cc
@@ -11,16 +11,32 @@
 
 // Packages of decisions, and what their files may not include. `base` is here because the others
 // build on it.
-const char* const kPackages[] = {"base",    "cost",   "admission", "queueing", "permits",
-                                 "routing", "groups", "placement", "attempts", "claims",
+const char* const kPackages[] = {"base",    "cost",       "admission", "queueing", "permits",
+                                 "routing", "groups",     "placement", "attempts", "claims",
                                  "poison",  "membership", "plans"};
-const char* const kForbidden[] = {"asio",       "curl",     "nghttp2",   "msgpack",   "nlohmann",
-                                  "restinio",   "sys/socket.h", "netinet/", "arpa/",  "netdb.h",
-                                  "http_parser", "openssl",  "sys/un.h",  "poll.h",    "sys/epoll.h",
-                                  "verbenaridge/wire/",      "verbenaridge/net/",
-                                  "verbenaridge/engine/",    "verbenaridge/platform/",
-                                  "verbenaridge/frontend/",  "verbenaridge/plan_codec/",
-                                  "verbenaridge/calls/",     "verbenaridge/daemon/"};
+const char* const kForbidden[] = {"asio",
+                                  "curl",
+                                  "nghttp2",
+                                  "msgpack",
+                                  "nlohmann",
+                                  "restinio",
+                                  "sys/socket.h",
+                                  "netinet/",
+                                  "arpa/",
+                                  "netdb.h",
+                                  "http_parser",
+                                  "openssl",
+                                  "sys/un.h",
+                                  "poll.h",
+                                  "sys/epoll.h",
+                                  "verbenaridge/wire/",
+                                  "verbenaridge/net/",
+                                  "verbenaridge/engine/",
+                                  "verbenaridge/platform/",
+                                  "verbenaridge/frontend/",
+                                  "verbenaridge/plan_codec/",
+                                  "verbenaridge/calls/",
+                                  "verbenaridge/daemon/"};
 
 // The forbidden header that a line includes, or nothing.
 std::string_view Violation(std::string_view line) {
@@ -31,8 +47,8 @@
   const std::string_view header = line.substr(start + 1);
   for (const std::string_view forbidden : kForbidden) {
     const bool folder = forbidden.starts_with("verbenaridge/") || forbidden.ends_with(".h");
-    const bool found = folder ? header.starts_with(forbidden)
-                              : header.find(forbidden) != std::string_view::npos;
+    const bool found =
+        folder ? header.starts_with(forbidden) : header.find(forbidden) != std::string_view::npos;
     if (found) return forbidden;
   }
   return {};
--- a/verbenaridge/replay/engine_model.cc
+++ b/verbenaridge/replay/engine_model.cc
@@ -20,8 +20,8 @@
     memory_used_ += stream.spec.memory_tokens;
     ++admitted_;
     stream.admitted = true;
-    const bool cached = std::find(cache_.begin(), cache_.end(), stream.spec.prefix_family) !=
-                        cache_.end();
+    const bool cached =
+        std::find(cache_.begin(), cache_.end(), stream.spec.prefix_family) != cache_.end();
     stream.prefill_left = std::max<TokenCount>(
         1, stream.spec.prompt_tokens - (cached ? stream.spec.prefix_tokens : 0));
     prefilling_.emplace(stream.order, stream.spec.id);
@@ -47,10 +47,9 @@
     budget -= part;
   }
   for (const auto& [id, stream] : decoding_) step_decode_.push_back(id);
-  scheduler_.After(FromSeconds(StepSeconds(spec_.chunk_tokens - budget)),
-                   [this, epoch = epoch_] {
-                     if (epoch == epoch_) FinishStep();
-                   });
+  scheduler_.After(FromSeconds(StepSeconds(spec_.chunk_tokens - budget)), [this, epoch = epoch_] {
+    if (epoch == epoch_) FinishStep();
+  });
 }
 
 void EngineModel::FinishStep() {
--- a/verbenaridge/replay/metrics.cc
+++ b/verbenaridge/replay/metrics.cc
@@ -9,8 +9,8 @@
 
 double Percentile95(std::vector<double> values) {
   if (values.empty()) return 0;
-  const auto at = values.begin() + static_cast<std::ptrdiff_t>(
-                                       0.95 * static_cast<double>(values.size() - 1));
+  const auto at =
+      values.begin() + static_cast<std::ptrdiff_t>(0.95 * static_cast<double>(values.size() - 1));
   std::nth_element(values.begin(), at, values.end());
   return *at;
 }
--- a/verbenaridge/replay/replay_main.cc
+++ b/verbenaridge/replay/replay_main.cc
@@ -47,8 +47,7 @@
       const Trace generated = GenerateTrace(fleet, trace.kind, selection.seed);
       for (const char* policy : kPolicies) {
         if (!selection.policy.empty() && selection.policy != policy) continue;
-        PrintRow(fleet, trace.name, policy,
-                 Replay(fleet, generated, OptionsFor(fleet, policy)));
+        PrintRow(fleet, trace.name, policy, Replay(fleet, generated, OptionsFor(fleet, policy)));
       }
     }
   }
@@ -63,11 +62,20 @@
   Selection selection;
   for (int c; (c = getopt_long(argc, argv, "", options, nullptr)) != -1;) {
     switch (c) {
-      case 'f': selection.fleet = optarg; break;
-      case 't': selection.trace = optarg; break;
-      case 'p': selection.policy = optarg; break;
-      case 's': selection.seed = std::strtoull(optarg, nullptr, 10); break;
-      default: return 2;
+      case 'f':
+        selection.fleet = optarg;
+        break;
+      case 't':
+        selection.trace = optarg;
+        break;
+      case 'p':
+        selection.policy = optarg;
+        break;
+      case 's':
+        selection.seed = std::strtoull(optarg, nullptr, 10);
+        break;
+      default:
+        return 2;
     }
   }
   Run(selection);
--- a/verbenaridge/replay/replayer.cc
+++ b/verbenaridge/replay/replayer.cc
@@ -90,8 +90,7 @@
   return blocks;
 }
 
-routing::RouteRequest Replayer::RouteRequestFor(Index index,
-                                                std::span<const Digest> blocks) const {
+routing::RouteRequest Replayer::RouteRequestFor(Index index, std::span<const Digest> blocks) const {
   const TraceRequest& request = trace_.requests[index];
   const Active& active = active_[index];
   const std::string& centre = fleet_.data_centres[request.host % fleet_.data_centres.size()];
--- a/verbenaridge/replay/replayer.h
+++ b/verbenaridge/replay/replayer.h
@@ -64,7 +64,7 @@
     TokenCount delivered = 0;  // output tokens
     routing::CandidateWalk walk;
     std::vector<Digest> excluded;
-    std::optional<Index> asked;  // endpoint whose owner has the permit request
+    std::optional<Index> asked;     // endpoint whose owner has the permit request
     std::optional<Index> endpoint;  // that runs the stream
     StreamId stream = 0;
     permits::PermitId permit = 0;
--- a/verbenaridge/replay/replayer_permits.cc
+++ b/verbenaridge/replay/replayer_permits.cc
@@ -14,27 +14,26 @@
 }  // namespace
 
 std::unique_ptr<permits::EndpointOwner> Replayer::MakeOwner(Index endpoint) {
-  return std::make_unique<permits::EndpointOwner>(
-      views_[endpoint].id, HostId("host-0"), 1, owner_costs_[endpoint], options_.permits,
-      scheduler_.now());
+  return std::make_unique<permits::EndpointOwner>(views_[endpoint].id, HostId("host-0"), 1,
+                                                  owner_costs_[endpoint], options_.permits,
+                                                  scheduler_.now());
 }
 
 bool Replayer::RejectEarly(Index index, const routing::RouteDecision& decision) {
   const TraceRequest& request = trace_.requests[index];
   if (results_[index].first_token > Duration::zero()) return false;  // a stream to resume
-  const auto best = std::min_element(
-      decision.candidates().begin(), decision.candidates().end(),
-      [](const auto& a, const auto& b) { return a.first_token < b.first_token; });
-  const Duration waited =
-      scheduler_.now() - TimePoint(std::chrono::hours(1)) - request.arrival;
-  const admission::RejectionCheck check = admission::CheckDeadline(
-      {.queue_delay = best->queue_delay,
-       .prefill = best->first_token - best->queue_delay,
-       .decode = {},
-       .remaining = request.patience - waited,
-       .first_token_target = request.first_token_target - waited,
-       .drain_rate = 1},
-      {});
+  const auto best =
+      std::min_element(decision.candidates().begin(), decision.candidates().end(),
+                       [](const auto& a, const auto& b) { return a.first_token < b.first_token; });
+  const Duration waited = scheduler_.now() - TimePoint(std::chrono::hours(1)) - request.arrival;
+  const admission::RejectionCheck check =
+      admission::CheckDeadline({.queue_delay = best->queue_delay,
+                                .prefill = best->first_token - best->queue_delay,
+                                .decode = {},
+                                .remaining = request.patience - waited,
+                                .first_token_target = request.first_token_target - waited,
+                                .drain_rate = 1},
+                               {});
   if (!check.admit) End(index, RequestEnd::kRejected);
   return !check.admit;
 }
@@ -53,8 +52,7 @@
   input.prompt_tokens = request.prompt_tokens + active.delivered;
   input.cached_tokens = candidate.cached_tokens;
   input.max_output_tokens = request.max_output_tokens - active.delivered;
-  const Duration waited =
-      scheduler_.now() - TimePoint(std::chrono::hours(1)) - request.arrival;
+  const Duration waited = scheduler_.now() - TimePoint(std::chrono::hours(1)) - request.arrival;
   const Duration prefill = candidate.first_token - candidate.queue_delay;
   // A stream that is resumed has its first token; it must only end before the caller leaves.
   const bool resumed = results_[index].first_token > Duration::zero();
@@ -96,8 +94,9 @@
   for (const permits::Action& action : actions) {
     if (const auto* grant = std::get_if<permits::Grant>(&action)) {
       const Index index = grant->holder.sequence;
-      scheduler_.After(Hop(index, endpoint),
-                       [this, index, endpoint, grant = *grant] { OnGrant(index, endpoint, grant); });
+      scheduler_.After(Hop(index, endpoint), [this, index, endpoint, grant = *grant] {
+        OnGrant(index, endpoint, grant);
+      });
     } else if (const auto* refusal = std::get_if<permits::Refusal>(&action)) {
       const Index index = refusal->holder.sequence;
       scheduler_.After(Hop(index, endpoint), [this, index, endpoint, refusal = *refusal] {
@@ -115,8 +114,8 @@
   Active& active = active_[index];
   if (active.group && !active.ended) {
     active.members.emplace_back(endpoint, grant.permit);
-    PerformGroup(index, active.group->OnGranted(views_[endpoint].id, grant.permit,
-                                                scheduler_.now()));
+    PerformGroup(index,
+                 active.group->OnGranted(views_[endpoint].id, grant.permit, scheduler_.now()));
     return;
   }
   if (active.ended || active.asked != endpoint || active.attempt != grant.attempt) {
@@ -186,15 +185,14 @@
   policies_[trace_.requests[index].host]->OnFinished(views_[endpoint]);
   if (!permits_) return;
   const TraceRequest& request = trace_.requests[index];
-  Perform(endpoint,
-          owners_[endpoint]->Release(
-              {.permit = active.permit,
-               .prefill_tokens = request.prompt_tokens + active.delivered - active.cached,
-               .output_tokens = request.output_tokens - active.delivered,
-               .prefill_time = active.first_token - active.dispatched,
-               .decode_time = now - active.first_token,
-               .completed = completed},
-              now));
+  Perform(endpoint, owners_[endpoint]->Release(
+                        {.permit = active.permit,
+                         .prefill_tokens = request.prompt_tokens + active.delivered - active.cached,
+                         .output_tokens = request.output_tokens - active.delivered,
+                         .prefill_time = active.first_token - active.dispatched,
+                         .decode_time = now - active.first_token,
+                         .completed = completed},
+                        now));
   active.permit = 0;
 }
 
@@ -247,8 +245,7 @@
 void Replayer::StartGroup(Index index) {
   Active& active = active_[index];
   const TraceRequest& request = trace_.requests[index];
-  const Digest centre =
-      HashOf(fleet_.data_centres[request.host % fleet_.data_centres.size()]);
+  const Digest centre = HashOf(fleet_.data_centres[request.host % fleet_.data_centres.size()]);
   std::vector<groups::MemberOption> members;
   for (const routing::EndpointView& view : views_) {
     if (view.data_centre != centre) continue;
@@ -284,12 +281,11 @@
       active_[index].asked.reset();
     } else if (const auto* withdraw = std::get_if<groups::WithdrawMember>(&action)) {
       const Index endpoint = EndpointIndex(withdraw->endpoint);
-      Perform(endpoint, owners_[endpoint]->Cancel(HolderOf(index), active_[index].attempt,
-                                                  scheduler_.now()));
+      Perform(endpoint,
+              owners_[endpoint]->Cancel(HolderOf(index), active_[index].attempt, scheduler_.now()));
     } else if (const auto* release = std::get_if<groups::ReleaseMember>(&action)) {
       const Index endpoint = EndpointIndex(release->endpoint);
-      Perform(endpoint,
-              owners_[endpoint]->Release({.permit = release->permit}, scheduler_.now()));
+      Perform(endpoint, owners_[endpoint]->Release({.permit = release->permit}, scheduler_.now()));
     } else if (std::holds_alternative<groups::GroupReady>(action)) {
       DispatchGroup(index);
     } else {
--- a/verbenaridge/replay/trace.cc
+++ b/verbenaridge/replay/trace.cc
@@ -100,8 +100,7 @@
   const double share = 0.8 * capacity / static_cast<double>(fleet.account_demand.size());
   trace.greedy_accounts = {0, 1};
   for (std::size_t account = 0; account < fleet.account_demand.size(); ++account) {
-    Source source =
-        OnePriority(fleet, share * (account < 2 ? 20 : 1), Priority::kStandard);
+    Source source = OnePriority(fleet, share * (account < 2 ? 20 : 1), Priority::kStandard);
     source.accounts.assign(fleet.account_demand.size(), 0);
     source.accounts[account] = 1;
     AddSource(source, random, trace);
@@ -207,8 +206,7 @@
   // A longer prompt gets twice the time that its prefill takes on an endpoint that also decodes.
   const TokenCount extra = std::max<TokenCount>(0, request.prompt_tokens - 4'000);
   const double step = engine.step_seconds / static_cast<double>(engine.chunk_tokens);
-  const double prefill =
-      2 * static_cast<double>(extra) * (engine.prefill_seconds_per_token + step);
+  const double prefill = 2 * static_cast<double>(extra) * (engine.prefill_seconds_per_token + step);
   constexpr std::array<double, kPriorityCount> kTarget = {1.3, 5, 30};
   constexpr std::array<double, kPriorityCount> kPatience = {10, 30, 90};
   const std::size_t rank = Rank(request.priority);
--- a/verbenaridge/replay/trace.h
+++ b/verbenaridge/replay/trace.h
@@ -43,8 +43,8 @@
 
 enum class TraceKind : std::uint8_t {
   kOrdinaryDay,
-  kFloodLowest,   // background at 10 times capacity
-  kFloodHighest,  // urgent at 5 times capacity
+  kFloodLowest,     // background at 10 times capacity
+  kFloodHighest,    // urgent at 5 times capacity
   kGreedyAccounts,  // two accounts ask 20 times their share
   kLongPrompts,     // 2% of prompts over 100,000 tokens at 80% load
   kShortOnly,       // the short prompts of kLongPrompts alone
@@ -95,7 +95,8 @@
   std::vector<std::size_t> greedy_accounts;
 };
 
-// Requests/s of ordinary short traffic that the fleet's endpoints can serve without cached prefixes.
+// Requests/s of ordinary short traffic that the fleet's endpoints can serve without cached
+// prefixes.
 double Capacity(const FleetSpec& fleet);
 
 Trace GenerateTrace(const FleetSpec& fleet, TraceKind kind, std::uint64_t seed);
--- a/verbenaridge/routing/candidate_walk.h
+++ b/verbenaridge/routing/candidate_walk.h
@@ -1,8 +1,8 @@
 // The order in which an ingress asks the owners of its candidates.
 //
 // Summaries lag, owners know: each candidate is asked with a limit on its predicted wait. One that
-// refuses as busy tells its wait, and when all have refused, the one with the shortest wait is asked
-// again without a limit. A refusal costs one round trip, far less than a wrong queue.
+// refuses as busy tells its wait, and when all have refused, the one with the shortest wait is
+// asked again without a limit. A refusal costs one round trip, far less than a wrong queue.
 //
 //   CandidateWalk walk(decision.candidates(), options.redirect_above[Rank(priority)]);
 //   while (std::optional<CandidateAsk> ask = walk.Next()) {
--- a/verbenaridge/routing/owner_permits_policy.cc
+++ b/verbenaridge/routing/owner_permits_policy.cc
@@ -20,11 +20,12 @@
                                       const RouteRequest& request,
                                       std::span<const PrefixMatch> matches) const {
   TokenCount cached = 0;
-  for (const PrefixMatch& match : matches) {
-    if (match.endpoint != view.key) continue;
-    cached = std::min(
-        request.prompt_tokens,
-        static_cast<TokenCount>(match.blocks * static_cast<double>(options_.block_tokens)));
+  const auto match =
+      std::lower_bound(matches.begin(), matches.end(), view.key,
+                       [](const PrefixMatch& entry, Digest key) { return entry.endpoint < key; });
+  if (match != matches.end() && match->endpoint == view.key) {
+    const auto tokens = match->blocks * static_cast<double>(options_.block_tokens);
+    cached = std::min(request.prompt_tokens, static_cast<TokenCount>(tokens));
   }
   const TokenCount uncached = request.prompt_tokens - cached;
   const double prefill = static_cast<double>(uncached) / std::max(view.prefill_rate, 1.0);
@@ -75,8 +76,7 @@
   for (std::size_t i = 0; i < ranked.size(); ++i) {
     Candidate candidate = local[ranked[i].second];
     candidate.lent = i >= home;
-    if (!candidate.lent ||
-        (may_lend && candidate.first_token + options_.lend_gain < best_home)) {
+    if (!candidate.lent || (may_lend && candidate.first_token + options_.lend_gain < best_home)) {
       kept.push_back(candidate);
     }
   }
@@ -121,29 +121,30 @@
                                          RandomSource& random) {
   std::vector<PrefixMatch> matches;
   if (affinity_) matches = prefixes_.Match(request.prefix_blocks, request.now);
-  std::vector<Candidate> local, remote;
-  local.reserve(views.size());
-  for (std::size_t i = 0; i < views.size(); ++i) {
-    if (!Eligible(views[i], request, options_.kv_fill)) continue;
-    const bool is_local = views[i].data_centre == request.data_centre;
-    const Candidate candidate = Predict(views[i], i, request, matches);
-    (is_local ? local : remote).push_back(candidate);
-  }
+  const auto predict = [&](bool here) {
+    std::vector<Candidate> found;
+    for (std::size_t i = 0; i < views.size(); ++i) {
+      if ((views[i].data_centre == request.data_centre) != here) continue;
+      if (!Eligible(views[i], request, options_.kv_fill)) continue;
+      found.push_back(Predict(views[i], i, request, matches));
+    }
+    return found;
+  };
+  std::vector<Candidate> local = predict(true);
   KeepLongShare(request, views, local);
   RouteDecision decision;
   if (local.empty()) {
     // Nothing here can serve it, so it competes in the other data centre as its own work does.
-    local = std::move(remote);
+    local = predict(false);
     for (Candidate& candidate : local) candidate.spilled = false;
-  } else {
+  } else if (MaySpill(request, local)) {
     // Other data centres take spilled work only at endpoints that have no queue.
+    std::vector<Candidate> remote = predict(false);
     std::erase_if(remote, [&](const Candidate& candidate) {
       return candidate.queue_delay > options_.spill_accept_delay;
     });
-    if (!remote.empty() && MaySpill(request, local)) {
-      spill_tokens_ -= 1;
-      local.insert(local.end(), remote.begin(), remote.end());
-    }
+    if (!remote.empty()) spill_tokens_ -= 1;
+    local.insert(local.end(), remote.begin(), remote.end());
   }
   Draw(local, random, decision);
   if (decision.candidates().empty()) {
--- a/verbenaridge/routing/prefix_index.cc
+++ b/verbenaridge/routing/prefix_index.cc
@@ -1,6 +1,7 @@
 #include "verbenaridge/routing/prefix_index.h"
 
 #include <algorithm>
+#include <numeric>
 
 namespace verbenaridge::routing {
 
@@ -12,19 +13,22 @@
 }
 
 PrefixIndex::Holding& PrefixIndex::Find(Digest endpoint, Digest block) {
+  const auto before = [](const Holding& holding, Digest key) { return holding.endpoint < key; };
+  const auto place = [&](std::vector<Holding>& holdings) {
+    return std::lower_bound(holdings.begin(), holdings.end(), endpoint, before);
+  };
   std::vector<Holding>& holdings = blocks_[block];
-  for (Holding& holding : holdings) {
-    if (holding.endpoint == endpoint) return holding;
-  }
+  const auto found = place(holdings);
+  if (found != holdings.end() && found->endpoint == endpoint) return *found;
+  holdings.insert(found, Holding{.endpoint = endpoint});
   EndpointState& state = endpoints_[endpoint];
   state.blocks.push_back(block);
-  holdings.push_back(Holding{.endpoint = endpoint});
   if (state.blocks.size() > options_.max_blocks_per_endpoint) {
     const Digest oldest = state.blocks.front();
     state.blocks.pop_front();
     if (oldest != block) DropHolding(endpoint, oldest);
   }
-  return blocks_[block].back();
+  return *place(blocks_[block]);
 }
 
 void PrefixIndex::OnCacheEvent(Digest endpoint, const CacheEvent& event, TimePoint now) {
@@ -57,40 +61,47 @@
   endpoints_.erase(found);
 }
 
+double PrefixIndex::Trust(const Holding& holding, std::uint32_t epoch, TimePoint now) const {
+  if (!holding.cached || now - holding.seen > options_.time_to_live) return 0;
+  return holding.epoch == epoch ? 1.0 : options_.gap_trust;
+}
+
 std::vector<PrefixMatch> PrefixIndex::Match(std::span<const Digest> blocks, TimePoint now) const {
-  struct Progress {
-    Digest endpoint;
-    std::size_t depth;
-    double trusted;
-  };
-  std::vector<Progress> progress;
+  std::vector<PrefixMatch> matches;   // by endpoint
+  std::vector<std::size_t> alive;     // those that hold all blocks so far
+  std::vector<std::uint32_t> epochs;  // of the matches
   const std::size_t count = std::min(blocks.size(), options_.max_match_blocks);
   for (std::size_t i = 0; i < count; ++i) {
     const auto found = blocks_.find(blocks[i]);
     if (found == blocks_.end()) break;
-    bool extended = false;
-    for (const Holding& holding : found->second) {
-      if (!holding.cached || now - holding.seen > options_.time_to_live) continue;
-      const bool current = holding.epoch == endpoints_.at(holding.endpoint).epoch;
-      const double trust = current ? 1.0 : options_.gap_trust;
-      if (i == 0) {
-        progress.push_back({holding.endpoint, 1, trust});
-        extended = true;
-        continue;
+    const std::vector<Holding>& holdings = found->second;
+    if (i == 0) {
+      for (const Holding& holding : holdings) {
+        const std::uint32_t epoch = endpoints_.at(holding.endpoint).epoch;
+        const double trust = Trust(holding, epoch, now);
+        if (trust <= 0) continue;
+        matches.push_back({holding.endpoint, trust});
+        epochs.push_back(epoch);
       }
-      const auto at = std::find_if(progress.begin(), progress.end(), [&](const Progress& p) {
-        return p.endpoint == holding.endpoint && p.depth == i;
-      });
-      if (at == progress.end()) continue;
-      at->depth = i + 1;
-      at->trusted += trust;
-      extended = true;
+      alive.resize(matches.size());
+      std::iota(alive.begin(), alive.end(), std::size_t{0});
+      continue;
+    }
+    // Both lists are in the order of endpoints, so one pass joins them.
+    auto holding = holdings.begin();
+    std::size_t kept = 0;
+    for (const std::size_t match : alive) {
+      while (holding != holdings.end() && holding->endpoint < matches[match].endpoint) ++holding;
+      if (holding == holdings.end()) break;
+      if (holding->endpoint != matches[match].endpoint) continue;
+      const double trust = Trust(*holding, epochs[match], now);
+      if (trust <= 0) continue;
+      matches[match].blocks += trust;
+      alive[kept++] = match;
     }
-    if (!extended) break;
+    alive.resize(kept);
+    if (alive.empty()) break;
   }
-  std::vector<PrefixMatch> matches;
-  matches.reserve(progress.size());
-  for (const Progress& p : progress) matches.push_back({p.endpoint, p.trusted});
   return matches;
 }
 
--- a/verbenaridge/routing/prefix_index.h
+++ b/verbenaridge/routing/prefix_index.h
@@ -55,7 +55,7 @@
   // The endpoint died or restarted: its cache is empty.
   void Forget(Digest endpoint);
 
-  // Endpoints that hold at least the first block.
+  // Endpoints that hold at least the first block, in the order of their keys.
   std::vector<PrefixMatch> Match(std::span<const Digest> blocks, TimePoint now) const;
 
  private:
@@ -73,10 +73,12 @@
   };
 
   Holding& Find(Digest endpoint, Digest block);
+  // How far a holding counts; zero if it is evicted or too old.
+  double Trust(const Holding& holding, std::uint32_t epoch, TimePoint now) const;
   void DropHolding(Digest endpoint, Digest block);
 
   PrefixOptions options_;
-  std::unordered_map<Digest, std::vector<Holding>> blocks_;
+  std::unordered_map<Digest, std::vector<Holding>> blocks_;  // by endpoint
   std::unordered_map<Digest, EndpointState> endpoints_;
 };
 
--- a/verbenaridge/routing/routing_policy.h
+++ b/verbenaridge/routing/routing_policy.h
@@ -88,7 +88,7 @@
 
 struct PolicyOptions {
   TokenCount long_prompt_tokens = 16'000;
-  double long_share = 0.4;  // of the endpoints of a model in a data centre, rounded up
+  double long_share = 0.4;      // of the endpoints of a model in a data centre, rounded up
   double max_long_share = 0.6;  // with lent endpoints; the rest stay free for short prompts
   // A long prompt leaves its share only for an endpoint that starts it this much sooner.
   Duration lend_gain = std::chrono::seconds(1);
@@ -102,16 +102,16 @@
   // summaries do not choose alike.
   Duration spread = std::chrono::milliseconds(40);
   // Predicted waits above which an owner sends a request on to the next candidate.
-  std::array<Duration, kPriorityCount> redirect_above = {
-      std::chrono::milliseconds(50), std::chrono::milliseconds(150),
-      std::chrono::milliseconds(300)};
+  std::array<Duration, kPriorityCount> redirect_above = {std::chrono::milliseconds(50),
+                                                         std::chrono::milliseconds(150),
+                                                         std::chrono::milliseconds(300)};
   Duration report_lag = std::chrono::milliseconds(600);  // own dispatches count for so long
   std::array<Duration, kPriorityCount> spill_above = {
       std::chrono::milliseconds(500), std::chrono::seconds(5), std::chrono::seconds(30)};
   double spill_per_second = 2;  // requests this daemon may offer to other data centres
   double spill_burst = 5;
   Duration spill_accept_delay = std::chrono::milliseconds(100);  // reported by the other endpoint
-  Duration spill_cost = std::chrono::milliseconds(20);  // round trips and lost affinity
+  Duration spill_cost = std::chrono::milliseconds(20);           // round trips and lost affinity
   PrefixOptions prefix{};
 };
 
