--- a/verbenaridge/frontend/http_server.cc
+++ b/verbenaridge/frontend/http_server.cc
@@ -1,11 +1,12 @@
 #include "verbenaridge/frontend/http_server.h"
 
+#include <netinet/tcp.h>
 #include <strings.h>
 #include <sys/socket.h>
 
 #include <asio/post.hpp>
-#include <charconv>
 #include <restinio/all.hpp>
+#include <stdexcept>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -29,6 +30,7 @@
 using ReusePort = asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>;
 using KeepAliveIdle = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPIDLE>;
 using KeepAliveInterval = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPINTVL>;
+using UserTimeout = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
 using KeepAliveProbes = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPCNT>;
 
 restinio::http_status_line_t StatusLine(int status) {
@@ -97,14 +99,12 @@
     response.done([self = shared_from_this()](const asio::error_code&) { self->Release(); });
   }
 
-  void StartStream(int status, std::span<const ResponseHeader> headers, bool keep_alive) override {
+  void StartStream(int status, std::span<const ResponseHeader> headers) override {
     if (gone_ || ended_ || !request_) return;
-    stream_.emplace(
-        request_->create_response<restinio::user_controlled_output_t>(StatusLine(status)));
+    stream_.emplace(request_->create_response<restinio::chunked_output_t>(StatusLine(status)));
     request_.reset();
     for (const ResponseHeader& header : headers) stream_->append_header(header.name, header.value);
-    stream_->append_header("Transfer-Encoding", "chunked");
-    if (!keep_alive || shared_->stopping) stream_->connection_close();
+    if (shared_->stopping) stream_->connection_close();
   }
 
   void Append(std::string_view data) override {
@@ -114,8 +114,19 @@
     if (in_flight_ == 0) Flush();
   }
 
-  void Finish() override { End(true); }
-  void Abort() override { End(false); }
+  void Finish() override {
+    if (gone_ || ended_ || !stream_) return;
+    ended_ = true;
+    if (in_flight_ == 0) Complete();
+  }
+
+  // RESTinio closes a connection whose write notificator throws, and has no call for it.
+  void Abort() override {
+    if (gone_ || ended_ || !stream_) return;
+    ended_ = true;
+    on_gone_ = nullptr;
+    stream_->flush([](const asio::error_code&) { throw std::runtime_error("aborted"); });
+  }
 
   std::size_t unsent_bytes() const override { return unsent_; }
 
@@ -130,21 +141,15 @@
     gone_ = true;
     unsent_ = 0;
     pending_.clear();
-    ReportGone();
+    if (!ended_) ReportGone();
     Release();
   }
 
  private:
   // Tokens that arrive during a write are sent together with the next one.
   void Flush() {
-    std::array<char, 16> size{};
-    const auto [end, error] =
-        std::to_chars(size.data(), size.data() + size.size(), pending_.size(), 16);
-    std::string chunk(size.data(), end);
-    chunk.append("\r\n").append(pending_).append("\r\n");
     in_flight_ = pending_.size();
-    pending_.clear();
-    stream_->append_body(std::move(chunk));
+    stream_->append_chunk(std::exchange(pending_, {}));
     stream_->flush([self = shared_from_this()](const asio::error_code& error) {
       if (!error) self->OnWritten();
     });
@@ -154,23 +159,16 @@
     if (gone_) return;
     unsent_ -= in_flight_;
     in_flight_ = 0;
-    if (!pending_.empty()) {
-      Flush();
-    } else if (ended_) {
+    if (ended_) {
       Complete();
+      return;
     }
-    if (on_drained_ && !ended_) asio::post(shared_->io_context, on_drained_);
-  }
-
-  void End(bool with_end_mark) {
-    if (gone_ || ended_ || !stream_) return;
-    ended_ = true;
-    end_mark_ = with_end_mark;
-    if (in_flight_ == 0) Complete();
+    if (!pending_.empty()) Flush();
+    if (on_drained_) asio::post(shared_->io_context, on_drained_);
   }
 
   void Complete() {
-    if (end_mark_) stream_->append_body("0\r\n\r\n");
+    if (!pending_.empty()) stream_->append_chunk(std::exchange(pending_, {}));
     stream_->done([self = shared_from_this()](const asio::error_code&) { self->Release(); });
   }
 
@@ -196,12 +194,11 @@
   const std::shared_ptr<Shared> shared_;
   restinio::request_handle_t request_;
   const restinio::connection_id_t connection_;
-  std::optional<restinio::response_builder_t<restinio::user_controlled_output_t>> stream_;
+  std::optional<restinio::response_builder_t<restinio::chunked_output_t>> stream_;
   std::string pending_;
   std::size_t in_flight_ = 0;
   std::size_t unsent_ = 0;
   bool ended_ = false;
-  bool end_mark_ = true;
   bool gone_ = false;
   bool released_ = false;
   std::function<void()> on_gone_;
@@ -231,8 +228,8 @@
   using connection_state_listener_t = ConnectionListener;
   using request_handler_t =
       std::function<restinio::request_handling_status_t(restinio::request_handle_t)>;
-  static constexpr bool use_connection_count_limiter =
-      true;  // NOLINT(readability-identifier-naming)
+  // NOLINTNEXTLINE(readability-identifier-naming): RESTinio looks for this name.
+  static constexpr bool use_connection_count_limiter = true;
 };
 
 restinio::request_handling_status_t Serve(const std::shared_ptr<Shared>& shared,
@@ -275,7 +272,11 @@
         acceptor_options.set_option(asio::socket_base::reuse_address(true));
         if (share) acceptor_options.set_option(ReusePort(true));
       })
-      .socket_options_setter([](auto& socket_options) {
+      .socket_options_setter([write_timeout = options.write_timeout](auto& socket_options) {
+        // Closes a connection whose caller acknowledges nothing. Small answers fit into the
+        // kernel's buffer, so RESTinio's write timeout does not see them.
+        const auto limit = std::chrono::ceil<std::chrono::milliseconds>(write_timeout);
+        socket_options.set_option(UserTimeout(static_cast<int>(limit.count())));
         socket_options.set_option(asio::ip::tcp::no_delay(true));
         socket_options.set_option(asio::socket_base::keep_alive(true));
         socket_options.set_option(KeepAliveIdle(kKeepAliveIdleSeconds));
--- a/verbenaridge/mutation/mutation.h
+++ b/verbenaridge/mutation/mutation.h
@@ -44,6 +44,18 @@
   kUnboundedMerge,      // merged sets grow without limit
   kAdmitWhileSettling,  // a new owner admits a digest again before deaths are reported to it
   kNoIsolation,         // suspects run beside other requests
+  // plans
+  kPlanGoesBack,      // an older document replaces a newer one
+  kStartUnconfirmed,  // a starting daemon ignores the confirmed version
+  kIgnorePlanPause,   // a pause does not end serving
+  kIgnoreHostList,    // confirmation asks only for hosts that probing finds live
+  // ctl
+  kLostReplyIsConflict,  // a write of unknown fate is reported as not written
+  // membership
+  kNoDeadProbes,  // dead members are never asked again
+  kNoRefutation,  // a member does not contradict its own death
+  kOldestWins,    // merging keeps the state of the older incarnation
+  kLeavingOwns,   // a leaving host still owns endpoints in its own view
 };
 
 #ifdef VERBENARIDGE_MUTABLE
--- a/verbenaridge/permits/endpoint_owner.h
+++ b/verbenaridge/permits/endpoint_owner.h
@@ -44,6 +44,10 @@
   // A waiting caller left.
   Actions Cancel(const HolderId& holder, AttemptNumber attempt, TimePoint now);
 
+  // The engine sent the permit's first token. Without this message the owner goes by its
+  // predictions until the release, and lets the engine idle or queue when they are wrong.
+  Actions OnFirstToken(PermitId permit, TimePoint now);
+
   Actions Release(const ReleaseInput& input, TimePoint now);
 
   // Renews known permits and adopts unknown ones of an earlier owner. Returns revoked ids.
@@ -91,10 +95,13 @@
     ByteCount kv_bytes = 0;
     TokenCount max_output_tokens = 0;
     TokenCount cached_tokens = 0;
+    TokenCount prefill_tokens = 0;
     double prefill_seconds = 0;
     double ahead_seconds = 0;  // prefill work ahead of it when granted
     TimePoint granted{};
-    TimePoint prefill_end{};  // predicted
+    TimePoint prefill_end{};  // predicted, until the first token
+    bool prefilled = false;
+    bool promoted = false;  // counts as urgent prefill work
     TimePoint expiry{};
     bool is_long = false;
     bool isolate = false;
@@ -115,20 +122,25 @@
   Waiting Prepare(const PermitInput& input, TimePoint now) const;
   ByteCount usable_kv() const;
   ByteCount FreeKv(TimePoint now) const;
-  bool Fits(const Waiting& waiting, TimePoint now);
+  bool Fits(const Waiting& waiting, bool share_grant, TimePoint now);
   bool FitsMemory(const Waiting& waiting, TimePoint now) const;
   void Pump(TimePoint now, Actions& actions);
   void RefuseLate(TimePoint now, Actions& actions);
-  void GrantTo(std::uint64_t id, TimePoint now, Actions& actions);
+  void GrantTo(std::uint64_t id, bool share_grant, TimePoint now, Actions& actions);
   void Preempt(TimePoint now, Actions& actions);
   void RevokeFor(const Waiting& waiting, TimePoint now, Actions& actions);
   void RefuseAll(PermitReason reason, Actions& actions);
   Grant MakeGrant(PermitId id, const Permit& permit) const;
   Waiting Unqueue(std::uint64_t id);
   void Erase(PermitId id, TimePoint now, bool released);
-  void Learn(const Permit& permit, const ReleaseInput& input);
+  void LearnPrefill(Permit& permit, TimePoint first_token);
+  void LearnDecode(const Permit& permit, const ReleaseInput& input);
   void MeasureDrain(TimePoint now);
-  Duration QueueDelay(Priority priority, Priority engine_priority, TimePoint now);
+  // Until `cost` of the priority is served and a prompt of that engine priority starts.
+  Duration QueueDelay(Priority priority, double cost, Priority engine_priority, TimePoint now);
+  Duration DelayOf(const PermitInput& input, Priority engine_priority, TimePoint now);
+  bool IsShareGrant(Priority priority, TimePoint now);
+  void PromoteStarved(TimePoint now);
   std::size_t LongPrefills(TimePoint now) const;
 
   EndpointId endpoint_;
@@ -147,6 +159,8 @@
   std::map<std::pair<RequestId, AttemptNumber>, Unlisted> unlisted_;
 
   PrefillBacklog backlog_;
+  TimePoint last_prefilled_{};
+  cost::ObservedOutcome prefill_sample_;  // prompts since the last correction
   LoadReport report_;
   ByteCount reserved_kv_ = 0;
   ByteCount orphan_kv_ = 0;  // of streams without a permit
@@ -158,8 +172,11 @@
   bool paused_ = false;
   bool isolated_ = false;  // a suspect runs
 
-  double drain_rate_ = 1;  // queued cost served per second while there is a queue
-  double drained_cost_ = 0;
+  // Cost served per second, by priority, while that priority had a queue. It includes what higher
+  // priorities take.
+  std::array<double, kPriorityCount> drain_rate_ = {1, 1, 1};
+  std::array<double, kPriorityCount> drained_cost_{};
+  std::array<bool, kPriorityCount> had_queue_{};
   TimePoint drain_from_{};
 };
 
