Show the tool's messages when a row of ctl_test fails

Cause: under AddressSanitizer the row "lost request" answered 5 instead of 6 in two builds made while sources changed; the rebuilt test passes, and the cause was not found. Conclusion: a repeat will show the message.

--- a/verbenaridge/ctl/ctl_test.cc
+++ b/verbenaridge/ctl/ctl_test.cc
@@ -194,7 +194,9 @@
   for (const Row& row : rows) {
     CAPTURE(row.name);
     Tool tool;
-    CHECK(row.run(tool) == row.code);
+    const ExitCode code = row.run(tool);
+    CAPTURE(tool.err.str());
+    CHECK(code == row.code);
     CHECK(tool.Stored() == row.stored);
     CAPTURE(tool.out.str());
     CHECK(tool.out.str().find(row.text) != std::string::npos);
