--- a/verbenaridge/routing/prefix_blocks.h
+++ b/verbenaridge/routing/prefix_blocks.h
@@ -1,6 +1,7 @@
-// Digests of the leading blocks of a prompt, which name its cached prefixes.
+// Digests of the leading blocks of a prompt, which name its cached prefixes as engines' cache events do
+// (docs/endpoint_protocol.md).
 //
-//   std::vector<Digest> blocks = PrefixBlocks(model.value(), prompt);
+//   std::vector<Digest> blocks = PrefixBlocks(prompt);
 #ifndef VERBENARIDGE_ROUTING_PREFIX_BLOCKS_H_
 #define VERBENARIDGE_ROUTING_PREFIX_BLOCKS_H_
 
@@ -19,7 +20,7 @@
 
 // The digest of block i covers blocks 0 to i, so equal digests mean equal prefixes. A last block that
 // is not full is left out.
-std::vector<Digest> PrefixBlocks(std::string_view model, std::string_view prompt);
+std::vector<Digest> PrefixBlocks(std::string_view prompt);
 
 }  // namespace verbenaridge::routing
 
