--- a/verbenaridge/replay/replayer.cc
+++ b/verbenaridge/replay/replayer.cc
@@ -221,7 +221,8 @@
   const Index index = found->second;
   Active& active = active_[index];
   if (active.group) {
-    if (++active.members_prefilled < active.members.size()) return;
+    if (++active.members_prefilled != active.members.size()) return;
+    StartGroupDecode(index);
   }
   active.first_token = scheduler_.now();
   if (permits_ && active.endpoint) {
--- a/verbenaridge/replay/replayer.h
+++ b/verbenaridge/replay/replayer.h
@@ -112,6 +112,8 @@
   void StartGroup(Index request);
   void PerformGroup(Index request, const groups::GroupActions& actions);
   void DispatchGroup(Index request);
+  // The first member decodes once all members hold their part of the KV cache.
+  void StartGroupDecode(Index request);
   Index EndpointIndex(const EndpointId& id) const { return endpoint_index_.at(id); }
 
   FleetSpec fleet_;
--- a/verbenaridge/replay/replayer_permits.cc
+++ b/verbenaridge/replay/replayer_permits.cc
@@ -169,6 +169,10 @@
       engines_[active.members[i].first]->Cancel(active.stream + i);
       streams_.erase(active.stream + i);
     }
+    if (!active.members.empty()) {
+      engines_[active.members.front().first]->Cancel(active.stream + active.members.size());
+      streams_.erase(active.stream + active.members.size());
+    }
     PerformGroup(index, group->Finish());
     active.members.clear();
     return;
@@ -309,10 +313,21 @@
         .prompt_tokens = request.prompt_tokens / count,
         .output_tokens = request.output_tokens,
         .memory_tokens = request.prompt_tokens / count + request.max_output_tokens,
-        .hold_after_prefill = i > 0};
+        .hold_after_prefill = true};
     streams_[spec.id] = index;
     engines_[active.members[i].first]->Start(spec);
   }
+  ++next_stream_;  // the id of the decoding stream follows those of the members
+}
+
+void Replayer::StartGroupDecode(Index index) {
+  const Active& active = active_[index];
+  const StreamSpec spec{.id = active.stream + active.members.size(),
+                        .rank = 0,
+                        .prompt_tokens = 1,
+                        .output_tokens = trace_.requests[index].output_tokens};
+  streams_[spec.id] = index;
+  engines_[active.members.front().first]->Start(spec);
 }
 
 }  // namespace verbenaridge::replay
