--- a/verbenaridge/daemon/account_owner.cc
+++ b/verbenaridge/daemon/account_owner.cc
@@ -73,7 +73,7 @@
     return Refuse(wire::RefusalReason::kDuplicateInFlight, kDuplicateRetry);
   }
   const admission::AdmitDecision decision = ledger_.Admit(ToAdmitInput(request), clock_.Now());
-  if (!decision.admitted) FinishGate(request, deaths);
+  if (!decision.admitted) WithdrawGate(request);
   wire::AdmitReply reply = ToAdmitReply(decision);
   reply.isolate = gate == poison::GateDecision::kRunAlone;
   return reply;
@@ -114,7 +114,7 @@
   if (request.completed && request.digest != 0) {
     exonerated = registry_.OnCompleted(request.digest, wall);
   }
-  FinishGate(request.holder, request.client_account, request.digest, deaths, request.completed);
+  FinishGate(request, deaths);
   if (!deaths.empty() || !exonerated.empty()) changes_(std::move(deaths), std::move(exonerated));
   ledger_.Finish(request.holder, request.client_account,
                  {.tokens_admitted = request.tokens_admitted, .tokens_used = request.tokens_used},
