Resume at another data centre when an endpoint's process is gone

Cause: the demo's stream ended as interrupted when the only endpoint of its data centre was killed: permit requests did not use the list of endpoints that had failed the request, so the dead one was asked until the attempts ran out. Predictions for endpoints of other owners used a default rate and refused a prompt of 1,000,000 tokens that takes 5 s. fleet_test missed both, because its crashed endpoint came back at once. Change: AskPermit chooses by ChooseRoute; cost models start from the rates in the settings; fleet_test ends an endpoint for good; linter findings in the daemon are fixed.

--- a/verbenaridge/daemon/completion_run.cc
+++ b/verbenaridge/daemon/completion_run.cc
@@ -124,9 +124,7 @@
 
 void CompletionRun::AskPermit(const attempts::AskPermit& ask) {
   const SnapshotPtr snapshot = context_.snapshot;
-  const std::vector<Digest> excluded = OpenBreakers();
-  const routing::RouteDecision route = context_.routing.Choose(RouteRequestFor(*snapshot, excluded),
-                                                               snapshot->routes, context_.random);
+  const routing::RouteDecision route = ChooseRoute(*snapshot);
   if (route.candidates().empty()) {
     RefuseRoute(route.failure, ask.attempt);
     return;
@@ -279,8 +277,8 @@
                              .preemptible = identity_.priority != Priority::kUrgent},
                             [weak = weak_from_this(), permit = attempt_.permit] {
                               auto self = std::static_pointer_cast<CompletionRun>(weak.lock());
-                              if (self)
-                                self->Execute(self->machine_.OnPermitRevoked(permit, self->now()));
+                              if (!self) return;
+                              self->Execute(self->machine_.OnPermitRevoked(permit, self->now()));
                             });
 }
 
--- a/verbenaridge/daemon/daemon.cc
+++ b/verbenaridge/daemon/daemon.cc
@@ -81,13 +81,15 @@
       clock_,
       ControlPlane::Outputs{.publish_snapshot =
                                 [this](const SnapshotPtr& snapshot) {
-                                  for (const auto& thread : traffic_)
+                                  for (const auto& thread : traffic_) {
                                     thread->PublishSnapshot(snapshot);
+                                  }
                                 },
                             .publish_suspects =
                                 [this](const SuspectUpdate& update) {
-                                  for (const auto& thread : traffic_)
+                                  for (const auto& thread : traffic_) {
                                     thread->PublishSuspects(update);
+                                  }
                                 },
                             .busy = [this] { return Busy(); },
                             .metrics = [this] { return metrics_.PrometheusText(); },
--- a/verbenaridge/daemon/endpoint_owners.cc
+++ b/verbenaridge/daemon/endpoint_owners.cc
@@ -159,7 +159,7 @@
 }
 
 void EndpointOwners::Request(const wire::PermitRequest& request,
-                             std::shared_ptr<wire::ServerCall> call) {
+                             const std::shared_ptr<wire::ServerCall>& call) {
   Owned* owned = Find(request.endpoint);
   if (owned == nullptr) {
     call->Answer(wire::PermitReply{.reason = wire::RefusalReason::kNotOwner});
@@ -210,7 +210,7 @@
 }
 
 void EndpointOwners::Release(const wire::ReleasePermitRequest& request,
-                             std::shared_ptr<wire::ServerCall> call) {
+                             const std::shared_ptr<wire::ServerCall>& call) {
   Owned* owned = Find(request.endpoint);
   if (owned == nullptr) {
     call->Fail(Errc::kNotFound);
@@ -312,9 +312,8 @@
   owned->fetching = true;
   endpoints_.FetchLoad(
       owned->url, kLoadTimeout,
-      [this, endpoint, reconcile, done = std::move(done)](Result<engine::LoadReport> report) {
-        OnLoad(endpoint, reconcile, report, done);
-      });
+      [this, endpoint, reconcile, done = std::move(done)](
+          const Result<engine::LoadReport>& report) { OnLoad(endpoint, reconcile, report, done); });
 }
 
 void EndpointOwners::OnLoad(const EndpointId& endpoint, bool reconcile,
@@ -377,7 +376,7 @@
   owned.fetching_events = true;
   endpoints_.FetchCacheEvents(
       owned.url, owned.cache_sequence, kLoadTimeout,
-      [this, id = owned.id](Result<std::vector<engine::CacheEvent>> events) {
+      [this, id = owned.id](const Result<std::vector<engine::CacheEvent>>& events) {
         Owned* owned = Find(id);
         if (owned == nullptr) return;
         owned->fetching_events = false;
--- a/verbenaridge/daemon/endpoint_owners.h
+++ b/verbenaridge/daemon/endpoint_owners.h
@@ -45,8 +45,9 @@
 
   void SetSnapshot(SnapshotPtr snapshot);
 
-  void Request(const wire::PermitRequest& request, std::shared_ptr<wire::ServerCall> call);
-  void Release(const wire::ReleasePermitRequest& request, std::shared_ptr<wire::ServerCall> call);
+  void Request(const wire::PermitRequest& request, const std::shared_ptr<wire::ServerCall>& call);
+  void Release(const wire::ReleasePermitRequest& request,
+               const std::shared_ptr<wire::ServerCall>& call);
   void OnFirstToken(const wire::FirstTokenRequest& request);
   wire::RenewPermitsReply Renew(const wire::RenewPermitsRequest& request);
 
--- a/verbenaridge/daemon/fleet_view.cc
+++ b/verbenaridge/daemon/fleet_view.cc
@@ -106,8 +106,9 @@
       socket_(
           io_context,
           {.listen = {settings.inner.ip, settings.inner.port}, .self = settings.host, .keys = keys},
-          clock,
-          [this](wire::Datagram datagram, const wire::PeerAddress&) { OnDatagram(datagram); }) {}
+          clock, [this](const wire::Datagram& datagram, const wire::PeerAddress&) {
+            OnDatagram(datagram);
+          }) {}
 
 void FleetView::Tick() { Perform(table_.Tick(clock_.Now())); }
 
--- a/verbenaridge/daemon/plan_service.cc
+++ b/verbenaridge/daemon/plan_service.cc
@@ -22,7 +22,7 @@
 
 }  // namespace
 
-PlanService::PlanService(Options options, asio::io_context& io_context, const Clock& clock,
+PlanService::PlanService(const Options& options, asio::io_context& io_context, const Clock& clock,
                          RandomSource& random, platform::KeyValueStore& store, PeerRouter& router,
                          std::function<void()> changed)
     : options_(options),
@@ -70,7 +70,7 @@
 }
 
 void PlanService::ReadStore(plans::SessionNumber session) {
-  store_.Read(plans::kCurrentPlanKey, [this, session](Result<platform::StoredValue> value) {
+  store_.Read(plans::kCurrentPlanKey, [this, session](const Result<platform::StoredValue>& value) {
     if (value.has_error()) return;  // asked again in the next round
     const bool exists = value.value().version != 0;
     const plans::PlanDocumentPtr document = exists ? Decode(value.value().value) : nullptr;
@@ -82,7 +82,7 @@
 
 void PlanService::ReadConfirmed() {
   store_.Read(plans::ConfirmedPlanKey(options_.data_centre),
-              [this](Result<platform::StoredValue> value) {
+              [this](const Result<platform::StoredValue>& value) {
                 if (value.has_error()) return;
                 const auto version = plan_codec::DecodeConfirmed(value.value().value);
                 if (version) OnConfirmed(options_.data_centre, *version);
@@ -178,7 +178,7 @@
 void PlanService::Watch() {
   watch_pending_ = true;
   store_.Watch(plans::kCurrentPlanKey, watched_version_, kWatchWait,
-               [this](Result<platform::StoredValue> value) { OnWatched(value); });
+               [this](const Result<platform::StoredValue>& value) { OnWatched(value); });
 }
 
 void PlanService::OnWatched(const Result<platform::StoredValue>& value) {
@@ -204,7 +204,7 @@
 // Confirmed versions only grow: the write is a compare-and-swap on what was read.
 void PlanService::WriteConfirmed(PlanVersion version) {
   store_.Read(plans::ConfirmedPlanKey(options_.data_centre),
-              [this, version](Result<platform::StoredValue> value) {
+              [this, version](const Result<platform::StoredValue>& value) {
                 if (value.has_error()) return;  // the distributor asks again
                 RaiseConfirmed(version, value.value());
               });
@@ -219,7 +219,7 @@
   }
   store_.CompareAndSwap(plans::ConfirmedPlanKey(options_.data_centre), current.version,
                         plan_codec::EncodeConfirmed(version),
-                        [this, version](Result<platform::KeyVersion> written) {
+                        [this, version](const Result<platform::KeyVersion>& written) {
                           if (written.has_error()) return;
                           distributor_.OnConfirmedWritten(version);
                           OnConfirmed(options_.data_centre, version);
--- a/verbenaridge/daemon/plan_service.h
+++ b/verbenaridge/daemon/plan_service.h
@@ -30,7 +30,7 @@
   };
 
   // `changed` runs when another document is in force or the daemon starts or stops serving.
-  PlanService(Options options, asio::io_context& io_context, const Clock& clock,
+  PlanService(const Options& options, asio::io_context& io_context, const Clock& clock,
               RandomSource& random, platform::KeyValueStore& store, PeerRouter& router,
               std::function<void()> changed);
 
--- a/verbenaridge/daemon/snapshot_builder.cc
+++ b/verbenaridge/daemon/snapshot_builder.cc
@@ -11,6 +11,7 @@
 
 std::vector<membership::WeightedHost> Weighted(const std::vector<const HostView*>& hosts) {
   std::vector<membership::WeightedHost> weighted;
+  weighted.reserve(hosts.size());
   for (const HostView* host : hosts) weighted.push_back({.host = host->host});
   return weighted;
 }
--- a/verbenaridge/daemon/traffic_thread.cc
+++ b/verbenaridge/daemon/traffic_thread.cc
@@ -31,6 +31,7 @@
   void Serve(wire::Request request, std::shared_ptr<wire::ServerCall> call) override;
 
   void SetSnapshot(const SnapshotPtr& snapshot);
+  void SeedCosts();
 
   TrafficThread& thread;
   const Options& options;
@@ -75,7 +76,9 @@
       endpoints(owner.loop_.io_context(), http, {}),
       accounts(owner.clock_, [&owner](auto deaths, auto exonerations) {
         owner.reports_.suspects({std::move(deaths), std::move(exonerations)});
-      }) {}
+      }) {
+  SeedCosts();
+}
 
 TrafficThread::Parts::Connections::Connections(Parts& parts, const CallDispatcher& dispatcher)
     : transport(parts.thread.loop_.io_context(),
@@ -165,6 +168,17 @@
   }
 }
 
+// Predictions for endpoints that another thread or daemon owns start from the settings.
+void TrafficThread::Parts::SeedCosts() {
+  for (const settings::EndpointSettings& endpoint : options.settings.endpoints) {
+    if (endpoint.kind != settings::EndpointKind::kModel) continue;
+    costs.OnLoadReport(endpoint.id,
+                       {.prefill_tokens_per_second = endpoint.prefill_tokens_per_second,
+                        .decode_step = endpoint.decode_step,
+                        .kv_bytes_per_token = endpoint.kv_bytes_per_token});
+  }
+}
+
 void TrafficThread::Parts::SetSnapshot(const SnapshotPtr& snapshot) {
   connections->context.snapshot = snapshot;
   connections->router.SetSnapshot(snapshot);
--- a/verbenaridge/fleet_tests/fleet_test.cc
+++ b/verbenaridge/fleet_tests/fleet_test.cc
@@ -124,12 +124,14 @@
 
 // Guards against tokens lost or doubled when an endpoint dies or goes silent under a stream.
 TEST_CASE("streams survive their endpoint") {
-  enum class Fault { kCrash, kSilent };
+  enum class Fault { kCrash, kSilent, kGone };
   struct Row {
     const char* name;
     Fault fault;
   };
-  const Row rows[] = {{"crash", Fault::kCrash}, {"silent connection", Fault::kSilent}};
+  const Row rows[] = {{"crash", Fault::kCrash},
+                      {"silent connection", Fault::kSilent},
+                      {"process gone", Fault::kGone}};
   for (const Row& row : rows) {
     CAPTURE(std::string(row.name));
     TestFleet fleet({.engine = {.decode_step = std::chrono::milliseconds(10)}});
@@ -146,6 +148,7 @@
     fleet.OnFakes([&] {
       if (row.fault == Fault::kCrash) fleet.endpoint(0).Crash();
       if (row.fault == Fault::kSilent) fleet.endpoint(0).SetSilent(true);
+      if (row.fault == Fault::kGone) fleet.RemoveEndpoint(0);
     });
     for (auto& reply : replies) {
       const HttpReply ended = reply();
--- a/verbenaridge/fleet_tests/test_fleet.cc
+++ b/verbenaridge/fleet_tests/test_fleet.cc
@@ -207,7 +207,7 @@
                .timeout = kCallTimeout});
 }
 
-HttpReply TestFleet::Operator(std::size_t daemon, std::string method, std::string path,
+HttpReply TestFleet::Operator(std::size_t daemon, std::string method, const std::string& path,
                               std::string body) {
   return Send({.method = std::move(method),
                .url = BaseUrl(ports_[3 * daemon + 1]) + path,
--- a/verbenaridge/fleet_tests/test_fleet.h
+++ b/verbenaridge/fleet_tests/test_fleet.h
@@ -63,7 +63,7 @@
   HttpReply Complete(std::size_t daemon, const CompletionOptions& options);
   HttpReply CallService(std::size_t daemon, const ServiceOptions& options);
   HttpReply LookUp(std::size_t daemon, std::string_view idempotency_key);
-  HttpReply Operator(std::size_t daemon, std::string method, std::string path,
+  HttpReply Operator(std::size_t daemon, std::string method, const std::string& path,
                      std::string body = {});
   HttpReply Send(net::HttpRequest request);
 
@@ -76,6 +76,8 @@
 
   fakes::FakePlatform& platform() { return *platform_; }
   fakes::FakeEndpoint& endpoint(std::size_t index) { return *endpoints_[index]; }
+  // Ends the endpoint as the end of its process does. Call on the thread of the fakes.
+  void RemoveEndpoint(std::size_t index) { endpoints_[index].reset(); }
   fakes::FakeEndpoint& service() { return *service_; }
 
   void StartDaemon(std::size_t index);
