--- a/tools/soak.sh
+++ b/tools/soak.sh
@@ -181,9 +181,9 @@
 
 # ---- tally ---------------------------------------------------------------------------------------
 
-# Classifies each request of daemon $1: a transport error or a stream without [DONE] is "apart" if
-# the daemon was killed or paused meanwhile, or if a draining daemon had not answered the request
-# that came after SIGTERM; otherwise it ended without an honest end.
+# Classifies each request of daemon $1: a transport error or a stream without [DONE] is "apart" if it
+# came while the daemon was killed or paused, or if a draining daemon had not answered the request that
+# came after SIGTERM; otherwise it ended without an honest end.
 classify() {
   touch "$FLEET_DIR/faults.log"
   awk -v part="d$1" -v base="$(cat "$FLEET_DIR/load$1.start")" '
@@ -193,7 +193,7 @@
       if (out !~ /^transport/ && out !~ /without/) { print "end", out; next }
       verdict = "NO_END"
       for (i = 1; i <= n; i++) {
-        if (end < from[i] - 0.2 || f[1] > to[i] + 2) continue
+        if (end < from[i] - 0.2 || end > to[i] + 2) continue
         if (kind[i] != "drain_daemon" || (f[8] == 0 && end >= from[i] && f[1] >= from[i] - 0.1)) {
           verdict = "apart"
         }
@@ -236,13 +236,15 @@
         for (reply in replies) print "sum  replies", reply, replies[reply] }' - <(cat "$FLEET_DIR"/orders.?.log)
 }
 
-# Names order calls with no answer that no kill, pause or drain of their daemon explains. A pause is
+# Names order calls with no answer that no kill or pause of their daemon, or refusal while it drains,
+# explains. A pause is
 # shorter than the time between an order's deadline and the end of the wait (curl code 28).
 unexplained_orders() {
   touch "$FLEET_DIR/faults.log"
-  awk 'FNR == NR { n++; part[n] = $1; from[n] = $3; to[n] = $4; next }
+  awk 'FNR == NR { n++; part[n] = $1; kind[n] = $2; from[n] = $3; to[n] = $4; next }
     $7 == "broken" { apart = 0; end = $1 + 20
       for (i = 1; i <= n; i++) {
+        if (kind[i] == "drain_daemon" && $5 != 7) continue
         if ($5 != 28 && part[i] == "d" $4 && from[i] <= end && $1 <= to[i] + 2) apart = 1
       }
       if (!apart) print "bad", $0, "no answer" }' "$FLEET_DIR/faults.log" <(cat "$FLEET_DIR"/orders.?.log)
