--- a/tools/measure_fleet.sh
+++ b/tools/measure_fleet.sh
@@ -1,11 +1,15 @@
 #!/usr/bin/env bash
 # Measures fleets of real daemons on one machine, at rest and under plan changes, and prints one table row per size.
 # Usage: BIN=build/bin tools/measure_fleet.sh [SIZE ...]   (default 5 15 30 60)
-# REST_S, CHANGES and PHASE_S set the time at rest, the changes per phase and the time limit of a phase.
+# REST_S, CHANGES, PHASE_S, ACCOUNTS, ENDPOINTS and REQUESTS set the time at rest, the changes per phase,
+# the time limit of a phase, the client accounts of the plan, the endpoints, and the requests sent per output length.
 set -euo pipefail
 bin=${BIN:-build/bin}
 rest_s=${REST_S:-30}
 changes=${CHANGES:-20}
+endpoints_wanted=${ENDPOINTS:-0}  # 0: half the daemons and one, at most 20
+requests=${REQUESTS:-0}          # 0: no requests are sent
+account_count=${ACCOUNTS:-10}
 phase_s=${PHASE_S:-120}
 max_servers=${MAX_SERVERS:-58}  # leaves room for this script and its tools within 64 processes
 min_endpoint_processes=3
@@ -13,6 +17,7 @@
 work=$(mktemp -d)
 centres=(furano nakafurano biei)
 model=lavender-7b
+caller_key=measure-caller-key
 pids=()
 
 stop_all() {
@@ -56,23 +61,26 @@
   echo "{\"hosts\":[$(join "${hosts[@]}")]}" >"$work/hosts.json"
 }
 
-# Writes a plan of 10 client accounts; the weight makes each version differ from the one before.
+# Writes a plan of ACCOUNTS client accounts; the weight makes each version differ from the one before.
 write_plan() {
-  local a accounts=()
-  for ((a = 0; a < 10; a++)); do
-    accounts+=("{\"client_account\":\"account-$a\",\"plan\":\"buyers\",\"key_hashes\":[\"$(printf '%064x' $((a + 1)))\"],\
+  local a hash accounts=()
+  for ((a = 0; a < account_count; a++)); do
+    printf -v hash '%064x' $((a + 1))
+    [ "$a" -eq 0 ] && hash=$(printf %s "$caller_key" | sha256sum | cut -c1-64)
+    accounts+=("{\"client_account\":\"account-$a\",\"plan\":\"buyers\",\"key_hashes\":[\"$hash\"],\
 \"weight\":$1,\"default_priority\":\"urgent\",\"default_deadline_ms\":30000}")
   done
   echo "{\"client_accounts\":[$(join "${accounts[@]}")],\"plans\":[{\"id\":\"buyers\",\"models\":[\"$model\"],\
-\"services\":[],\"priorities\":[\"urgent\",\"standard\"],\"requests_per_second\":20,\"tokens_per_second\":50000,\
-\"concurrent_cost_seconds\":120,\"max_prompt_tokens\":1000000}],\"history\":[]}" >"$work/plan.json"
+\"services\":[],\"priorities\":[\"urgent\",\"standard\"],\"requests_per_second\":100000,\"tokens_per_second\":50000000,\
+\"concurrent_cost_seconds\":100000,\"max_prompt_tokens\":1000000}],\"history\":[]}" >"$work/plan.json"
 }
 
 start_fleet() {
   local i e
   "$bin/fake_platform" --port "$port" >/dev/null 2>"$work/platform.err" & pids+=($!)
   for ((e = 0; e < endpoint_processes; e++)); do
-    "$bin/fake_endpoint" --port $((port + 700 + e)) --models "$model" >/dev/null 2>>"$work/endpoint.err" & pids+=($!)
+    "$bin/fake_endpoint" --port $((port + 700 + e)) --models "$model" --time-scale 20 \
+      >/dev/null 2>>"$work/endpoint.err" & pids+=($!)
   done
   curl -s -o /dev/null --retry 20 --retry-connrefused --retry-delay 1 "$store/counters"
   curl -sf -o /dev/null -X PUT --data-binary "@$work/hosts.json" "$store/set-hosts"
@@ -160,9 +168,11 @@
 # the start is printed beside them.
 measure_rest() {
   local lo udp store_before store_after begin
-  cpu_ticks >"$work/cpu0"; tcp_sent >"$work/tcp"; lo=$(lo_bytes); udp=$(udp_sent); store_before=$(curl -s "$store/counters"); now_ms; begin=$now
+  cpu_ticks >"$work/cpu0"; tcp_sent >"$work/tcp"; lo=$(lo_bytes); udp=$(udp_sent)
+  store_before=$(curl -s "$store/counters"); now_ms; begin=$now
   sleep "$rest_s"
-  cpu_ticks >"$work/cpu1"; lo=$(($(lo_bytes) - lo)); udp=$(($(udp_sent) - udp)); store_after=$(curl -s "$store/counters")
+  cpu_ticks >"$work/cpu1"; lo=$(($(lo_bytes) - lo)); udp=$(($(udp_sent) - udp))
+  store_after=$(curl -s "$store/counters")
   tcp_sent >>"$work/tcp"
   now_ms
   local seconds; seconds=$(awk -v ms=$((now - begin)) 'BEGIN { print ms / 1000 }')
@@ -184,9 +194,47 @@
   rest_result="$cpu | $memory | $traffic | $store_rate"
 }
 
+# Waits until every daemon shows a load summary of every endpoint, at most 60 s. Sets summaries_ms (-1: not by then).
+wait_for_summaries() {
+  local text rest
+  summaries_ms=-1
+  while now_ms; [ $((now - started)) -lt 60000 ]; do
+    text=$(curl -s -m 5 "${status_urls[@]}" || true)
+    rest=${text//free_kv_bytes/}
+    if [ $(((${#text} - ${#rest}) / 13)) -eq $((daemons * endpoint_count)) ]; then
+      now_ms; summaries_ms=$((now - started)); return 0
+    fi
+    sleep 0.5
+  done
+}
+
+# Sends requests of about 1,000 prompt tokens and $1 output tokens to all daemons in turn, 16 at once, and prints
+# the processor time of all daemons for each.
+measure_requests() {
+  local r prompt begin before after
+  prompt=$(printf 'word %.0s' {1..800})
+  for ((r = 0; r < requests; r++)); do
+    [ "$r" -gt 0 ] && echo next
+    printf 'url = "http://127.0.0.1:%d/v1/completions"\nheader = "Authorization: Bearer %s"\n' \
+      $((port + 100 + r % daemons)) "$caller_key"
+    printf 'header = "Content-Type: application/json"\noutput = "/dev/null"\n'
+    printf 'write-out = "%%{http_code}/%%{exitcode}\\n"\n'
+    printf 'data = "{\\"model\\":\\"%s\\",\\"stream\\":true,\\"max_tokens\\":%d,\\"prompt\\":\\"%d %d %s\\"}"\n' \
+      "$model" "$1" "$1" "$r" "$prompt"
+  done >"$work/requests"
+  before=$(cpu_ticks | awk '{ t += $1 } END { print t }'); now_ms; begin=$now
+  curl -s -Z --no-progress-meter --parallel-max 16 -K "$work/requests" >"$work/codes" 2>/dev/null || true
+  now_ms
+  after=$(cpu_ticks | awk '{ t += $1 } END { print t }')
+  echo "requests with $1 output tokens, $daemons daemons: $requests in $((now - begin)) ms, processor time of" \
+    "all daemons $(((after - before) * 10)) ms, answers by HTTP status and exit code of curl:" \
+    "$(sort "$work/codes" | uniq -c | tr -s ' \n' ' ')" >&2
+}
+
 measure_size() {
   daemons=$1
   endpoint_count=$((daemons / 2 + 1)); [ "$endpoint_count" -gt 20 ] && endpoint_count=20
+  [ "$endpoints_wanted" -gt 0 ] && endpoint_count=$endpoints_wanted
   if [ $((daemons + 1 + min_endpoint_processes)) -gt "$max_servers" ]; then
     daemons=$((max_servers - 1 - min_endpoint_processes))
     echo "size $1 reduced to $daemons daemons by the limit on processes" >&2
@@ -200,17 +248,22 @@
   load_before=$(cut -d' ' -f1 /proc/loadavg)
   lo=$(lo_bytes); udp=$(udp_sent); sleep 5
   base_lo=$((($(lo_bytes) - lo) / 5)); base_udp=$((($(udp_sent) - udp) / 5))
+  now_ms; local started=$now
   start_fleet
   write_plan 1; version=1
   sleep 3
   apply_plan 1
   echo "size $daemons: first plan: tool exit $tool_rc after $tool_ms ms, everywhere $everywhere_ms ms" >&2
+  wait_for_summaries
+  echo "size $daemons: summaries of $endpoint_count endpoints everywhere after $summaries_ms ms from the start" >&2
   sleep 5  # lets the gossip of the start die down
   measure_rest
+  if [ "$requests" -gt 0 ]; then measure_requests 1; measure_requests 201; fi
   change_plans; local fast=$phase_result
   curl -sf -o /dev/null -X PUT -d '{"delay_ms":100}' "$store/control"
   change_plans; local slow=$phase_result
-  echo "| $daemons | $endpoint_count ($endpoint_processes) | $load_before, $(cut -d' ' -f1 /proc/loadavg) | $rest_result| $fast | $slow |"
+  echo "| $daemons | $endpoint_count ($endpoint_processes) | $load_before, $(cut -d' ' -f1 /proc/loadavg) | \
+$rest_result| $fast | $slow |"
   stop_all
 }
 
