--- a/tools/measure_fleet.sh
+++ b/tools/measure_fleet.sh
@@ -8,6 +8,7 @@
 rest_s=${REST_S:-30}
 changes=${CHANGES:-20}
 endpoints_wanted=${ENDPOINTS:-0}  # 0: half the daemons and one, at most 20
+summaries_s=${SUMMARIES_S:-60}
 requests=${REQUESTS:-0}          # 0: no requests are sent
 account_count=${ACCOUNTS:-10}
 phase_s=${PHASE_S:-120}
@@ -194,11 +195,11 @@
   rest_result="$cpu | $memory | $traffic | $store_rate"
 }
 
-# Waits until every daemon shows a load summary of every endpoint, at most 60 s. Sets summaries_ms (-1: not by then).
+# Waits until every daemon shows a load summary of every endpoint, at most SUMMARIES_S. Sets summaries_ms (-1: not).
 wait_for_summaries() {
   local text rest
   summaries_ms=-1
-  while now_ms; [ $((now - started)) -lt 60000 ]; do
+  while now_ms; [ $((now - started)) -lt $((summaries_s * 1000)) ]; do
     text=$(curl -s -m 5 "${status_urls[@]}" || true)
     rest=${text//free_kv_bytes/}
     if [ $(((${#text} - ${#rest}) / 13)) -eq $((daemons * endpoint_count)) ]; then
