Serve prompts over one engine's memory by endpoint groups

Cause: the daemon refused every prompt that no single endpoint can hold, although both fleets send prompts of more than twice one engine's memory. Change: GroupPermits asks the members' owners in the order of the groups package, holds and renews their permits, and gives all back at the end; the completion is dispatched to the first member with the others' addresses. Linter findings in the daemon and the log are fixed. After: fleet_test serves prompts of 1.25 and 2.25 times an engine's memory, refuses 5 times at once, and finds no memory held afterwards (9 assertions).

--- a/verbenaridge/daemon/completion_run.cc
+++ b/verbenaridge/daemon/completion_run.cc
@@ -17,6 +17,14 @@
 constexpr Duration kTokenGapLimit = std::chrono::seconds(5);
 constexpr Duration kNoticeDeadline = std::chrono::seconds(1);
 
+EndpointId AnyEndpointOf(const Snapshot& snapshot, const ModelId& model) {
+  for (const EndpointView& view : snapshot.endpoints) {
+    const auto& models = view.settings.models;
+    if (std::find(models.begin(), models.end(), model) != models.end()) return view.settings.id;
+  }
+  return {};
+}
+
 attempts::AttemptEnd ToAttemptEnd(engine::AttemptEnd end) {
   switch (end) {
     case engine::AttemptEnd::kCompleted:
@@ -125,6 +133,10 @@
 void CompletionRun::AskPermit(const attempts::AskPermit& ask) {
   const SnapshotPtr snapshot = context_.snapshot;
   const routing::RouteDecision route = ChooseRoute(*snapshot);
+  if (route.failure == routing::RouteFailure::kTooLong) {
+    AskGroup(ask, snapshot);
+    return;
+  }
   if (route.candidates().empty()) {
     RefuseRoute(route.failure, ask.attempt);
     return;
@@ -171,18 +183,10 @@
   Refused({.attempt = attempt, .retryable = !never, .retry_after = kNoEndpointRetry}, reason);
 }
 
-wire::PermitRequest CompletionRun::PermitMessage(const routing::CandidateAsk& candidate_ask,
-                                                 const EndpointView& endpoint) const {
-  const routing::Candidate& candidate = candidate_ask.candidate;
-  const cost::Prediction prediction =
-      context_.costs.Predict(endpoint.settings.id, input_.model,
-                             {.prompt_tokens = input_.prompt_tokens,
-                              .cached_tokens = candidate.cached_tokens,
-                              .max_output_tokens = input_.max_tokens - machine_.delivered()});
+wire::PermitRequest CompletionRun::BasePermitMessage(AttemptNumber attempt) const {
   wire::PermitRequest request;
   request.holder = holder_;
-  request.attempt = permit_ask_->ask.attempt;
-  request.endpoint = endpoint.settings.id;
+  request.attempt = attempt;
   request.client_account = identity_.client_account;
   request.priority = identity_.priority;
   request.weight = identity_.weight;
@@ -191,8 +195,21 @@
   request.model = input_.model;
   request.digest = charge().digest;
   request.prefix_blocks = input_.prefix_blocks;
-  request.cached_tokens = candidate.cached_tokens;
   request.isolate = isolate_;
+  return request;
+}
+
+wire::PermitRequest CompletionRun::PermitMessage(const routing::CandidateAsk& candidate_ask,
+                                                 const EndpointView& endpoint) const {
+  const routing::Candidate& candidate = candidate_ask.candidate;
+  const cost::Prediction prediction =
+      context_.costs.Predict(endpoint.settings.id, input_.model,
+                             {.prompt_tokens = input_.prompt_tokens,
+                              .cached_tokens = candidate.cached_tokens,
+                              .max_output_tokens = input_.max_tokens - machine_.delivered()});
+  wire::PermitRequest request = BasePermitMessage(permit_ask_->ask.attempt);
+  request.endpoint = endpoint.settings.id;
+  request.cached_tokens = candidate.cached_tokens;
   request.preemptible = identity_.priority != Priority::kUrgent;
   request.max_wait = std::max<Duration>(remaining() - prediction.prefill - prediction.decode,
                                         std::chrono::milliseconds(1));
@@ -202,6 +219,60 @@
   return request;
 }
 
+void CompletionRun::AskGroup(const attempts::AskPermit& ask, const SnapshotPtr& snapshot) {
+  const cost::Prediction prediction = context_.costs.Predict(
+      AnyEndpointOf(*snapshot, input_.model), input_.model,
+      {.prompt_tokens = input_.prompt_tokens, .max_output_tokens = input_.max_tokens});
+  const groups::GroupPlan plan = ChooseGroup(*snapshot, input_.model, prediction.kv_bytes);
+  if (plan.refusal != groups::GroupRefusal::kNone) {
+    RefuseRoute(plan.refusal == groups::GroupRefusal::kNever ? routing::RouteFailure::kTooLong
+                                                             : routing::RouteFailure::kNoneReady,
+                ask.attempt);
+    return;
+  }
+  const std::weak_ptr<RequestRun> weak = weak_from_this();
+  group_ = std::make_shared<GroupPermits>(
+      context_, snapshot, BasePermitMessage(ask.attempt), plan,
+      GroupPermits::Events{.ready =
+                               [weak, ask, snapshot] {
+                                 auto self = std::static_pointer_cast<CompletionRun>(weak.lock());
+                                 if (self) self->OnGroupReady(ask, snapshot);
+                               },
+                           .failed =
+                               [weak, attempt = ask.attempt] {
+                                 auto self = std::static_pointer_cast<CompletionRun>(weak.lock());
+                                 if (self) self->OnGroupFailed(attempt);
+                               }});
+  group_->Start();
+}
+
+void CompletionRun::OnGroupReady(const attempts::AskPermit& ask, const SnapshotPtr& snapshot) {
+  const std::vector<GroupMember> members = group_->members();
+  const GroupMember& leader = members.front();
+  attempt_ = Attempt{.number = ask.attempt,
+                     .endpoint = leader.endpoint,
+                     .url = leader.url,
+                     .route_index = snapshot->endpoint_index.at(leader.endpoint),
+                     .snapshot = snapshot,
+                     .permit = leader.permit};
+  for (std::size_t i = 1; i < members.size(); ++i) {
+    attempt_.group_urls.push_back(members[i].url);
+  }
+  Granted({.attempt = ask.attempt, .permit = leader.permit, .endpoint = leader.endpoint});
+}
+
+// Before the dispatch this refuses the ask; afterwards the members' memory is gone, so the attempt
+// ends and the request asks for a new group.
+void CompletionRun::OnGroupFailed(AttemptNumber attempt) {
+  const bool held = attempt_.number == attempt && attempt_.permit != 0;
+  group_.reset();
+  if (held) {
+    Execute(machine_.OnPermitRevoked(attempt_.permit, now()));
+  } else {
+    Refused({.attempt = attempt, .retry_after = kNoEndpointRetry}, wire::RefusalReason::kBusy);
+  }
+}
+
 void CompletionRun::AskNextCandidate() {
   const std::optional<routing::CandidateAsk> next = permit_ask_->walk.Next();
   if (!next) {
@@ -309,7 +380,7 @@
           .remaining = dispatch.remaining,
           .first_token_limit = kPrefillSlack * prediction.prefill + kFirstTokenFloor,
           .token_gap_limit = kTokenGapLimit,
-          .group_urls = {},
+          .group_urls = attempt_.group_urls,
           .traceparent = identity_.traceparent};
 }
 
@@ -429,6 +500,10 @@
     return;
   }
   const Attempt attempt = attempt_;
+  if (!attempt.group_urls.empty()) {
+    ReleaseGroup(attempt, std::move(done));
+    return;
+  }
   context_.routing.OnFinished(attempt.snapshot->routes[attempt.route_index]);
   context_.held_permits.Remove(attempt.endpoint, release.permit);
   const EndpointView* endpoint = context_.snapshot->FindEndpoint(attempt.endpoint);
@@ -450,6 +525,16 @@
       });
 }
 
+void CompletionRun::ReleaseGroup(const Attempt& attempt, std::function<void()> done) {
+  if (auto group = std::exchange(group_, nullptr)) group->Finish();
+  attempt_.permit = 0;
+  if (attempt.broken) {
+    ProbeEndpoint(attempt, std::move(done));
+  } else {
+    context_.loop.Post(std::move(done));
+  }
+}
+
 // Finds out whether the endpoint died when its owner cannot be asked. Silence is not death: it may
 // be the network.
 void CompletionRun::ProbeEndpoint(const Attempt& attempt, std::function<void()> done) {
@@ -468,6 +553,7 @@
 }
 
 void CompletionRun::WithdrawPermitRequest() {
+  if (auto group = std::exchange(group_, nullptr)) group->Finish();
   if (!permit_ask_) return;
   const wire::CallId call = permit_ask_->call;
   permit_ask_.reset();
--- a/verbenaridge/daemon/completion_run.h
+++ b/verbenaridge/daemon/completion_run.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "verbenaridge/admission/early_rejection.h"
+#include "verbenaridge/daemon/group_permits.h"
 #include "verbenaridge/daemon/request_run.h"
 #include "verbenaridge/routing/candidate_walk.h"
 
@@ -47,6 +48,7 @@
     std::string url;
     std::size_t route_index = 0;
     SnapshotPtr snapshot;
+    std::vector<std::string> group_urls;  // other members of an endpoint group
     std::uint64_t permit = 0;
     bool local_permit = false;  // the policy uses no permits
     Incarnation owner_incarnation = 0;
@@ -83,10 +85,15 @@
                      Result<wire::Reply> reply);
   void AcceptPermit(const routing::Candidate& candidate, const wire::PermitReply& reply,
                     bool local);
+  void AskGroup(const attempts::AskPermit& ask, const SnapshotPtr& snapshot);
+  void OnGroupReady(const attempts::AskPermit& ask, const SnapshotPtr& snapshot);
+  void OnGroupFailed(AttemptNumber attempt);
+  wire::PermitRequest BasePermitMessage(AttemptNumber attempt) const;
   void RefuseRoute(routing::RouteFailure failure, AttemptNumber attempt);
   void HoldPermit();
   RequestId EngineRequestId() const;
   engine::Generation GenerationFor(const attempts::Dispatch& dispatch) const;
+  void ReleaseGroup(const Attempt& attempt, std::function<void()> done);
   void ProbeEndpoint(const Attempt& attempt, std::function<void()> done);
   wire::ReleasePermitRequest ReleaseMessage(const Attempt& attempt,
                                             const attempts::ReleasePermit& release) const;
@@ -99,6 +106,7 @@
   const CompletionInput input_;
   std::shared_ptr<calls::CompletionSink> sink_;
   std::optional<PermitAsk> permit_ask_;
+  std::shared_ptr<GroupPermits> group_;  // of a prompt over one engine's memory
   Attempt attempt_;
   std::vector<Digest> failed_endpoints_;  // hashes of their ids
   std::string delivered_text_;
--- a/verbenaridge/daemon/traffic_thread.cc
+++ b/verbenaridge/daemon/traffic_thread.cc
@@ -152,9 +152,9 @@
     accounts.Finish(*finish);
     call->Answer(wire::Acknowledged{});
   } else if (const auto* permit = std::get_if<wire::PermitRequest>(&request)) {
-    connections->endpoint_owners.Request(*permit, std::move(call));
+    connections->endpoint_owners.Request(*permit, call);
   } else if (const auto* release = std::get_if<wire::ReleasePermitRequest>(&request)) {
-    connections->endpoint_owners.Release(*release, std::move(call));
+    connections->endpoint_owners.Release(*release, call);
   } else if (const auto* first_token = std::get_if<wire::FirstTokenRequest>(&request)) {
     connections->endpoint_owners.OnFirstToken(*first_token);
     call->Answer(wire::Acknowledged{});
--- a/verbenaridge/fakes/fake_engine.h
+++ b/verbenaridge/fakes/fake_engine.h
@@ -109,6 +109,9 @@
   ByteCount used_bytes() const { return stream_bytes_ + reserved_bytes_ + cache_bytes(); }
   const std::list<Stream>& streams() const { return streams_; }
 
+  // No stream runs and no group holds memory.
+  bool idle() const { return streams_.empty() && reserved_bytes_ == 0; }
+
   // Streams accepted since the construction.
   std::uint64_t started() const { return last_id_; }
 
--- a/verbenaridge/fleet_tests/fleet_test.cc
+++ b/verbenaridge/fleet_tests/fleet_test.cc
@@ -72,6 +72,42 @@
   }
 }
 
+// Guards against prompts over one engine's memory that are refused or leave memory behind.
+TEST_CASE("endpoint groups") {
+  struct Row {
+    const char* name;
+    std::size_t bytes;  // of the prompt, four for each token
+    int code;
+    const char* type;
+  };
+  // Each engine holds 20,000 tokens, and all four are in one data centre.
+  const Row rows[] = {{"over one engine's memory", 100'000, 200, ""},
+                      {"over twice one engine's memory", 180'000, 200, ""},
+                      {"over the memory of all", 400'000, 413, "too-long"}};
+  TestFleet fleet({.daemons = 2,
+                   .endpoints = 4,
+                   .engine = {.prefill_tokens_per_second = 200'000,
+                              .decode_step = std::chrono::milliseconds(5),
+                              .kv_bytes_per_token = 1000,
+                              .kv_capacity_bytes = 20'000'000},
+                   .endpoint_data_centres = 1});
+  for (const Row& row : rows) {
+    CAPTURE(std::string(row.name));
+    const HttpReply reply = fleet.Complete(1, {.prompt = std::string(row.bytes, 'x')});
+    CAPTURE(reply.body.substr(0, 300));
+    CHECK(reply.code == row.code);
+    CHECK(TypeOf(reply) == row.type);
+    if (row.code == 200) CHECK(IsWhole(reply, 8));
+  }
+  CHECK(TestFleet::WaitFor(std::chrono::seconds(5), [&] {
+    bool idle = true;
+    fleet.OnFakes([&] {
+      for (std::size_t i = 0; i < 4; ++i) idle = idle && fleet.endpoint(i).engine().idle();
+    });
+    return idle;
+  }));
+}
+
 // Guards against a second execution of an order, and against an answer that differs from the first.
 TEST_CASE("an order runs once, whoever repeats it") {
   TestFleet fleet({.engine = FastEngine()});
--- a/verbenaridge/fleet_tests/test_fleet.cc
+++ b/verbenaridge/fleet_tests/test_fleet.cc
@@ -95,7 +95,7 @@
   for (std::size_t i = 0; i < options_.endpoints; ++i) {
     settings.endpoints.push_back(
         {.id = EndpointId("m" + std::to_string(i + 1)),
-         .data_centre = DataCentreId(DataCentreOf(i)),
+         .data_centre = DataCentreId(DataCentreOf(i % options_.endpoint_data_centres)),
          .url = endpoints_[i]->url(),
          .models = {ModelId("m")},
          .kv_capacity_bytes = engine.kv_capacity_bytes,
--- a/verbenaridge/fleet_tests/test_fleet.h
+++ b/verbenaridge/fleet_tests/test_fleet.h
@@ -51,9 +51,10 @@
 class TestFleet {
  public:
   struct Options {
-    std::size_t daemons = 3;          // one data centre each
-    std::size_t endpoints = 3;        // one data centre each
-    fakes::FakeEngineOptions engine;  // of all endpoints
+    std::size_t daemons = 3;  // one data centre each
+    std::size_t endpoints = 3;
+    fakes::FakeEngineOptions engine;        // of all endpoints
+    std::size_t endpoint_data_centres = 3;  // among which the endpoints are spread
     std::string routing = "owner_permits_affinity";
   };
 
--- a/verbenaridge/telemetry/log.h
+++ b/verbenaridge/telemetry/log.h
@@ -52,7 +52,7 @@
     } else if constexpr (std::unsigned_integral<T>) {
       return static_cast<std::uint64_t>(value);
     } else {
-      return std::string_view(value);
+      return std::string_view{value};
     }
   }
 
