--- a/verbenaridge/daemon/control_plane.cc
+++ b/verbenaridge/daemon/control_plane.cc
@@ -7,6 +7,7 @@
 #include "verbenaridge/daemon/claim_service.h"
 #include "verbenaridge/daemon/conversions.h"
 #include "verbenaridge/daemon/fleet_view.h"
+#include "verbenaridge/daemon/gateway_pump.h"
 #include "verbenaridge/daemon/periodic.h"
 #include "verbenaridge/daemon/plan_service.h"
 #include "verbenaridge/daemon/snapshot_builder.h"
@@ -24,8 +25,8 @@
 namespace {
 
 constexpr Duration kControlTick = std::chrono::milliseconds(100);
-constexpr Duration kGatewayTick = std::chrono::milliseconds(20);
 constexpr Duration kHostListPeriod = std::chrono::seconds(5);
+constexpr int kHostListSkips = 12;
 constexpr Duration kDrainDeadline = std::chrono::seconds(2);
 
 }  // namespace
@@ -64,8 +65,9 @@
   net::CurlHttpClient http_;
   platform::HttpKeyValueStore store_;
   platform::StoreGateway gateway_;
-  platform::BudgetedStore claim_store_;
-  platform::BudgetedStore plan_store_;
+  GatewayPump pump_;
+  PumpedStore claim_store_;
+  PumpedStore plan_store_;
   wire::Nghttp2Transport transport_;
   PeerRouter router_;
   SnapshotBuilder builder_;
@@ -77,12 +79,12 @@
   wire::OperatorProofChecker proofs_;
   frontend::OperatorServer operator_server_;
   Periodic control_tick_;
-  Periodic gateway_tick_;
   Periodic host_list_tick_;
   SnapshotPtr snapshot_ = std::make_shared<const Snapshot>();
   plans::PlanDocumentPtr published_plan_;
   std::shared_ptr<const plans::PlanIndex> plan_index_;
   bool serving_ = false;
+  int host_list_ticks_ = 0;
   bool changed_ = true;
   bool draining_ = false;
 };
@@ -94,12 +96,13 @@
       http_(control.loop_.io_context()),
       store_(http_, settings_.platform.key_value_store_url),
       gateway_(store_, control.clock_, random_),
-      claim_store_(gateway_, {.read = platform::CallKind::kClaim,
-                              .write = platform::CallKind::kClaim,
-                              .watch = platform::CallKind::kClaim}),
-      plan_store_(gateway_, {.read = platform::CallKind::kPlanRead,
-                             .write = platform::CallKind::kPlanConfirm,
-                             .watch = platform::CallKind::kPlanWatch}),
+      pump_(control.loop_.io_context(), control.clock_, gateway_),
+      claim_store_(pump_, {.read = platform::CallKind::kClaim,
+                           .write = platform::CallKind::kClaim,
+                           .watch = platform::CallKind::kClaim}),
+      plan_store_(pump_, {.read = platform::CallKind::kPlanRead,
+                          .write = platform::CallKind::kPlanConfirm,
+                          .watch = platform::CallKind::kPlanWatch}),
       transport_(control.loop_.io_context(),
                  {.self = settings_.host, .keys = control.options_.keys, .timeouts = {}}),
       router_({.self = settings_.host}, control.loop_, transport_, dispatcher, control.clock_),
@@ -120,7 +123,6 @@
                        {.address = settings_.operators.ip, .port = settings_.operators.port},
                        *this),
       control_tick_(control.loop_.io_context(), kControlTick, [this] { Tick(); }),
-      gateway_tick_(control.loop_.io_context(), kGatewayTick, [this] { gateway_.Tick(); }),
       host_list_tick_(control.loop_.io_context(), kHostListPeriod, [this] { FetchHostList(); }) {
   UpdateHosts();
 }
@@ -168,6 +170,9 @@
 }
 
 void ControlPlane::Parts::FetchHostList() {
+  // Watchers need the list for confirmations; for the others it only adds members, and reading it
+  // every 5 s at 380 hosts would take 6 KB/s of each.
+  if (!plans_.watching() && host_list_ticks_++ % kHostListSkips != 0) return;
   host_list_.Fetch([this](Result<std::vector<platform::ListedHost>> hosts) {
     if (hosts.has_value()) fleet_.OnHostList(hosts.value());
   });
@@ -222,8 +227,8 @@
 void ControlPlane::Parts::OnSummaries(const std::vector<wire::EndpointSummary>& summaries) {
   for (const wire::EndpointSummary& summary : summaries) {
     if (!builder_.AddSummary(summary, control_.clock_.Now())) continue;
-    fleet_.gossip().AddSummary(summary, control_.clock_.Now());
-    changed_ = true;
+    const bool own = builder_.IsOwnDataCentre(summary.endpoint);
+    changed_ = fleet_.gossip().AddSummary(summary, own, control_.clock_.Now()) || changed_;
   }
 }
 
--- a/verbenaridge/daemon/fleet_view.cc
+++ b/verbenaridge/daemon/fleet_view.cc
@@ -145,7 +145,10 @@
   }
   const std::size_t left =
       socket_.max_message_bytes() > used ? socket_.max_message_bytes() - used : 0;
-  gossip_.Fill(gossip, std::min(left, kExtraGossipBytes), table_.live_count());
+  const auto to = table_.members().find(datagram.to);
+  const bool to_own_data_centre =
+      to != table_.members().end() && to->second.data_centre == settings_.data_centre;
+  gossip_.Fill(gossip, std::min(left, kExtraGossipBytes), table_.live_count(), to_own_data_centre);
   // A datagram that the system does not take is lost like any other.
   const Status ignored = socket_.Send({datagram.ip, datagram.port},
                                       ToWire(datagram.kind, settings_.host, std::move(gossip)));
--- a/verbenaridge/daemon/gossip_exchange.cc
+++ b/verbenaridge/daemon/gossip_exchange.cc
@@ -27,8 +27,13 @@
   return kDeathBytes + death.death.endpoint.value().size();
 }
 
+bool TakesWork(const wire::EndpointSummary& summary) {
+  return !summary.leaving && !summary.drained && summary.reachable;
+}
+
 bool Differs(const wire::EndpointSummary& a, const wire::EndpointSummary& b) {
-  if (a.leaving != b.leaving || a.running != b.running || a.long_prefills != b.long_prefills) {
+  if (TakesWork(a) != TakesWork(b) || a.running != b.running ||
+      a.long_prefills != b.long_prefills) {
     return true;
   }
   for (std::size_t i = 0; i < a.queue_delay.size() && i < b.queue_delay.size(); ++i) {
@@ -39,12 +44,18 @@
 
 }  // namespace
 
-void GossipExchange::AddSummary(const wire::EndpointSummary& summary, TimePoint now) {
+bool GossipExchange::AddSummary(const wire::EndpointSummary& summary, bool own_data_centre,
+                                TimePoint now) {
   Sent& last = last_[summary.endpoint];
   const bool first = last.summary.endpoint.empty();
-  if (!first && !Differs(last.summary, summary) && now - last.at < kQuietInterval) return;
+  const bool differs = first || Differs(last.summary, summary);
+  if (!differs && now - last.at < kQuietInterval) return false;
+  if (first || TakesWork(last.summary) != TakesWork(summary)) {
+    fleet_summaries_.Put(summary.endpoint, summary);
+  }
+  if (own_data_centre) local_summaries_.Put(summary.endpoint, summary);
   last = {summary, now};
-  summaries_.Put(summary.endpoint, summary);
+  return differs;
 }
 
 void GossipExchange::AddDeaths(std::span<const poison::DatedDeath> deaths) {
@@ -64,7 +75,8 @@
   }
 }
 
-void GossipExchange::Fill(wire::Gossip& gossip, std::size_t budget, std::size_t member_count) {
+void GossipExchange::Fill(wire::Gossip& gossip, std::size_t budget, std::size_t member_count,
+                          bool to_own_data_centre) {
   const auto take = [&budget](std::size_t bytes) {
     const bool fits = bytes <= budget;
     if (fits) budget -= bytes;
@@ -87,7 +99,8 @@
     take(SizeOfDeath(death));
     gossip.exonerations.push_back(ToSuspectDeath(death));
   }
-  gossip.summaries = summaries_.Take(budget, max_sends, SizeOf);
+  gossip.summaries =
+      (to_own_data_centre ? local_summaries_ : fleet_summaries_).Take(budget, max_sends, SizeOf);
 }
 
 }  // namespace verbenaridge::daemon
--- a/verbenaridge/daemon/gossip_exchange.h
+++ b/verbenaridge/daemon/gossip_exchange.h
@@ -17,14 +17,17 @@
 // Not thread-safe; belongs to the control thread.
 class GossipExchange {
  public:
-  // A summary that says nothing new compared with the last one is queued only every two seconds.
-  void AddSummary(const wire::EndpointSummary& summary, TimePoint now);
+  // Returns whether the summary differs from the last one in what routing goes by. One that does
+  // not is queued only every two seconds. Summaries of this data centre's endpoints stay in it;
+  // what others hear of an endpoint is only whether it takes work.
+  bool AddSummary(const wire::EndpointSummary& summary, bool own_data_centre, TimePoint now);
   void AddDeaths(std::span<const poison::DatedDeath> deaths);
   void AddExonerations(std::span<const poison::DatedDeath> exonerations);
 
   // Adds what fits into `budget` bytes to an outgoing message. `member_count` sets how often each
   // entry is sent.
-  void Fill(wire::Gossip& gossip, std::size_t budget, std::size_t member_count);
+  void Fill(wire::Gossip& gossip, std::size_t budget, std::size_t member_count,
+            bool to_own_data_centre);
 
   // Versions that each message carries.
   void SetPlan(PlanVersion version, const std::map<DataCentreId, PlanVersion>& confirmed);
@@ -36,7 +39,8 @@
   };
 
   std::map<EndpointId, Sent> last_;
-  membership::GossipQueue<EndpointId, wire::EndpointSummary> summaries_;
+  membership::GossipQueue<EndpointId, wire::EndpointSummary> local_summaries_;
+  membership::GossipQueue<EndpointId, wire::EndpointSummary> fleet_summaries_;
   membership::GossipQueue<poison::Death, poison::DatedDeath> deaths_;
   membership::GossipQueue<poison::Death, poison::DatedDeath> exonerations_;
   PlanVersion plan_version_ = 0;
--- a/verbenaridge/daemon/snapshot_builder.cc
+++ b/verbenaridge/daemon/snapshot_builder.cc
@@ -22,6 +22,9 @@
   for (const settings::DataCentreSettings& data_centre : settings.data_centres) {
     regions_[data_centre.id] = data_centre.region;
   }
+  for (const settings::EndpointSettings& endpoint : settings.endpoints) {
+    if (endpoint.data_centre == settings.data_centre) own_endpoints_.insert(endpoint.id);
+  }
 }
 
 RegionId SnapshotBuilder::RegionOf(const DataCentreId& data_centre) const {
--- a/verbenaridge/daemon/snapshot_builder.h
+++ b/verbenaridge/daemon/snapshot_builder.h
@@ -30,6 +30,9 @@
 
   SnapshotPtr Build();
 
+  bool IsOwnDataCentre(const EndpointId& endpoint) const {
+    return own_endpoints_.contains(endpoint);
+  }
   RegionId RegionOf(const DataCentreId& data_centre) const;
   const std::map<EndpointId, wire::EndpointSummary>& summaries() const { return summaries_; }
   const std::vector<HostView>& hosts() const { return hosts_; }
@@ -50,8 +53,9 @@
   membership::OwnerRanking fleet_ranking_;
   std::map<EndpointId, wire::EndpointSummary> summaries_;
   std::map<EndpointId, TimePoint> reported_;
-  std::set<EndpointId> owned_;    // by this daemon
-  std::set<EndpointId> drained_;  // of those
+  std::set<EndpointId> own_endpoints_;  // of this data centre
+  std::set<EndpointId> owned_;          // by this daemon
+  std::set<EndpointId> drained_;        // of those
   std::uint64_t sequence_ = 0;
 };
 
