--- a/verbenaridge/admission/account_ledger.cc
+++ b/verbenaridge/admission/account_ledger.cc
@@ -17,7 +17,7 @@
 }
 
 AdmitDecision Refuse(AdmitReason reason, Duration retry_after = {}) {
-  return {.admitted = false, .reason = reason, .retry_after = retry_after, .isolate = false};
+  return {.admitted = false, .reason = reason, .retry_after = retry_after};
 }
 
 }  // namespace
@@ -55,15 +55,6 @@
 AdmitDecision AccountLedger::Check(Account& account, const AdmitInput& input, TimePoint now) const {
   const AccountLimits& limits = account.limits;
   if (!PlanPermits(limits, input)) return Refuse(AdmitReason::kPlanForbids);
-  if (input.deaths >= options_.max_deaths) return Refuse(AdmitReason::kPoison);
-  if (input.digest != 0) {
-    const auto same = account.digests.find(input.digest);
-    const std::size_t running = same == account.digests.end() ? 0 : same->second;
-    const std::size_t allowed = input.deaths > 0 ? 1 : options_.max_identical;
-    if (running >= allowed || account.suspects.contains(input.digest)) {
-      return Refuse(AdmitReason::kDuplicateInFlight, options_.duplicate_retry);
-    }
-  }
   Duration wait{};
   if (limits.requests_per_second > 0) wait = account.requests.WaitFor(1, now);
   if (limits.tokens_per_second > 0) {
@@ -82,7 +73,7 @@
                     FromSeconds(std::clamp(excess, 0.1, std::max(0.1, account.cost))));
     }
   }
-  return {.admitted = true, .reason = {}, .retry_after = {}, .isolate = input.deaths > 0};
+  return {.admitted = true};
 }
 
 AdmitDecision AccountLedger::Admit(const AdmitInput& input, TimePoint now) {
@@ -92,32 +83,23 @@
   const auto known = account.admissions.find(input.holder);
   if (known != account.admissions.end()) {
     known->second.expiry = now + options_.expiry;
-    return {.admitted = true, .reason = {}, .retry_after = {}, .isolate = known->second.isolated};
+    return {.admitted = true};
   }
   const AdmitDecision decision = Check(account, input, now);
   if (!decision.admitted) return decision;
   account.requests.Force(1, now);
   account.tokens.Force(static_cast<double>(input.tokens), now);
-  Add(account, input.holder,
-      {input.digest, input.cost_seconds, decision.isolate, now + options_.expiry});
+  Add(account, input.holder, {input.cost_seconds, now + options_.expiry});
   return decision;
 }
 
 void AccountLedger::Add(Account& account, const HolderId& holder, const Admission& admission) {
   account.admissions.emplace(holder, admission);
   account.cost += admission.cost;
-  if (admission.digest != 0) ++account.digests[admission.digest];
-  if (admission.isolated && admission.digest != 0) ++account.suspects[admission.digest];
 }
 
 void AccountLedger::Remove(Account& account,
                            std::unordered_map<HolderId, Admission>::iterator admission) {
-  const auto drop = [](auto& counts, Digest digest) {
-    const auto found = counts.find(digest);
-    if (found != counts.end() && --found->second == 0) counts.erase(found);
-  };
-  drop(account.digests, admission->second.digest);
-  if (admission->second.isolated) drop(account.suspects, admission->second.digest);
   account.cost -= admission->second.cost;
   account.admissions.erase(admission);
   if (account.admissions.empty()) account.cost = 0;
@@ -143,9 +125,7 @@
     known->second.expiry = now + options_.expiry;
     return;
   }
-  Add(account, presentation.holder,
-      {presentation.digest, presentation.cost_seconds, presentation.isolated,
-       now + options_.expiry});
+  Add(account, presentation.holder, {presentation.cost_seconds, now + options_.expiry});
 }
 
 void AccountLedger::Expire(TimePoint now) {
--- a/verbenaridge/admission/account_ledger.h
+++ b/verbenaridge/admission/account_ledger.h
@@ -1,7 +1,7 @@
 // Limits of client accounts, kept by the daemon that owns the accounts.
 //
-// Requests/s and tokens/s are token buckets; concurrent cost, identical digests in flight and
-// suspects are counted from admissions, each with a holder id and an expiry.
+// Requests/s and tokens/s are token buckets; concurrent cost is counted from admissions, each with
+// a holder id and an expiry. The poison package decides on identical requests.
 //
 // Error bounds, for a limit of r per second with burst b over any span T:
 // - stable owner: at most r T + b, whatever the number of ingress points;
@@ -34,11 +34,8 @@
 namespace verbenaridge::admission {
 
 struct AdmissionOptions {
-  std::size_t max_identical = 2;               // identical digests in flight before the first death
-  std::uint32_t max_deaths = 2;                // a digest with as many endpoint deaths is refused
   Duration expiry = std::chrono::minutes(10);  // of an admission whose holder is silent
   Duration presentation_time = std::chrono::seconds(6);
-  Duration duplicate_retry = std::chrono::seconds(1);
 };
 
 // What a plan grants. Zero means no limit; an empty set permits everything.
@@ -64,8 +61,6 @@
   kPlanForbids,
   kRateLimited,
   kConcurrencyLimited,
-  kDuplicateInFlight,
-  kPoison,
 };
 
 struct AdmitInput {
@@ -74,26 +69,21 @@
   ModelId model{};      // empty for a service call
   ServiceId service{};  // empty for a completion
   Priority priority = Priority::kStandard;
-  Digest digest = 0;  // zero: not compared
   TokenCount tokens = 0;
   double cost_seconds = 0;
-  std::uint32_t deaths = 0;  // endpoint deaths that the suspect registry counts for the digest
 };
 
 struct AdmitDecision {
   bool admitted = false;
   AdmitReason reason = AdmitReason::kNone;
   Duration retry_after{};
-  bool isolate = false;  // suspect: run it alone on an endpoint
 };
 
 // An admission that a holder presents to a new owner.
 struct Presentation {
   HolderId holder{};
   ClientAccountId account{};
-  Digest digest = 0;
   double cost_seconds = 0;
-  bool isolated = false;
 };
 
 struct FinishInput {
@@ -132,9 +122,7 @@
 
  private:
   struct Admission {
-    Digest digest = 0;
     double cost = 0;
-    bool isolated = false;
     TimePoint expiry{};
   };
   struct Account {
@@ -144,8 +132,6 @@
     bool inherited = false;
     TimePoint presented_by{};  // until then, holders of an earlier owner may be unknown
     std::unordered_map<HolderId, Admission> admissions;
-    std::unordered_map<Digest, std::size_t> digests;
-    std::unordered_map<Digest, std::size_t> suspects;
     double cost = 0;
   };
 
--- a/verbenaridge/daemon/account_limits.h
+++ b/verbenaridge/daemon/account_limits.h
@@ -13,7 +13,6 @@
 // Limits of one region's account owner: an equal part of the plan's limits for each region.
 admission::AccountLimits RegionLimits(const plans::Plan& plan, std::size_t region_count);
 
-// The digest is left out: the poison package decides on identical requests.
 admission::AdmitInput ToAdmitInput(const wire::AdmitRequest& request);
 
 wire::AdmitReply ToAdmitReply(const admission::AdmitDecision& decision);
--- a/verbenaridge/membership/owner_ranking.cc
+++ b/verbenaridge/membership/owner_ranking.cc
@@ -1,23 +1,12 @@
 #include "verbenaridge/membership/owner_ranking.h"
 
 #include <algorithm>
-#include <cmath>
-#include <tuple>
 #include <utility>
 
 #include "verbenaridge/base/hash.h"
+#include "verbenaridge/base/rendezvous.h"
 
 namespace verbenaridge::membership {
-namespace {
-
-// Smaller is better: an exponential variate with rate `weight`, drawn from the hash.
-double Score(Digest key, Digest host, double weight) {
-  const auto bits = static_cast<double>(CombineDigests(key, host) >> 11);
-  const double uniform = (bits + 0.5) * 0x1.0p-53;
-  return -std::log(uniform) / weight;
-}
-
-}  // namespace
 
 OwnerRanking::OwnerRanking(std::span<const WeightedHost> hosts) {
   for (const WeightedHost& host : hosts) {
@@ -30,9 +19,10 @@
   const Entry* best = nullptr;
   double best_score = 0;
   for (const Entry& entry : hosts_) {
-    const double score = Score(digest, entry.digest, entry.weight);
+    const double score = RendezvousScore(digest, entry.digest, entry.weight);
     // Equal scores are settled by name, so that the order of the input does not matter.
-    if (best == nullptr || std::tie(score, entry.host) < std::tie(best_score, best->host)) {
+    const bool tie = best != nullptr && score == best_score && entry.host < best->host;
+    if (best == nullptr || score > best_score || tie) {
       best = &entry;
       best_score = score;
     }
@@ -45,7 +35,8 @@
   std::vector<std::pair<double, HostId>> scores;
   scores.reserve(hosts_.size());
   for (const Entry& entry : hosts_) {
-    scores.emplace_back(Score(digest, entry.digest, entry.weight), entry.host);
+    // Negated, so that the smallest pair is the best, and equal scores are settled by name.
+    scores.emplace_back(-RendezvousScore(digest, entry.digest, entry.weight), entry.host);
   }
   const std::size_t kept = std::min(count, scores.size());
   std::partial_sort(scores.begin(), scores.begin() + static_cast<std::ptrdiff_t>(kept),
--- /dev/null
+++ b/verbenaridge/poison/digest_gate_test.cc
@@ -0,0 +1,80 @@
+#include "verbenaridge/poison/digest_gate.h"
+
+#include <doctest/doctest.h>
+
+#include <vector>
+
+namespace verbenaridge::poison {
+namespace {
+
+constexpr Digest kDigest = 99;
+const TimePoint kStart{std::chrono::hours(1)};
+const TimePoint kSettled = kStart + std::chrono::seconds(10);
+const WallTime kWall{std::chrono::hours(1000)};
+
+// Guards against a request that crashes many endpoints at once because copies of it run together.
+TEST_CASE("identical digests and suspects") {
+  struct Row {
+    const char* name;
+    std::vector<int> deaths;  // of the digest before each further identical request
+    std::vector<GateDecision> decisions;
+  };
+  using enum GateDecision;
+  const Row rows[] = {
+      {"two identical", {0, 0, 0}, {kRun, kRun, kWait}},
+      {"suspect runs alone", {1, 1}, {kRunAlone, kWait}},
+      {"no suspect beside a copy", {0, 1}, {kRun, kWait}},
+      {"refused after two deaths", {2}, {kRefuse}},
+  };
+  for (const Row& row : rows) {
+    SUBCASE(row.name) {
+      SuspectRegistry registry;
+      DigestGate gate(registry, kStart);
+      int died = 0;
+      const Digest digests[] = {kDigest};
+      for (std::size_t i = 0; i < row.deaths.size(); ++i) {
+        for (; died < row.deaths[i]; ++died) {
+          registry.OnEndpointDeath(EndpointId("e"), static_cast<Incarnation>(died + 1), digests,
+                                   kWall);
+        }
+        CHECK(gate.Admit(kDigest, i + 1, kSettled, kWall) == row.decisions[i]);
+        CHECK(gate.Admit(kDigest, i + 1, kSettled, kWall) == row.decisions[i]);  // repeated call
+      }
+      for (std::size_t i = 0; i < row.deaths.size(); ++i) {
+        gate.Finish(i + 1, kDigest, {}, false, kWall);
+      }
+      CHECK(gate.Running(kDigest) == 0);
+    }
+  }
+}
+
+// Guards against a new owner that admits a digest again before it can know of deaths, and against
+// one that holds back a digest whose request was never sent.
+TEST_CASE("a new owner settles") {
+  enum class End { kFinished, kCompleted, kWithdrawn };
+  struct Row {
+    const char* name;
+    End end;
+    GateDecision next;
+  };
+  const Row rows[] = {{"finished", End::kFinished, GateDecision::kWait},
+                      {"completed", End::kCompleted, GateDecision::kRun},
+                      {"never sent", End::kWithdrawn, GateDecision::kRun}};
+  for (const Row& row : rows) {
+    SUBCASE(row.name) {
+      SuspectRegistry registry;
+      DigestGate gate(registry, kStart);
+      CHECK(gate.Admit(kDigest, 1, kStart, kWall) == GateDecision::kRun);
+      if (row.end == End::kWithdrawn) {
+        gate.Withdraw(1, kDigest);
+      } else {
+        gate.Finish(1, kDigest, {}, row.end == End::kCompleted, kWall);
+      }
+      CHECK(gate.Admit(kDigest, 2, kStart, kWall) == row.next);
+      CHECK(gate.Admit(kDigest, 3, kSettled, kWall) == GateDecision::kRun);
+    }
+  }
+}
+
+}  // namespace
+}  // namespace verbenaridge::poison
--- a/verbenaridge/routing/owner_permits_policy.cc
+++ b/verbenaridge/routing/owner_permits_policy.cc
@@ -5,7 +5,7 @@
 #include <functional>
 #include <utility>
 
-#include "verbenaridge/routing/rendezvous.h"
+#include "verbenaridge/base/rendezvous.h"
 
 namespace verbenaridge::routing {
 
@@ -58,7 +58,7 @@
   std::vector<std::pair<double, std::size_t>> ranked;
   ranked.reserve(local.size());
   for (std::size_t i = 0; i < local.size(); ++i) {
-    ranked.emplace_back(RendezvousScore(request.model, {views[local[i].index].key, 1}), i);
+    ranked.emplace_back(RendezvousScore(request.model, views[local[i].index].key, 1), i);
   }
   std::sort(ranked.begin(), ranked.end(), std::greater<>());
   const auto count = static_cast<double>(ranked.size());
