Name the HTTP statuses, send Retry-After wherever one is known, and drop outdated notes

Change: a table of reason phrases; Retry-After follows the failure; the demo sends its prompts without a deadline of their own.

--- a/tools/demo.sh
+++ b/tools/demo.sh
@@ -217,10 +217,6 @@
   } >"$2"
 }
 
-# The ingress predicts prefill at the default rate of 8,000 tokens/s for an endpoint whose rates it does not
-# know; with the plan's deadline of 60 s it then rejects a million tokens early.
-deadline_ms=300000
-
 # Prints the beginning of the stream, and adds a line of times to the summary. The time of the first
 # event is taken here, since curl's time_starttransfer is not it when the request body is large.
 send_prompt() {  # TOKENS DAEMON
@@ -238,7 +234,6 @@
     last=${event%%$'\r'}
   done < <(curl -sS -N -m 300 -w '%{stderr}%{http_code}\n' \
     -H 'Authorization: Bearer demo-key' -H 'Content-Type: application/json' -H 'Expect:' \
-    -H "X-Deadline-Ms: $deadline_ms" \
     --data-binary "@$work/prompt.json" "http://127.0.0.1:1808$2/v1/completions" 2>"$work/status")
   status=$(tail -n 1 "$work/status")
   echo "... $count events, the last one: $last"
--- a/verbenaridge/frontend/http_server.cc
+++ b/verbenaridge/frontend/http_server.cc
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <asio/post.hpp>
+#include <iterator>
 #include <restinio/all.hpp>
 #include <stdexcept>
 #include <unordered_map>
@@ -34,30 +35,32 @@
 using UserTimeout = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
 using KeepAliveProbes = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPCNT>;
 
+struct StatusReason {
+  int status;
+  const char* reason;
+};
+
+constexpr StatusReason kReasons[] = {
+    {200, "OK"},
+    {400, "Bad Request"},
+    {401, "Unauthorized"},
+    {403, "Forbidden"},
+    {404, "Not Found"},
+    {405, "Method Not Allowed"},
+    {409, "Conflict"},
+    {413, "Content Too Large"},
+    {422, "Unprocessable Content"},
+    {429, "Too Many Requests"},
+    {502, "Bad Gateway"},
+    {503, "Service Unavailable"},
+    {504, "Gateway Timeout"},
+};
+
 restinio::http_status_line_t StatusLine(int status) {
-  const char* reason = "Status";
-  switch (status) {
-    case 200:
-      reason = "OK";
-      break;
-    case 400:
-      reason = "Bad Request";
-      break;
-    case 401:
-      reason = "Unauthorized";
-      break;
-    case 404:
-      reason = "Not Found";
-      break;
-    case 429:
-      reason = "Too Many Requests";
-      break;
-    case 503:
-      reason = "Service Unavailable";
-      break;
-    default:
-      break;
-  }
+  const auto* known =
+      std::find_if(std::begin(kReasons), std::end(kReasons),
+                   [status](const StatusReason& row) { return row.status == status; });
+  const char* reason = known == std::end(kReasons) ? "Unknown" : known->reason;
   return {restinio::http_status_code_t{static_cast<std::uint16_t>(status)}, reason};
 }
 
--- a/verbenaridge/frontend/problem.cc
+++ b/verbenaridge/frontend/problem.cc
@@ -59,7 +59,8 @@
                                      {"detail", failure.detail},
                                      {"request_id", request_id.value()},
                                      {"outcome", std::string(OutcomeName(failure.outcome))}};
-  if (problem.status == 429 || problem.status == 503) {
+  const bool always = problem.status == 429 || problem.status == 503;
+  if (always || failure.retry_after) {
     const std::int64_t seconds = RetryAfterSeconds(failure);
     problem.headers.push_back({"Retry-After", std::to_string(seconds)});
     document["retry_after_seconds"] = seconds;
