--- a/verbenaridge/daemon/conversions.cc
+++ b/verbenaridge/daemon/conversions.cc
@@ -7,6 +7,17 @@
 static_assert(static_cast<int>(wire::ClaimVerdict::kUnavailable) ==
               static_cast<int>(claims::ClaimVerdict::kUnavailable));
 
+static_assert(static_cast<int>(engine::AttemptEnd::kCompleted) ==
+              static_cast<int>(attempts::AttemptEnd::kCompleted));
+static_assert(static_cast<int>(engine::AttemptEnd::kRefused) ==
+              static_cast<int>(attempts::AttemptEnd::kRefused));
+static_assert(static_cast<int>(engine::AttemptEnd::kStalled) ==
+              static_cast<int>(attempts::AttemptEnd::kStalled));
+
+attempts::AttemptEnd ToAttemptEnd(engine::AttemptEnd end) {
+  return static_cast<attempts::AttemptEnd>(end);
+}
+
 std::int64_t ToUnixMilliseconds(WallTime time) {
   return std::chrono::duration_cast<std::chrono::milliseconds>(time.time_since_epoch()).count();
 }
--- a/verbenaridge/daemon/conversions.h
+++ b/verbenaridge/daemon/conversions.h
@@ -4,13 +4,17 @@
 
 #include <cstdint>
 
+#include "verbenaridge/attempts/request_machine.h"
 #include "verbenaridge/base/clock.h"
 #include "verbenaridge/claims/claim_types.h"
+#include "verbenaridge/engine/endpoint_client.h"
 #include "verbenaridge/poison/suspect_registry.h"
 #include "verbenaridge/wire/messages.h"
 
 namespace verbenaridge::daemon {
 
+attempts::AttemptEnd ToAttemptEnd(engine::AttemptEnd end);
+
 std::int64_t ToUnixMilliseconds(WallTime time);
 WallTime FromUnixMilliseconds(std::int64_t milliseconds);
 
--- a/verbenaridge/daemon/service_run.cc
+++ b/verbenaridge/daemon/service_run.cc
@@ -35,12 +35,6 @@
   }
 }
 
-attempts::AttemptEnd ToAttemptEnd(engine::AttemptEnd end) {
-  return static_cast<attempts::AttemptEnd>(end);
-}
-static_assert(static_cast<int>(engine::AttemptEnd::kStalled) ==
-              static_cast<int>(attempts::AttemptEnd::kStalled));
-
 }  // namespace
 
 ServiceRun::ServiceRun(RunContext& context, RequestIdentity identity, RequestCharge charge,
