--- a/verbenaridge/daemon/endpoint_owners.cc
+++ b/verbenaridge/daemon/endpoint_owners.cc
@@ -134,9 +134,11 @@
     }
     auto node = owned_.extract(view.settings.id);
     if (node.empty()) {
+      permits::PolicyOptions policy = options_.policy;
+      policy.max_running = view.settings.max_running;
       kept[view.settings.id] = std::make_unique<Owned>(
           view, permits::EndpointOwner(view.settings.id, options_.self, options_.incarnation,
-                                       costs_, options_.policy, clock_.Now()));
+                                       costs_, policy, clock_.Now()));
     } else {
       kept.insert(std::move(node));
     }
