--- a/verbenaridge/base/clock.h
+++ b/verbenaridge/base/clock.h
@@ -34,6 +34,14 @@
   WallTime WallNow() const override;
 };
 
+// A monotonic clock that also counts the time in which the host was suspended, so that deadlines
+// that passed meanwhile are seen to have passed.
+class SuspendAwareClock final : public Clock {
+ public:
+  TimePoint Now() const override;
+  WallTime WallNow() const override;
+};
+
 // A clock that moves only when told. Not thread-safe.
 class ManualClock final : public Clock {
  public:
--- /dev/null
+++ b/verbenaridge/directory/endpoint_table.cc
@@ -0,0 +1,53 @@
+#include "verbenaridge/directory/endpoint_table.h"
+
+#include <utility>
+
+namespace verbenaridge::directory {
+
+std::vector<EndpointTable::Change> EndpointTable::OnReading(std::vector<Endpoint> entries,
+                                                            TimePoint now) {
+  if (read_once_ && failing_ && now - last_reading_ > options_.outage_after) {
+    keep_missing_until_ = now + options_.return_limit;
+  }
+  failing_ = false;
+  read_once_ = true;
+  last_reading_ = now;
+  std::vector<Change> changes;
+  std::map<EndpointId, Endpoint> next;
+  for (Endpoint& entry : entries) {
+    const auto known = endpoints_.find(entry.id);
+    if (known == endpoints_.end()) {
+      changes.push_back({Change::Kind::kAdded, entry});
+    } else if (known->second.born != entry.born) {
+      changes.push_back({Change::Kind::kRestarted, entry});
+    } else if (known->second.ip != entry.ip || known->second.port != entry.port ||
+               known->second.service != entry.service) {
+      changes.push_back({Change::Kind::kMoved, entry});
+    } else if (known->second.draining != entry.draining) {
+      changes.push_back({Change::Kind::kDraining, entry});
+    }
+    EndpointId id = entry.id;
+    next.insert_or_assign(std::move(id), std::move(entry));
+  }
+  for (auto& [id, endpoint] : endpoints_) {
+    if (next.contains(id)) continue;
+    if (now < keep_missing_until_) {
+      next.emplace(id, std::move(endpoint));
+    } else {
+      changes.push_back({Change::Kind::kRemoved, endpoint});
+    }
+  }
+  endpoints_ = std::move(next);
+  return changes;
+}
+
+void EndpointTable::OnReadingFailed(TimePoint /*now*/) { failing_ = true; }
+
+std::vector<Endpoint> EndpointTable::endpoints() const {
+  std::vector<Endpoint> list;
+  list.reserve(endpoints_.size());
+  for (const auto& [id, endpoint] : endpoints_) list.push_back(endpoint);
+  return list;
+}
+
+}  // namespace verbenaridge::directory
--- /dev/null
+++ b/verbenaridge/directory/endpoint_table.h
@@ -0,0 +1,78 @@
+// Decides which endpoints exist and which may get new work, from readings of the store's entries.
+//
+//   EndpointTable table({.return_limit = std::chrono::seconds(2)});
+//   table.OnReading(entries, now);   // a whole reading of the store
+//   table.OnReadingFailed(now);
+//   for (const Endpoint& endpoint : table.endpoints()) { ... }
+//
+// Entries may lapse while the store is away although their endpoints live. So an entry that is
+// missing in the first reading after an outage is kept until `return_limit` later; then it is gone.
+// Not thread-safe.
+#ifndef VERBENARIDGE_DIRECTORY_ENDPOINT_TABLE_H_
+#define VERBENARIDGE_DIRECTORY_ENDPOINT_TABLE_H_
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "verbenaridge/base/clock.h"
+#include "verbenaridge/base/ids.h"
+
+namespace verbenaridge::directory {
+
+struct Endpoint {
+  EndpointId id;
+  ServiceId service;
+  std::string ip;
+  std::uint16_t port = 0;
+  DataCentreId data_centre;
+  std::size_t slots = 0;
+  // Unix milliseconds of its start, 0 if not told: a later start under the same id knows nothing of
+  // what ran before.
+  std::uint64_t born = 0;
+  bool draining = false;
+
+  friend bool operator==(const Endpoint&, const Endpoint&) = default;
+};
+
+struct EndpointTableOptions {
+  // Entries that lapsed during an outage are back this long after its end, or their endpoint is
+  // gone.
+  Duration return_limit = std::chrono::seconds(2);
+  // Without a successful reading for so long, entries may have lapsed. Two heartbeats.
+  Duration outage_after = std::chrono::milliseconds(2400);
+};
+
+class EndpointTable {
+ public:
+  explicit EndpointTable(const EndpointTableOptions& options = {}) : options_(options) {}
+
+  struct Change {
+    enum class Kind : std::uint8_t { kAdded, kRestarted, kDraining, kRemoved, kMoved };
+    Kind kind = Kind::kAdded;
+    Endpoint endpoint;
+  };
+
+  // A whole, current reading. Returns what changed.
+  std::vector<Change> OnReading(std::vector<Endpoint> entries, TimePoint now);
+
+  void OnReadingFailed(TimePoint now);
+
+  std::vector<Endpoint> endpoints() const;
+  bool empty() const { return endpoints_.empty(); }
+  bool read_once() const { return read_once_; }
+  TimePoint last_reading() const { return last_reading_; }
+
+ private:
+  EndpointTableOptions options_;
+  std::map<EndpointId, Endpoint> endpoints_;
+  bool read_once_ = false;
+  bool failing_ = false;
+  TimePoint last_reading_{};
+  TimePoint keep_missing_until_{};
+};
+
+}  // namespace verbenaridge::directory
+
+#endif  // VERBENARIDGE_DIRECTORY_ENDPOINT_TABLE_H_
--- /dev/null
+++ b/verbenaridge/directory/refresh_schedule.cc
@@ -0,0 +1,50 @@
+#include "verbenaridge/directory/refresh_schedule.h"
+
+#include <algorithm>
+
+namespace verbenaridge::directory {
+
+RefreshSchedule::RefreshSchedule(const RefreshOptions& options, RandomSource& random,
+                                 TimePoint now)
+    : options_(options), random_(random), due_(now) {}
+
+void RefreshSchedule::PutOff(TimePoint now) {
+  due_ = now + options_.interval +
+         FromSeconds(ToSeconds(options_.interval) * options_.spread * random_.Uniform());
+}
+
+void RefreshSchedule::OnStarted(TimePoint /*now*/) {
+  running_ = true;
+  again_ = false;
+}
+
+void RefreshSchedule::OnRead(TimePoint now) {
+  running_ = false;
+  failures_ = 0;
+  fresh_ = now;
+  PutOff(now);
+  if (again_) due_ = now;
+}
+
+void RefreshSchedule::OnFailed(TimePoint now) {
+  running_ = false;
+  ++failures_;
+  const int doublings = std::min(failures_ - 1, 8);
+  const Duration wait = std::min(options_.first_retry * (1 << doublings), options_.longest_retry);
+  due_ = now + FromSeconds(ToSeconds(wait) * (0.5 + random_.Uniform()));
+}
+
+void RefreshSchedule::OnPeerRead(TimePoint now) {
+  fresh_ = now;
+  if (!running_ && failures_ == 0) PutOff(now);
+}
+
+void RefreshSchedule::OnPeerDiffers(TimePoint now) {
+  if (running_) {
+    again_ = true;
+  } else if (failures_ == 0) {
+    due_ = now;
+  }
+}
+
+}  // namespace verbenaridge::directory
--- /dev/null
+++ b/verbenaridge/dispatch/endpoint_health.cc
@@ -0,0 +1,55 @@
+#include "verbenaridge/dispatch/endpoint_health.h"
+
+#include <algorithm>
+
+namespace verbenaridge::dispatch {
+
+void EndpointHealth::OnSuccess(Digest endpoint) {
+  const auto found = states_.find(endpoint);
+  if (found == states_.end()) return;
+  State& state = found->second;
+  state.failures = 0;
+  state.paused = false;
+  state.paused_until = {};
+  state.trial_until = {};
+  state.error_rate *= 1 - options_.error_smoothing;
+}
+
+bool EndpointHealth::OnFailure(Digest endpoint, FailureKind kind, TimePoint now) {
+  State& state = states_[endpoint];
+  const bool usable = Usable(endpoint, now);
+  if (kind == FailureKind::kFull) {
+    state.paused_until = std::max(state.paused_until, now + options_.full_pause);
+    return false;
+  }
+  state.error_rate += (1 - state.error_rate) * options_.error_smoothing;
+  ++state.failures;
+  const int threshold = kind == FailureKind::kUnreachable ? 1 : options_.failures_before_pause;
+  if (state.failures < threshold) return false;
+  const int doublings = std::min(state.failures - threshold, 8);
+  const Duration pause = std::min(options_.first_pause * (1 << doublings), options_.longest_pause);
+  state.paused = true;
+  state.paused_until = std::max(state.paused_until, now + pause);
+  state.trial_until = {};
+  return usable;
+}
+
+bool EndpointHealth::Usable(Digest endpoint, TimePoint now) const {
+  const auto found = states_.find(endpoint);
+  if (found == states_.end()) return true;
+  const State& state = found->second;
+  return now >= state.paused_until && now >= state.trial_until;
+}
+
+void EndpointHealth::OnDispatched(Digest endpoint, TimePoint now) {
+  const auto found = states_.find(endpoint);
+  if (found == states_.end() || !found->second.paused) return;
+  found->second.trial_until = now + options_.longest_pause;
+}
+
+double EndpointHealth::ErrorRate(Digest endpoint) const {
+  const auto found = states_.find(endpoint);
+  return found == states_.end() ? 0 : found->second.error_rate;
+}
+
+}  // namespace verbenaridge::dispatch
--- /dev/null
+++ b/verbenaridge/dispatch/pass_model.cc
@@ -0,0 +1,24 @@
+#include "verbenaridge/dispatch/pass_model.h"
+
+#include <algorithm>
+
+namespace verbenaridge::dispatch {
+
+Duration PassModel::ReadTime(TokenCount prompt_tokens, std::size_t parts) const {
+  const double tokens = static_cast<double>(prompt_tokens);
+  const double pairs = tokens * (tokens + 1) / 2;
+  const double rate = std::max(timing_.read_tokens_per_second, 1.0);
+  const double seconds = tokens / rate + pairs * timing_.seconds_per_pair;
+  return FromSeconds(seconds / static_cast<double>(std::max<std::size_t>(parts, 1)));
+}
+
+Duration PassModel::PassTime(const Decoding& decoding) const {
+  if (decoding.sequences == 0) return {};
+  const double step =
+      ToSeconds(timing_.step) +
+      ToSeconds(timing_.step_per_sequence) * static_cast<double>(decoding.sequences) +
+      timing_.context_seconds_per_token * static_cast<double>(decoding.context_tokens);
+  return FromSeconds(step * timing_.stride);
+}
+
+}  // namespace verbenaridge::dispatch
--- /dev/null
+++ b/verbenaridge/dispatch/pass_model_test.cc
@@ -0,0 +1,65 @@
+#include "verbenaridge/dispatch/pass_model.h"
+
+#include <doctest/doctest.h>
+
+namespace verbenaridge::dispatch {
+namespace {
+
+directory::EngineTiming Timing() {
+  return {.slots = 16,
+          .kv_tokens = 232'000,
+          .stride = 43,
+          .step = FromSeconds(0.00102),
+          .step_per_sequence = FromSeconds(0.00000226),
+          .context_seconds_per_token = 0.00000431 / 1000,
+          .read_tokens_per_second = 206'000,
+          .seconds_per_pair = 0.000138 / 1e6,
+          .chunk_tokens = 2048};
+}
+
+// Guards against predictions that leave out the pairs of a long prompt. The expected times are
+// worked out by hand from the published formula.
+TEST_CASE("reading time") {
+  struct Row {
+    const char* name;
+    TokenCount tokens;
+    std::size_t parts;
+    double milliseconds;
+  };
+  const Row rows[] = {
+      {"short prompt", 4'960, 1, 25.8},
+      {"45,000 tokens", 45'000, 1, 358.2},
+      {"133,000 tokens", 133'000, 1, 1'866.2},
+      {"133,000 tokens on four engines", 133'000, 4, 466.5},
+      {"600,000 tokens", 600'000, 1, 27'752.6},
+  };
+  const PassModel model(Timing());
+  for (const Row& row : rows) {
+    CAPTURE(row.name);
+    const double predicted = ToSeconds(model.ReadTime(row.tokens, row.parts)) * 1000;
+    CHECK(predicted == doctest::Approx(row.milliseconds).epsilon(0.002));
+  }
+}
+
+// Guards against a pass that does not grow with what decodes in it.
+TEST_CASE("time of a pass") {
+  struct Row {
+    const char* name;
+    Decoding decoding;
+    double milliseconds;
+  };
+  const Row rows[] = {
+      {"nothing decodes", {}, 0},
+      {"one request", {.sequences = 1}, 43 * 1.02226},
+      {"ten requests", {.sequences = 10, .context_tokens = 50'000}, 43 * (1.02 + 0.0226 + 0.2155)},
+  };
+  const PassModel model(Timing());
+  for (const Row& row : rows) {
+    CAPTURE(row.name);
+    const double predicted = ToSeconds(model.PassTime(row.decoding)) * 1000;
+    CHECK(predicted == doctest::Approx(row.milliseconds).epsilon(0.002));
+  }
+}
+
+}  // namespace
+}  // namespace verbenaridge::dispatch
--- /dev/null
+++ b/verbenaridge/dispatch/retry_budget.cc
@@ -0,0 +1,33 @@
+#include "verbenaridge/dispatch/retry_budget.h"
+
+#include <algorithm>
+
+namespace verbenaridge::dispatch {
+
+void RetryBudget::OnRequest(TimePoint now) {
+  RemoveOld(now);
+  requests_.push_back(now);
+}
+
+bool RetryBudget::Take(std::size_t hosts, TimePoint now) {
+  if (Left(hosts, now) < 1) return false;
+  retries_.push_back(now);
+  return true;
+}
+
+double RetryBudget::Left(std::size_t hosts, TimePoint now) {
+  RemoveOld(now);
+  const double own_slack = options_.slack / static_cast<double>(std::max<std::size_t>(hosts, 1));
+  const double bound = options_.ratio * static_cast<double>(requests_.size()) + own_slack;
+  return options_.use * bound - static_cast<double>(retries_.size());
+}
+
+void RetryBudget::RemoveOld(TimePoint now) {
+  const auto drop = [&](std::deque<TimePoint>& times) {
+    while (!times.empty() && now - times.front() > options_.window) times.pop_front();
+  };
+  drop(requests_);
+  drop(retries_);
+}
+
+}  // namespace verbenaridge::dispatch
--- /dev/null
+++ b/verbenaridge/forwarding/client_server.cc
@@ -0,0 +1,401 @@
+#include "verbenaridge/forwarding/client_server.h"
+
+#include <array>
+#include <asio/buffer.hpp>
+#include <asio/ip/tcp.hpp>
+#include <asio/steady_timer.hpp>
+#include <asio/write.hpp>
+#include <unordered_set>
+#include <utility>
+
+#include "verbenaridge/http1/message_parser.h"
+
+namespace verbenaridge::forwarding {
+namespace {
+
+constexpr std::size_t kReadBytes = 16 * 1024;
+// Bytes that a client may send ahead of the answer to its request. More are left in the kernel.
+constexpr std::size_t kMaxEarlyBytes = 64 * 1024;
+// Unread bytes of a refused request are discarded for so long, because closing a connection with
+// unread bytes resets it and the client might lose the answer.
+constexpr Duration kLingerLimit = std::chrono::seconds(1);
+// Accepting fails while the process has no descriptor left.
+constexpr Duration kAcceptPause = std::chrono::milliseconds(50);
+
+}  // namespace
+
+class ClientServer::Impl final : public std::enable_shared_from_this<Impl> {
+ public:
+  Impl(asio::io_context& io_context, const ServerOptions& options, const Clock& clock,
+       RequestHandler& handler)
+      : io_context_(io_context),
+        options_(options),
+        clock_(clock),
+        handler_(handler),
+        acceptor_(io_context),
+        accept_timer_(io_context) {}
+
+  Status Open();
+  void Accept();
+  void Close();
+  void BeginDrain();
+
+  asio::io_context& io_context_;
+  const ServerOptions options_;
+  const Clock& clock_;
+  RequestHandler& handler_;
+  asio::ip::tcp::acceptor acceptor_;
+  asio::steady_timer accept_timer_;
+  std::unordered_set<std::shared_ptr<Connection>> connections_;
+  bool draining_ = false;
+  bool closed_ = false;
+};
+
+class ClientServer::Connection final : public ClientPort,
+                                       public http1::RequestObserver,
+                                       public std::enable_shared_from_this<Connection> {
+ public:
+  Connection(std::shared_ptr<Impl> server, asio::ip::tcp::socket socket)
+      : server_(std::move(server)),
+        socket_(std::move(socket)),
+        timer_(server_->io_context_),
+        limits_(server_->handler_.limits()),
+        parser_({.head_bytes = limits_.head_bytes}, *this) {}
+
+  void Start() {
+    std::error_code ignored;  // only improves latency
+    socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
+    ExpectRequest();
+    Read();
+  }
+
+  // From the end of a request to the last byte of its answer.
+  bool busy() const { return answering_ || answered_; }
+
+  void BeginDrain() {
+    if (!busy() && !parser_.started()) Close();
+  }
+
+  void Close() {
+    if (closed_) return;
+    closed_ = true;
+    timer_.cancel();
+    std::error_code ignored;  // the connection is given up either way
+    socket_.close(ignored);
+    server_->connections_.erase(shared_from_this());
+    if (const auto in_work = std::exchange(in_work_, nullptr)) in_work->OnClientGone();
+  }
+
+  // ClientPort
+  void Answer(http1::ResponseHead head, std::string_view body) override {
+    if (closed_ || !answering_) return;
+    AddConnectionHeader(head);
+    head.headers.push_back({"Content-Length", std::to_string(body.size())});
+    std::string bytes = http1::Serialize(head);
+    if (!head_request_) bytes.append(body);
+    Write(std::move(bytes));
+    FinishAnswer();
+  }
+
+  void Begin(http1::ResponseHead head) override {
+    if (closed_ || !answering_) return;
+    AddConnectionHeader(head);
+    head.headers.push_back({"Transfer-Encoding", "chunked"});
+    Write(http1::Serialize(head));
+  }
+
+  void Send(std::string_view data) override {
+    if (!closed_ && answering_ && !head_request_) Write(http1::SerializeChunk(data));
+  }
+
+  void End() override {
+    if (closed_ || !answering_) return;
+    if (!head_request_) Write(std::string(http1::kLastChunk));
+    FinishAnswer();
+  }
+
+  void Abort() override {
+    in_work_ = nullptr;
+    Close();
+  }
+
+  std::size_t pending() const override { return queued_.size() + writing_.size(); }
+
+  // http1::RequestObserver
+  void OnHead(http1::RequestHead head) override {
+    head_ = std::move(head);
+    if (http1::EqualsIgnoringCase(head_.header("Expect"), "100-continue")) {
+      Write("HTTP/1.1 100 Continue\r\n\r\n");
+    }
+  }
+  void OnBody(std::string_view data) override {
+    if (body_.size() + data.size() > limits_.body_bytes) {
+      body_too_large_ = true;
+    } else {
+      body_.append(data);
+    }
+  }
+
+ private:
+  void AddConnectionHeader(http1::ResponseHead& head) {
+    close_after_ = close_after_ || !head_.keep_alive || server_->draining_;
+    if (close_after_) head.headers.push_back({"Connection", "close"});
+  }
+
+  void ExpectRequest() {
+    parser_.Reset();
+    head_ = {};
+    body_.clear();
+    body_too_large_ = false;
+    limits_ = server_->handler_.limits();
+    SetTimer(limits_.idle_timeout);
+  }
+
+  void SetTimer(Duration limit) {
+    timer_.expires_after(limit);
+    timer_.async_wait([self = shared_from_this()](std::error_code code) {
+      if (code || self->closed_ || self->busy()) return;
+      if (self->parser_.started()) {
+        self->Reject(408);
+      } else {
+        self->Close();
+      }
+    });
+  }
+
+  void Read() {
+    if (reading_ || closed_) return;
+    reading_ = true;
+    socket_.async_read_some(
+        asio::buffer(buffer_), [self = shared_from_this()](std::error_code code, std::size_t size) {
+          self->reading_ = false;
+          if (self->closed_) return;
+          if (code) {
+            self->Close();
+          } else {
+            self->OnRead({self->buffer_.data(), size});
+          }
+        });
+  }
+
+  void OnRead(std::string_view data) {
+    if (lingering_) {
+      Read();
+      return;
+    }
+    if (busy()) {
+      early_.append(data);
+      // Reading goes on, because it is what shows that the client left.
+      if (early_.size() < kMaxEarlyBytes) Read();
+      return;
+    }
+    Parse(data);
+  }
+
+  void Parse(std::string_view data) {
+    const bool started = parser_.started();
+    const Result<std::size_t> used = parser_.Feed(data);
+    if (closed_) return;
+    if (used.has_error()) {
+      Reject(used.error() == Errc::kTooLarge ? 431 : 400);
+      return;
+    }
+    if (body_too_large_) {
+      Reject(413);
+      return;
+    }
+    if (parser_.complete()) {
+      early_.assign(data.substr(used.value()));
+      Handle();
+    } else if (!started && parser_.started()) {
+      SetTimer(limits_.head_timeout);
+    } else if (parser_.head_done()) {
+      SetTimer(limits_.idle_timeout);
+    }
+    Read();
+  }
+
+  void Handle() {
+    timer_.cancel();
+    answering_ = true;
+    head_request_ = head_.method == "HEAD";
+    const std::shared_ptr<Connection> self = shared_from_this();
+    http1::RequestHead head = head_;
+    std::shared_ptr<RequestInWork> in_work = server_->handler_.Start(
+        {.head = std::move(head),
+         .body = std::make_shared<const std::string>(std::exchange(body_, {})),
+         .arrived = server_->clock_.Now()},
+        self);
+    if (answering_ && !closed_) in_work_ = std::move(in_work);
+  }
+
+  // The request cannot be read: answers and closes.
+  void Reject(int status) {
+    server_->handler_.OnRejected(status);
+    answering_ = true;
+    close_after_ = true;
+    Answer({.status = status}, {});
+  }
+
+  void FinishAnswer() {
+    answering_ = false;
+    in_work_ = nullptr;
+    answered_ = true;
+    if (!write_in_progress_) OnWritten();
+  }
+
+  void Write(std::string bytes) {
+    queued_.append(bytes);
+    if (!write_in_progress_) Flush();
+  }
+
+  void Flush() {
+    write_in_progress_ = true;
+    writing_ = std::exchange(queued_, {});
+    asio::async_write(socket_, asio::buffer(writing_),
+                      [self = shared_from_this()](std::error_code code, std::size_t /*bytes*/) {
+                        self->write_in_progress_ = false;
+                        self->writing_.clear();
+                        if (self->closed_) return;
+                        if (code) {
+                          self->Close();
+                        } else if (!self->queued_.empty()) {
+                          self->Flush();
+                        } else {
+                          self->OnWritten();
+                        }
+                      });
+  }
+
+  void OnWritten() {
+    if (!answered_) {
+      if (in_work_ != nullptr) in_work_->OnClientDrained();
+      return;
+    }
+    answered_ = false;
+    if (close_after_ || server_->draining_) {
+      Linger();
+      return;
+    }
+    ExpectRequest();
+    const std::string early = std::exchange(early_, {});
+    if (early.empty()) {
+      Read();
+    } else {
+      Parse(early);
+    }
+  }
+
+  // Ends the sending side and discards what still comes.
+  void Linger() {
+    lingering_ = true;
+    std::error_code ignored;  // the connection may be closed by the client already
+    socket_.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+    timer_.expires_after(kLingerLimit);
+    timer_.async_wait([self = shared_from_this()](std::error_code code) {
+      if (!code) self->Close();
+    });
+    Read();
+  }
+
+  const std::shared_ptr<Impl> server_;
+  asio::ip::tcp::socket socket_;
+  asio::steady_timer timer_;
+  directory::ClientLimits limits_;
+  http1::RequestParser parser_;
+  http1::RequestHead head_;
+  std::string body_;
+  std::string early_;
+  std::array<char, kReadBytes> buffer_{};
+  std::string queued_;
+  std::string writing_;
+  std::shared_ptr<RequestInWork> in_work_;
+  bool head_request_ = false;
+  bool body_too_large_ = false;
+  bool reading_ = false;
+  bool write_in_progress_ = false;
+  bool answering_ = false;    // a request waits for its answer
+  bool answered_ = false;     // the answer is queued, not yet written
+  bool close_after_ = false;
+  bool lingering_ = false;
+  bool closed_ = false;
+};
+
+Status ClientServer::Impl::Open() {
+  std::error_code error;
+  const auto address = asio::ip::make_address(options_.ip, error);
+  if (error) return Errc::kInvalidArgument;
+  const asio::ip::tcp::endpoint endpoint(address, options_.port);
+  acceptor_.open(endpoint.protocol(), error);
+  if (!error) acceptor_.set_option(asio::ip::tcp::acceptor::reuse_address(true), error);
+  if (!error) acceptor_.bind(endpoint, error);
+  if (!error) acceptor_.listen(asio::socket_base::max_listen_connections, error);
+  if (error) return error;
+  Accept();
+  return Ok();
+}
+
+void ClientServer::Impl::Accept() {
+  acceptor_.async_accept([self = shared_from_this()](std::error_code error,
+                                                     asio::ip::tcp::socket socket) {
+    if (self->closed_ || error == asio::error::operation_aborted) return;
+    if (error) {
+      self->accept_timer_.expires_after(kAcceptPause);
+      self->accept_timer_.async_wait([self](std::error_code code) {
+        if (!code && !self->closed_) self->Accept();
+      });
+      return;
+    }
+    if (self->connections_.size() < self->options_.max_connections) {
+      const auto connection = std::make_shared<Connection>(self, std::move(socket));
+      self->connections_.insert(connection);
+      connection->Start();
+    }
+    self->Accept();
+  });
+}
+
+void ClientServer::Impl::BeginDrain() {
+  draining_ = true;
+  const std::vector<std::shared_ptr<Connection>> all(connections_.begin(), connections_.end());
+  for (const auto& connection : all) connection->BeginDrain();
+}
+
+void ClientServer::Impl::Close() {
+  closed_ = true;
+  std::error_code ignored;  // the acceptor is given up either way
+  acceptor_.close(ignored);
+  accept_timer_.cancel();
+}
+
+ClientServer::ClientServer(asio::io_context& io_context, const ServerOptions& options,
+                           const Clock& clock, RequestHandler& handler)
+    : impl_(std::make_shared<Impl>(io_context, options, clock, handler)) {}
+
+ClientServer::~ClientServer() {
+  impl_->Close();
+  const std::vector<std::shared_ptr<Connection>> all(impl_->connections_.begin(),
+                                                     impl_->connections_.end());
+  for (const auto& connection : all) connection->Close();
+}
+
+Status ClientServer::Open() { return impl_->Open(); }
+
+std::uint16_t ClientServer::port() const {
+  std::error_code ignored;  // zero if not open
+  return impl_->acceptor_.local_endpoint(ignored).port();
+}
+
+void ClientServer::BeginDrain() { impl_->BeginDrain(); }
+
+void ClientServer::StopAccepting() { impl_->Close(); }
+
+std::size_t ClientServer::connections() const { return impl_->connections_.size(); }
+
+std::size_t ClientServer::busy() const {
+  std::size_t count = 0;
+  for (const auto& connection : impl_->connections_) count += connection->busy() ? 1 : 0;
+  return count;
+}
+
+}  // namespace verbenaridge::forwarding
--- /dev/null
+++ b/verbenaridge/forwarding/dispatcher.cc
@@ -0,0 +1,242 @@
+#include "verbenaridge/forwarding/dispatcher.h"
+
+#include <algorithm>
+
+#include "verbenaridge/base/hash.h"
+
+namespace verbenaridge::forwarding {
+namespace {
+
+// Work ids of one host share their upper bits, which come from the host's name and its start.
+constexpr int kSequenceBits = 24;
+
+}  // namespace
+
+Digest EndpointKey(const directory::Endpoint& endpoint) {
+  return CombineDigests(HashOf(endpoint.id.value()), endpoint.born);
+}
+
+Dispatcher::Dispatcher(asio::io_context& io_context, const Clock& clock, RandomSource& random,
+                       LoadAnnouncements& announcements, const DispatcherOptions& options)
+    : clock_(clock),
+      random_(random),
+      announcements_(announcements),
+      options_(options),
+      timer_(io_context),
+      snapshot_(std::make_shared<const DirectorySnapshot>()),
+      predictive_(dispatch::MakePredictiveChooser(options.chooser)),
+      least_busy_(dispatch::MakeLeastBusyChooser()),
+      next_work_(CombineDigests(HashOf(options.host.value()), random.Next()) << kSequenceBits) {}
+
+void Dispatcher::SetSnapshot(SnapshotPtr snapshot) {
+  snapshot_ = std::move(snapshot);
+  groups_.clear();
+  for (const directory::Endpoint& endpoint : snapshot_->endpoints) {
+    Group& group = groups_[endpoint.service];
+    group.endpoints.push_back(&endpoint);
+    if (group.model != nullptr || snapshot_->configuration == nullptr) continue;
+    const directory::Service* service = snapshot_->configuration->FindService(endpoint.service);
+    if (service != nullptr && service->engine) {
+      group.model = std::make_unique<dispatch::PassModel>(*service->engine);
+    }
+  }
+  TryHeld();
+}
+
+DispatchId Dispatcher::Submit(DispatchRequest request, AssignmentCallback callback) {
+  const DispatchId id = next_id_++;
+  Assignment assignment;
+  if (Try(request, assignment)) {
+    callback(std::move(assignment));
+    return id;
+  }
+  order_.insert({{request.urgency, request.arrived}, id});
+  held_.emplace(id, Held{std::move(request), std::move(callback)});
+  ArmTimer();
+  return id;
+}
+
+void Dispatcher::Cancel(DispatchId id) {
+  const auto found = held_.find(id);
+  if (found == held_.end()) return;
+  order_.erase({{found->second.request.urgency, found->second.request.arrived}, id});
+  held_.erase(found);
+}
+
+// True if there is an answer, good or bad.
+bool Dispatcher::Try(const DispatchRequest& request, Assignment& assignment) {
+  const TimePoint now = clock_.Now();
+  if (now >= request.deadline) {
+    assignment.outcome = Assignment::Outcome::kLate;
+    return true;
+  }
+  const auto found = groups_.find(request.service);
+  std::vector<const directory::Endpoint*> endpoints;
+  std::vector<dispatch::Candidate> candidates;
+  if (found != groups_.end()) candidates = Candidates(found->second, request, endpoints);
+  assignment.candidates = candidates.size();
+  if (candidates.empty()) {
+    assignment.outcome = Assignment::Outcome::kNoEndpoint;
+    return now - request.arrived >= options_.no_endpoint_wait;
+  }
+  dispatch::Demand demand = request.demand;
+  demand.waited = now - request.arrived;
+  demand.remaining = request.deadline - now;
+  const bool generation = found->second.model != nullptr && demand.prompt_tokens > 0;
+  const dispatch::Choice choice =
+      (generation ? predictive_ : least_busy_)->Choose(demand, candidates, random_);
+  switch (choice.kind) {
+    case dispatch::ChoiceKind::kHold:
+      return false;
+    case dispatch::ChoiceKind::kNone:
+      assignment.outcome = Assignment::Outcome::kNoEndpoint;
+      return true;
+    case dispatch::ChoiceKind::kNever:
+      assignment.outcome = Assignment::Outcome::kTooLarge;
+      // Fewer endpoints may be usable now than there are.
+      return now - request.arrived >= options_.no_endpoint_wait;
+    case dispatch::ChoiceKind::kDispatch:
+      Assign(request, found->second, choice, candidates, endpoints, assignment);
+      return true;
+  }
+  return false;
+}
+
+std::vector<dispatch::Candidate> Dispatcher::Candidates(
+    const Group& group, const DispatchRequest& request,
+    std::vector<const directory::Endpoint*>& endpoints) {
+  const TimePoint now = clock_.Now();
+  std::vector<dispatch::Candidate> candidates;
+  const auto collect = [&](bool healthy_only, bool untried_only) {
+    for (const directory::Endpoint* endpoint : group.endpoints) {
+      const Digest key = EndpointKey(*endpoint);
+      if (endpoint->draining) continue;
+      if (healthy_only && !health_.Usable(key, now)) continue;
+      if (untried_only && std::find(request.excluded.begin(), request.excluded.end(), key) !=
+                              request.excluded.end()) {
+        continue;
+      }
+      endpoints.push_back(endpoint);
+      candidates.push_back({.key = key,
+                            .model = group.model.get(),
+                            .slots = endpoint->slots,
+                            .load = board_.Load(key, now),
+                            .error_rate = health_.ErrorRate(key)});
+    }
+  };
+  collect(true, true);
+  // All that are left failed lately: one of them may be back, and a wrong belief must not refuse
+  // everything.
+  if (candidates.empty()) collect(false, true);
+  return candidates;
+}
+
+void Dispatcher::Assign(const DispatchRequest& request, const Group& group,
+                        const dispatch::Choice& choice,
+                        std::span<const dispatch::Candidate> candidates,
+                        std::span<const directory::Endpoint* const> endpoints,
+                        Assignment& assignment) {
+  const TimePoint now = clock_.Now();
+  assignment.reserve = choice.reserve;
+  assignment.predicted = choice.first_event;
+  assignment.cost = choice.cost;
+  for (std::size_t i = 0; i < choice.members.size(); ++i) {
+    const std::size_t index = choice.members[i];
+    dispatch::Work work{.id = next_work_++,
+                        .endpoint = candidates[index].key,
+                        .lifetime = std::min(request.deadline - now, options_.longest_work),
+                        .decodes = i == 0};
+    if (group.model != nullptr) {
+      work.read_time = group.model->ReadTime(request.demand.prompt_tokens, choice.members.size());
+      work.target_gap = i == 0 ? request.demand.target_gap : Duration{};
+      const auto memory = static_cast<TokenCount>(
+          static_cast<double>(group.model->timing().kv_tokens) * options_.chooser.kv_fill);
+      assignment.free_kv.push_back(memory - candidates[index].load.kv_tokens);
+      if (choice.reserve) {
+        work.kv_tokens = request.demand.kv_tokens() / static_cast<TokenCount>(choice.members.size());
+      } else if (i == 0) {
+        work.kv_tokens = request.demand.kv_tokens();
+      }
+    }
+    health_.OnDispatched(work.endpoint, now);
+    board_.Begin(work, now);
+    announcements_.OnBegin(work);
+    assignment.members.push_back(*endpoints[index]);
+    assignment.works.push_back(work.id);
+  }
+}
+
+void Dispatcher::TryHeld() {
+  const std::vector<Place> places(order_.begin(), order_.end());
+  for (const Place& place : places) {
+    const auto found = held_.find(place.second);
+    if (found == held_.end()) continue;  // a callback cancelled it
+    Assignment assignment;
+    if (!Try(found->second.request, assignment)) continue;
+    const AssignmentCallback callback = std::move(found->second.callback);
+    order_.erase(place);
+    held_.erase(found);
+    callback(std::move(assignment));
+  }
+  ArmTimer();
+}
+
+void Dispatcher::ArmTimer() {
+  if (timer_armed_ || held_.empty()) return;
+  timer_armed_ = true;
+  timer_.expires_after(options_.retry_interval);
+  timer_.async_wait([this](std::error_code error) {
+    if (error) return;
+    timer_armed_ = false;
+    TryHeld();
+  });
+}
+
+void Dispatcher::OnFirstEvent(dispatch::WorkId work) {
+  board_.OnFirstEvent(work, clock_.Now());
+  announcements_.OnFirstEvent(work);
+}
+
+void Dispatcher::OnEnd(dispatch::WorkId work) {
+  board_.End(work);
+  announcements_.OnEnd(work);
+}
+
+void Dispatcher::OnSuccess(const directory::Endpoint& endpoint) {
+  health_.OnSuccess(EndpointKey(endpoint));
+}
+
+void Dispatcher::OnFailure(const directory::Endpoint& endpoint, dispatch::FailureKind kind) {
+  const Digest key = EndpointKey(endpoint);
+  const bool newly_unusable = health_.OnFailure(key, kind, clock_.Now());
+  if (newly_unusable && kind == dispatch::FailureKind::kUnreachable) {
+    announcements_.OnUnreachable(key);
+  }
+}
+
+void Dispatcher::OnCrash(Digest request, const directory::Endpoint& endpoint) {
+  announcements_.OnCrash(request, EndpointKey(endpoint));
+}
+
+void Dispatcher::OnPeerBegin(const dispatch::Work& work) { board_.Begin(work, clock_.Now()); }
+
+void Dispatcher::OnPeerFirstEvent(dispatch::WorkId work) {
+  board_.OnFirstEvent(work, clock_.Now());
+}
+
+void Dispatcher::OnPeerEnd(dispatch::WorkId work) { board_.End(work); }
+
+void Dispatcher::OnPeerUnreachable(Digest endpoint) {
+  health_.OnFailure(endpoint, dispatch::FailureKind::kUnreachable, clock_.Now());
+}
+
+std::size_t Dispatcher::unusable() const {
+  const TimePoint now = clock_.Now();
+  std::size_t count = 0;
+  for (const directory::Endpoint& endpoint : snapshot_->endpoints) {
+    count += health_.Usable(EndpointKey(endpoint), now) ? 0 : 1;
+  }
+  return count;
+}
+
+}  // namespace verbenaridge::forwarding
--- /dev/null
+++ b/verbenaridge/forwarding/dispatcher.h
@@ -0,0 +1,177 @@
+// Finds an endpoint for each request of one traffic thread, and keeps the load board up to date.
+//
+//   Dispatcher dispatcher(io_context, clock, random, announcements, {});
+//   dispatcher.SetSnapshot(snapshot);
+//   DispatchId id = dispatcher.Submit({.service = service, .demand = demand}, callback);
+//   dispatcher.Cancel(id);
+//
+// Requests that no endpoint can take without harm are held here, the most urgent and then the
+// oldest first, and are tried again every few milliseconds. Used by the thread of its event loop.
+#ifndef VERBENARIDGE_FORWARDING_DISPATCHER_H_
+#define VERBENARIDGE_FORWARDING_DISPATCHER_H_
+
+#include <asio/io_context.hpp>
+#include <asio/steady_timer.hpp>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "verbenaridge/base/clock.h"
+#include "verbenaridge/base/ids.h"
+#include "verbenaridge/base/random.h"
+#include "verbenaridge/directory/configuration.h"
+#include "verbenaridge/directory/endpoint_table.h"
+#include "verbenaridge/dispatch/endpoint_chooser.h"
+#include "verbenaridge/dispatch/endpoint_health.h"
+#include "verbenaridge/dispatch/load_board.h"
+
+namespace verbenaridge::forwarding {
+
+// What the control thread knows, as of one moment. Immutable.
+struct DirectorySnapshot {
+  std::shared_ptr<const directory::Configuration> configuration;  // null: none is known yet
+  std::vector<directory::Endpoint> endpoints;
+  TimePoint endpoints_read{};  // when the endpoints were read from the store
+  std::size_t hosts = 1;       // of the system, with this one
+};
+using SnapshotPtr = std::shared_ptr<const DirectorySnapshot>;
+
+// Tells the other hosts what this one sends to endpoints.
+class LoadAnnouncements {
+ public:
+  virtual ~LoadAnnouncements() = default;
+
+  virtual void OnBegin(const dispatch::Work& work) = 0;
+  virtual void OnFirstEvent(dispatch::WorkId work) = 0;
+  virtual void OnEnd(dispatch::WorkId work) = 0;
+  virtual void OnUnreachable(Digest endpoint) = 0;
+  virtual void OnCrash(Digest request, Digest endpoint) = 0;
+};
+
+Digest EndpointKey(const directory::Endpoint& endpoint);
+
+struct DispatchRequest {
+  ServiceId service;
+  dispatch::Demand demand;  // `waited` and `remaining` are worked out at each try
+  TimePoint arrived{};
+  TimePoint deadline{};
+  int urgency = 0;                 // the lowest goes first
+  std::vector<Digest> excluded{};  // endpoints that failed this request
+};
+
+struct Assignment {
+  enum class Outcome : std::uint8_t {
+    kAssigned,
+    kNoEndpoint,  // none serves the service now
+    kTooLarge,    // no group of the service's endpoints holds the prompt
+    kLate,        // the deadline passed while the request was held
+  };
+  Outcome outcome = Outcome::kAssigned;
+  std::vector<directory::Endpoint> members;  // the first one receives the request
+  std::vector<dispatch::WorkId> works;       // of the members; the receiver ends them
+  std::vector<TokenCount> free_kv;           // memory of the members that the board shows as free
+  bool reserve = false;
+  Duration predicted{};  // until the first event
+  double cost = 0;
+  std::size_t candidates = 0;
+};
+
+using DispatchId = std::uint64_t;
+using AssignmentCallback = std::function<void(Assignment)>;
+
+struct DispatcherOptions {
+  HostId host;
+  dispatch::ChooserOptions chooser{};
+  // Held requests are tried again this often, and not at each change of the load: in a flood both
+  // the changes and the held requests are many.
+  Duration retry_interval = std::chrono::milliseconds(10);
+  // How long a request waits for an endpoint of a service that has none.
+  Duration no_endpoint_wait = std::chrono::milliseconds(400);
+  // Work of others whose end was not heard of is forgotten after its deadline; this is for work
+  // without one.
+  Duration longest_work = std::chrono::seconds(20);
+};
+
+class Dispatcher {
+ public:
+  Dispatcher(asio::io_context& io_context, const Clock& clock, RandomSource& random,
+             LoadAnnouncements& announcements, const DispatcherOptions& options);
+
+  void SetSnapshot(SnapshotPtr snapshot);
+  const SnapshotPtr& snapshot() const { return snapshot_; }
+
+  // The callback runs once, at once or later, unless the request is cancelled first.
+  DispatchId Submit(DispatchRequest request, AssignmentCallback callback);
+  void Cancel(DispatchId id);
+
+  // Of assigned work.
+  void OnFirstEvent(dispatch::WorkId work);
+  void OnEnd(dispatch::WorkId work);
+
+  void OnSuccess(const directory::Endpoint& endpoint);
+  void OnFailure(const directory::Endpoint& endpoint, dispatch::FailureKind kind);
+  // The request was at the endpoint when that broke off.
+  void OnCrash(Digest request, const directory::Endpoint& endpoint);
+
+  // Forgets work whose end was never told.
+  void RemoveExpired() { board_.RemoveExpired(clock_.Now()); }
+
+  // From other hosts.
+  void OnPeerBegin(const dispatch::Work& work);
+  void OnPeerFirstEvent(dispatch::WorkId work);
+  void OnPeerEnd(dispatch::WorkId work);
+  void OnPeerUnreachable(Digest endpoint);
+
+  std::size_t held() const { return held_.size(); }
+  std::size_t works() const { return board_.size(); }
+  // Endpoints that this host leaves out now.
+  std::size_t unusable() const;
+
+ private:
+  struct Held {
+    DispatchRequest request;
+    AssignmentCallback callback;
+  };
+  struct Group {  // endpoints of one service
+    std::vector<const directory::Endpoint*> endpoints;
+    std::unique_ptr<dispatch::PassModel> model;
+  };
+  // The order in which held requests are tried.
+  using Place = std::pair<std::pair<int, TimePoint>, DispatchId>;
+
+  bool Try(const DispatchRequest& request, Assignment& assignment);
+  std::vector<dispatch::Candidate> Candidates(const Group& group, const DispatchRequest& request,
+                                              std::vector<const directory::Endpoint*>& endpoints);
+  void Assign(const DispatchRequest& request, const Group& group, const dispatch::Choice& choice,
+              std::span<const dispatch::Candidate> candidates,
+              std::span<const directory::Endpoint* const> endpoints, Assignment& assignment);
+  void TryHeld();
+  void ArmTimer();
+
+  const Clock& clock_;
+  RandomSource& random_;
+  LoadAnnouncements& announcements_;
+  const DispatcherOptions options_;
+  asio::steady_timer timer_;
+  bool timer_armed_ = false;
+  SnapshotPtr snapshot_;
+  std::unordered_map<ServiceId, Group> groups_;
+  std::unique_ptr<dispatch::EndpointChooser> predictive_;
+  std::unique_ptr<dispatch::EndpointChooser> least_busy_;
+  dispatch::LoadBoard board_;
+  dispatch::EndpointHealth health_;
+  std::map<DispatchId, Held> held_;
+  std::set<Place> order_;
+  DispatchId next_id_ = 1;
+  dispatch::WorkId next_work_;
+};
+
+}  // namespace verbenaridge::forwarding
+
+#endif  // VERBENARIDGE_FORWARDING_DISPATCHER_H_
--- /dev/null
+++ b/verbenaridge/forwarding/endpoint_pool.cc
@@ -0,0 +1,328 @@
+#include "verbenaridge/forwarding/endpoint_pool.h"
+
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <array>
+#include <asio/buffer.hpp>
+#include <asio/ip/tcp.hpp>
+#include <asio/post.hpp>
+#include <asio/steady_timer.hpp>
+#include <asio/write.hpp>
+#include <utility>
+
+#include "verbenaridge/http1/message_parser.h"
+
+namespace verbenaridge::forwarding {
+namespace {
+
+constexpr std::size_t kReadBytes = 16 * 1024;
+
+}  // namespace
+
+std::string_view ToText(ExchangeFailure failure) {
+  switch (failure) {
+    case ExchangeFailure::kNotConnected:
+      return "not_connected";
+    case ExchangeFailure::kBroken:
+      return "broken";
+    case ExchangeFailure::kMalformed:
+      return "malformed";
+  }
+  return "unknown";
+}
+
+class EndpointPool::Connection final : public Exchange,
+                                       public http1::ResponseObserver,
+                                       public std::enable_shared_from_this<Connection> {
+ public:
+  Connection(EndpointPool& pool, directory::Endpoint endpoint)
+      : pool_(&pool),
+        endpoint_(std::move(endpoint)),
+        socket_(pool.io_context_),
+        timer_(pool.io_context_),
+        parser_(*this) {}
+
+  const directory::Endpoint& endpoint() const { return endpoint_; }
+  bool open() const { return open_; }
+
+  // On a new connection.
+  void Connect(OutgoingRequest request, ExchangeObserver& observer) {
+    Take(std::move(request), observer);
+    std::error_code error;
+    const auto address = asio::ip::make_address(endpoint_.ip, error);
+    if (error) {
+      asio::post(pool_->io_context_,
+                 [self = shared_from_this()] { self->Fail(ExchangeFailure::kNotConnected); });
+      return;
+    }
+    timer_.expires_after(pool_->options_.connect_limit);
+    timer_.async_wait([self = shared_from_this()](std::error_code code) {
+      if (!code && !self->open_) self->Fail(ExchangeFailure::kNotConnected);
+    });
+    socket_.async_connect({address, endpoint_.port},
+                          [self = shared_from_this()](std::error_code code) {
+                            if (self->closed_) return;
+                            self->timer_.cancel();
+                            if (code) {
+                              self->Fail(ExchangeFailure::kNotConnected);
+                            } else {
+                              self->OnConnected();
+                            }
+                          });
+  }
+
+  // On a kept connection.
+  void Reuse(OutgoingRequest request, ExchangeObserver& observer) {
+    timer_.cancel();
+    reused_ = true;
+    Take(std::move(request), observer);
+    Write();
+  }
+
+  void Abandon() override {
+    observer_ = nullptr;
+    Close();
+  }
+
+  void Pause() override { paused_ = true; }
+
+  void Resume() override {
+    if (!paused_) return;
+    paused_ = false;
+    if (open_ && !reading_) Read();
+  }
+
+  bool connected() const override { return open_ || was_open_; }
+  bool reused() const override { return reused_; }
+
+  void Close() {
+    if (closed_) return;
+    closed_ = true;
+    was_open_ = was_open_ || open_;
+    open_ = false;
+    timer_.cancel();
+    std::error_code ignored;  // the connection is given up either way
+    socket_.close(ignored);
+  }
+
+  // The connection waits for the next request until `limit` from now.
+  void WaitIdle(Duration limit) {
+    timer_.expires_after(limit);
+    timer_.async_wait([self = shared_from_this()](std::error_code code) {
+      if (!code && self->observer_ == nullptr) self->CloseIdle();
+    });
+    if (!reading_) Read();
+  }
+
+ private:
+  void Take(OutgoingRequest request, ExchangeObserver& observer) {
+    request_ = std::move(request);
+    observer_ = &observer;
+    written_ = false;
+    paused_ = false;
+    parser_.Reset(request_.head_method);
+  }
+
+  void OnConnected() {
+    open_ = true;
+    ++pool_->opened_;
+    std::error_code ignored;  // both options only improve latency and detection
+    socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
+    const int limit = static_cast<int>(
+        std::chrono::duration_cast<std::chrono::milliseconds>(pool_->options_.unacknowledged_limit)
+            .count());
+    ::setsockopt(socket_.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &limit, sizeof limit);
+    Write();
+    Read();
+  }
+
+  void Write() {
+    const std::array<asio::const_buffer, 2> buffers = {
+        asio::buffer(request_.head),
+        request_.body ? asio::buffer(*request_.body) : asio::const_buffer()};
+    asio::async_write(socket_, buffers,
+                      [self = shared_from_this()](std::error_code code, std::size_t /*bytes*/) {
+                        if (self->closed_) return;
+                        // A failed write leaves the read to tell: an answer may have come.
+                        self->written_ = !code;
+                      });
+  }
+
+  void Read() {
+    reading_ = true;
+    socket_.async_read_some(
+        asio::buffer(buffer_), [self = shared_from_this()](std::error_code code, std::size_t size) {
+          self->reading_ = false;
+          if (!self->closed_) self->OnRead(code, {self->buffer_.data(), size});
+        });
+  }
+
+  void OnRead(std::error_code code, std::string_view data) {
+    if (observer_ == nullptr) {  // nothing is due on a kept connection
+      CloseIdle();
+      return;
+    }
+    if (code) {
+      OnReadFailed(code);
+      return;
+    }
+    const Result<std::size_t> used = parser_.Feed(data);
+    if (closed_ || observer_ == nullptr) return;
+    if (used.has_error()) {
+      Fail(ExchangeFailure::kMalformed);
+      return;
+    }
+    if (parser_.complete()) {
+      End(used.value() == data.size());
+      return;
+    }
+    if (!paused_) Read();
+  }
+
+  void OnReadFailed(std::error_code code) {
+    // Only an orderly close completes an answer without a length.
+    if (code == asio::error::eof && parser_.head_done() && parser_.Finish().has_value()) {
+      End(false);
+      return;
+    }
+    Fail(ExchangeFailure::kBroken);
+  }
+
+  // `clean`: nothing came after the answer.
+  void End(bool clean) {
+    ExchangeObserver* const observer = std::exchange(observer_, nullptr);
+    const std::shared_ptr<Connection> self = shared_from_this();
+    request_ = {};
+    if (clean && written_ && keep_alive_) {
+      pool_->Keep(self);
+    } else {
+      Close();
+    }
+    observer->OnAnswerEnd();
+  }
+
+  void Fail(ExchangeFailure failure) {
+    const std::shared_ptr<Connection> self = shared_from_this();
+    Close();
+    ExchangeObserver* const observer = std::exchange(observer_, nullptr);
+    if (observer != nullptr) observer->OnExchangeFailed(failure);
+  }
+
+  void CloseIdle() {
+    const std::shared_ptr<Connection> self = shared_from_this();
+    Close();
+    pool_->Drop(*this);
+  }
+
+  // http1::ResponseObserver
+  void OnHead(http1::ResponseHead head) override {
+    keep_alive_ = head.keep_alive && !head.until_close;
+    idle_limit_ = pool_->adapter_.ReadAnswer(head).idle_limit;
+    if (observer_ != nullptr) observer_->OnAnswerHead(std::move(head));
+  }
+  void OnBody(std::string_view data) override {
+    if (observer_ != nullptr) observer_->OnAnswerBody(data);
+  }
+
+ public:
+  std::optional<Duration> idle_limit() const { return idle_limit_; }
+
+ private:
+  EndpointPool* const pool_;
+  const directory::Endpoint endpoint_;
+  asio::ip::tcp::socket socket_;
+  asio::steady_timer timer_;
+  http1::ResponseParser parser_;
+  OutgoingRequest request_;
+  ExchangeObserver* observer_ = nullptr;
+  std::array<char, kReadBytes> buffer_{};
+  std::optional<Duration> idle_limit_;
+  bool open_ = false;
+  bool was_open_ = false;
+  bool closed_ = false;
+  bool reused_ = false;
+  bool reading_ = false;
+  bool paused_ = false;
+  bool written_ = false;
+  bool keep_alive_ = false;
+};
+
+EndpointPool::EndpointPool(asio::io_context& io_context, const MessageAdapter& adapter,
+                           const Clock& clock, const PoolOptions& options)
+    : io_context_(io_context), adapter_(adapter), clock_(clock), options_(options) {}
+
+EndpointPool::~EndpointPool() {
+  for (auto& [id, connections] : idle_) {
+    for (const auto& connection : connections) connection->Abandon();
+  }
+}
+
+std::shared_ptr<Exchange> EndpointPool::Start(const directory::Endpoint& endpoint,
+                                              OutgoingRequest request,
+                                              ExchangeObserver& observer) {
+  if (!request.new_connection) {
+    if (std::shared_ptr<Connection> kept = TakeIdle(endpoint)) {
+      kept->Reuse(std::move(request), observer);
+      return kept;
+    }
+  }
+  auto connection = std::make_shared<Connection>(*this, endpoint);
+  connection->Connect(std::move(request), observer);
+  return connection;
+}
+
+std::shared_ptr<EndpointPool::Connection> EndpointPool::TakeIdle(
+    const directory::Endpoint& endpoint) {
+  const auto found = idle_.find(endpoint.id);
+  if (found == idle_.end()) return nullptr;
+  auto& connections = found->second;
+  while (!connections.empty()) {
+    // The one used last has the longest time left.
+    std::shared_ptr<Connection> connection = std::move(connections.back());
+    connections.pop_back();
+    const bool same = connection->endpoint().born == endpoint.born &&
+                      connection->endpoint().ip == endpoint.ip &&
+                      connection->endpoint().port == endpoint.port;
+    if (connection->open() && same) return connection;
+    connection->Abandon();
+  }
+  return nullptr;
+}
+
+void EndpointPool::Keep(std::shared_ptr<Connection> connection) {
+  Duration limit = options_.longest_idle;
+  if (connection->idle_limit()) {
+    limit = std::min(limit, *connection->idle_limit() - options_.idle_margin);
+  }
+  auto& connections = idle_[connection->endpoint().id];
+  if (limit <= Duration{} || connections.size() >= options_.max_idle_per_endpoint) {
+    connection->Abandon();
+    return;
+  }
+  connection->WaitIdle(limit);
+  connections.push_back(std::move(connection));
+}
+
+void EndpointPool::Drop(const Connection& connection) {
+  const auto found = idle_.find(connection.endpoint().id);
+  if (found == idle_.end()) return;
+  std::erase_if(found->second, [&](const auto& kept) { return kept.get() == &connection; });
+  if (found->second.empty()) idle_.erase(found);
+}
+
+void EndpointPool::Forget(const EndpointId& endpoint) {
+  const auto found = idle_.find(endpoint);
+  if (found == idle_.end()) return;
+  for (const auto& connection : found->second) connection->Abandon();
+  idle_.erase(found);
+}
+
+std::size_t EndpointPool::idle() const {
+  std::size_t count = 0;
+  for (const auto& [id, connections] : idle_) count += connections.size();
+  return count;
+}
+
+}  // namespace verbenaridge::forwarding
--- /dev/null
+++ b/verbenaridge/forwarding/event_splitter.cc
@@ -0,0 +1,53 @@
+#include "verbenaridge/forwarding/event_splitter.h"
+
+#include <algorithm>
+
+#include "verbenaridge/http1/message.h"
+
+namespace verbenaridge::forwarding {
+namespace {
+
+// Position after the first empty line, or npos.
+std::size_t EndOfEvent(std::string_view text) {
+  std::size_t line = 0;
+  while (true) {
+    const std::size_t end = text.find('\n', line);
+    if (end == std::string_view::npos) return end;
+    const std::string_view content = text.substr(line, end - line);
+    if (line > 0 && (content.empty() || content == "\r")) return end + 1;
+    line = end + 1;
+  }
+}
+
+std::optional<std::uint64_t> IdOf(std::string_view event) {
+  constexpr std::string_view kField = "id:";
+  while (!event.empty()) {
+    const std::size_t end = std::min(event.find('\n'), event.size());
+    std::string_view line = event.substr(0, end);
+    if (line.ends_with('\r')) line.remove_suffix(1);
+    if (line.starts_with(kField)) {
+      return http1::ParseUnsigned(http1::Trim(line.substr(kField.size())));
+    }
+    event.remove_prefix(std::min(end + 1, event.size()));
+  }
+  return {};
+}
+
+}  // namespace
+
+std::vector<Event> EventSplitter::Feed(std::string_view data) {
+  buffer_.append(data);
+  std::vector<Event> events;
+  std::size_t start = 0;
+  while (true) {
+    const std::string_view rest = std::string_view(buffer_).substr(start);
+    const std::size_t end = EndOfEvent(rest);
+    if (end == std::string_view::npos) break;
+    events.push_back({.bytes = std::string(rest.substr(0, end)), .id = IdOf(rest.substr(0, end))});
+    start += end;
+  }
+  buffer_.erase(0, start);
+  return events;
+}
+
+}  // namespace verbenaridge::forwarding
--- /dev/null
+++ b/verbenaridge/forwarding/event_splitter.h
@@ -0,0 +1,40 @@
+// Splits a stream of server-sent events into whole events.
+//
+//   EventSplitter splitter;
+//   for (const Event& event : splitter.Feed(bytes)) Forward(event.bytes);
+//   if (splitter.partial()) ...  // the stream stopped within an event
+#ifndef VERBENARIDGE_FORWARDING_EVENT_SPLITTER_H_
+#define VERBENARIDGE_FORWARDING_EVENT_SPLITTER_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace verbenaridge::forwarding {
+
+struct Event {
+  std::string bytes;  // as received, with the empty line that ends it
+  std::optional<std::uint64_t> id;
+};
+
+class EventSplitter {
+ public:
+  // An event longer than this is a fault of the endpoint.
+  static constexpr std::size_t kMaxEventBytes = 256 * 1024;
+
+  std::vector<Event> Feed(std::string_view data);
+
+  bool partial() const { return !buffer_.empty(); }
+  bool too_long() const { return buffer_.size() > kMaxEventBytes; }
+  void Reset() { buffer_.clear(); }
+
+ private:
+  std::string buffer_;
+};
+
+}  // namespace verbenaridge::forwarding
+
+#endif  // VERBENARIDGE_FORWARDING_EVENT_SPLITTER_H_
--- /dev/null
+++ b/verbenaridge/forwarding/request_metrics.cc
@@ -0,0 +1,25 @@
+#include "verbenaridge/forwarding/request_metrics.h"
+
+namespace verbenaridge::forwarding {
+
+RequestMetrics::RequestMetrics(telemetry::MetricsRegistry& registry)
+    : requests(registry.AddCounter({.name = "verbenaridge_forwarded_requests_total",
+                                    .help = "Requests of clients by route and outcome.",
+                                    .labels = {{"route", 200}, {"outcome", 12}}})),
+      refusals(registry.AddCounter({.name = "verbenaridge_refusals_total",
+                                    .help = "Requests answered without an endpoint, by reason.",
+                                    .labels = {{"reason", 20}}})),
+      attempts(registry.AddCounter({.name = "verbenaridge_attempts_failed_total",
+                                    .help = "Attempts at endpoints that failed, by their end.",
+                                    .labels = {{"end", 8}}})),
+      latency(registry.AddHistogram({.name = "verbenaridge_first_event_seconds",
+                                     .help = "From the arrival to the first event or the answer.",
+                                     .labels = {{"priority", 10}}})),
+      predicted(registry.AddHistogram({.name = "verbenaridge_first_event_predicted_seconds",
+                                       .help = "From the dispatch to the first event, predicted.",
+                                       .labels = {{"priority", 10}}})),
+      held(registry.AddHistogram({.name = "verbenaridge_held_seconds",
+                                  .help = "From the arrival to the dispatch.",
+                                  .labels = {{"priority", 10}}})) {}
+
+}  // namespace verbenaridge::forwarding
--- /dev/null
+++ b/verbenaridge/forwarding/request_metrics.h
@@ -0,0 +1,22 @@
+// Counters and histograms of requests on the path between clients and endpoints.
+#ifndef VERBENARIDGE_FORWARDING_REQUEST_METRICS_H_
+#define VERBENARIDGE_FORWARDING_REQUEST_METRICS_H_
+
+#include "verbenaridge/telemetry/metrics.h"
+
+namespace verbenaridge::forwarding {
+
+struct RequestMetrics {
+  explicit RequestMetrics(telemetry::MetricsRegistry& registry);
+
+  telemetry::Family<telemetry::Counter>& requests;    // route, outcome
+  telemetry::Family<telemetry::Counter>& refusals;    // reason
+  telemetry::Family<telemetry::Counter>& attempts;    // end
+  telemetry::Family<telemetry::Histogram>& latency;   // priority; to the first event or the answer
+  telemetry::Family<telemetry::Histogram>& predicted; // priority
+  telemetry::Family<telemetry::Histogram>& held;      // priority
+};
+
+}  // namespace verbenaridge::forwarding
+
+#endif  // VERBENARIDGE_FORWARDING_REQUEST_METRICS_H_
--- /dev/null
+++ b/verbenaridge/forwarding/request_run.cc
@@ -0,0 +1,556 @@
+#include "verbenaridge/forwarding/request_run.h"
+
+#include <algorithm>
+#include <cstdio>
+#include <utility>
+
+#include "verbenaridge/base/hash.h"
+#include "verbenaridge/telemetry/log.h"
+
+namespace verbenaridge::forwarding {
+namespace {
+
+using telemetry::Level;
+
+constexpr int kLowestUrgency = 9;
+
+std::string_view PathOf(std::string_view target) { return target.substr(0, target.find('?')); }
+
+double Milliseconds(Duration duration) { return ToSeconds(duration) * 1000; }
+
+bool IsEventStream(const http1::ResponseHead& head) {
+  return head.header("Content-Type").starts_with("text/event-stream");
+}
+
+}  // namespace
+
+dispatch::RetryBudget& RunContext::BudgetOf(const ServiceId& service) {
+  return budgets.try_emplace(service, options.budget).first->second;
+}
+
+RequestRun::RequestRun(RunContext& context, IncomingRequest request,
+                       std::shared_ptr<ClientPort> port)
+    : context_(context),
+      request_(std::move(request)),
+      port_(std::move(port)),
+      snapshot_(context.dispatcher.snapshot()),
+      deadline_timer_(context.io_context),
+      patience_timer_(context.io_context) {}
+
+Duration RequestRun::Elapsed() const { return context_.clock.Now() - request_.arrived; }
+
+void RequestRun::Start() {
+  facts_ = context_.adapter.ReadRequest(request_.head);
+  if (!Admit()) return;
+  ArmDeadline();
+  FindEndpoint();
+}
+
+bool RequestRun::Admit() {
+  if (snapshot_->configuration == nullptr) {
+    Refuse(503, "no_configuration");
+    return false;
+  }
+  if (facts_.attempt_id.empty()) {
+    Refuse(400, "no_attempt_id");
+    return false;
+  }
+  if (facts_.bad_token_counts) {
+    Refuse(400, "bad_token_counts");
+    return false;
+  }
+  route_ = snapshot_->configuration->FindRoute(facts_.host, PathOf(request_.head.target));
+  if (route_ == nullptr) {
+    Refuse(404, "no_route");
+    return false;
+  }
+  if (!Authenticate()) return false;
+  service_ = directory::ChooseService(*route_, context_.random.Uniform());
+  if (service_.empty()) {
+    Refuse(503, "route_without_service");
+    return false;
+  }
+  digest_ = HashOf({request_.head.target, account_.value(),
+                    request_.body ? std::string_view(*request_.body) : std::string_view()});
+  context_.BudgetOf(service_).OnRequest(context_.clock.Now());
+  if (context_.crashes.Refused(digest_, context_.clock.Now())) {
+    Refuse(502, "kills_endpoints");
+    return false;
+  }
+  return true;
+}
+
+bool RequestRun::Authenticate() {
+  priority_ = route_->priority;
+  if (!snapshot_->configuration->needs_keys()) return true;
+  const directory::ClientAccount* account =
+      facts_.api_key.empty() ? nullptr : snapshot_->configuration->FindAccount(facts_.api_key);
+  if (account == nullptr) {
+    if (route_->allow_anonymous) return true;
+    Refuse(401, "unknown_key");
+    return false;
+  }
+  account_ = account->id;
+  if (account->priority) priority_ = *account->priority;
+  return true;
+}
+
+void RequestRun::ArmDeadline() {
+  Duration limit = route_->timeout;
+  deadline_reason_ = "route_timeout";
+  if (facts_.time_left && (limit == Duration{} || *facts_.time_left < limit)) {
+    limit = *facts_.time_left;
+    deadline_reason_ = "client_deadline";
+  }
+  deadline_ = request_.arrived + limit;
+  deadline_timer_.expires_after(std::max(limit - Elapsed(), Duration{}));
+  deadline_timer_.async_wait([self = shared_from_this()](std::error_code code) {
+    if (!code && !self->finished_) self->OnDeadline();
+  });
+}
+
+void RequestRun::OnDeadline() {
+  if (begun_) {
+    Finish(deadline_reason_, 0);
+    port_->Abort();
+  } else if (runs_ == 0 && exchange_ == nullptr) {
+    Refuse(503, deadline_reason_);
+  } else {
+    Refuse(504, deadline_reason_);
+  }
+}
+
+void RequestRun::FindEndpoint() {
+  dispatch_id_ = 0;
+  const TokenCount prompt = facts_.prompt_tokens;
+  // Set before Submit returns if the answer comes at once.
+  const DispatchId id = context_.dispatcher.Submit(
+      {.service = service_,
+       .demand = {.prompt_tokens = prompt,
+                  .output_tokens = facts_.max_output_tokens,
+                  .target_latency = route_->target_latency,
+                  .target_gap = route_->target_gap},
+       .arrived = request_.arrived,
+       .deadline = deadline_,
+       .urgency = priority_,
+       .excluded = excluded_},
+      [self = shared_from_this()](Assignment assignment) {
+        self->dispatch_id_ = 0;
+        self->OnAssigned(std::move(assignment));
+      });
+  if (!finished_ && exchange_ == nullptr && tickets_ == nullptr) dispatch_id_ = id;
+}
+
+void RequestRun::OnAssigned(Assignment assignment) {
+  if (finished_) return;
+  assignment_ = std::move(assignment);
+  switch (assignment_.outcome) {
+    case Assignment::Outcome::kAssigned:
+      break;
+    case Assignment::Outcome::kNoEndpoint:
+      if (runs_ > 0) {
+        GiveUp(AttemptEnd::kBroken);
+      } else {
+        Refuse(503, "no_endpoint");
+      }
+      return;
+    case Assignment::Outcome::kTooLarge:
+      Refuse(503, "prompt_too_large_now");
+      return;
+    case Assignment::Outcome::kLate:
+      OnDeadline();
+      return;
+  }
+  if (assignment_.reserve) {
+    ReserveMemory();
+    return;
+  }
+  std::vector<Helper> helpers;
+  for (std::size_t i = 1; i < assignment_.members.size(); ++i) {
+    helpers.push_back({.ip = assignment_.members[i].ip, .port = assignment_.members[i].port});
+  }
+  Launch(std::move(helpers));
+}
+
+void RequestRun::ReserveMemory() {
+  // Memory in proportion to what is free at each member.
+  TokenCount free = 0;
+  for (const TokenCount tokens : assignment_.free_kv) free += std::max<TokenCount>(tokens, 0);
+  const TokenCount needed = facts_.prompt_tokens + facts_.max_output_tokens;
+  std::vector<TokenCount> tokens;
+  for (const TokenCount part : assignment_.free_kv) {
+    const double share = static_cast<double>(std::max<TokenCount>(part, 0)) /
+                         static_cast<double>(std::max<TokenCount>(free, 1));
+    tokens.push_back(static_cast<TokenCount>(share * static_cast<double>(needed)) + 1);
+  }
+  tickets_ = TicketSet::Create(context_.io_context, context_.pool, context_.adapter,
+                               context_.ticket_prefix + std::to_string(++context_.tickets_made),
+                               context_.options.tickets);
+  tickets_->Reserve(assignment_.members, std::move(tokens),
+                    [self = shared_from_this()](bool reserved) {
+                      if (self->finished_) return;
+                      if (!reserved) {
+                        self->tickets_ = nullptr;
+                        self->AttemptFailed(AttemptEnd::kRefused, "memory_not_free");
+                        return;
+                      }
+                      std::vector<Helper> helpers;
+                      for (const directory::Endpoint& member : self->assignment_.members) {
+                        helpers.push_back({.ip = member.ip,
+                                           .port = member.port,
+                                           .ticket = self->tickets_->name()});
+                      }
+                      self->Launch(std::move(helpers));
+                    });
+}
+
+void RequestRun::Launch(std::vector<Helper> helpers) {
+  const TimePoint now = context_.clock.Now();
+  const directory::Endpoint& endpoint = assignment_.members.front();
+  ++offers_;
+  attempt_started_ = now;
+  answer_.reset();
+  answer_facts_ = {};
+  events_ = first_seen_ = false;
+  body_.clear();
+  splitter_.Reset();
+  const std::string priority = std::to_string(priority_);
+  if (offers_ == 1) context_.metrics.held.With({priority}).Observe(ToSeconds(Elapsed()));
+  context_.metrics.predicted.With({priority}).Observe(ToSeconds(assignment_.predicted));
+  const http1::RequestHead head = context_.adapter.WriteRequest(
+      request_.head,
+      {.remaining = deadline_ - now,
+       .endpoint = endpoint.id,
+       .client_account = account_,
+       .urgency = std::clamp(priority_, 0, kLowestUrgency),
+       .helpers = helpers,
+       .resume_after = last_event_ ? last_event_ : facts_.last_event_id,
+       .body_bytes = request_.body ? request_.body->size() : 0});
+  exchange_ = context_.pool.Start(endpoint,
+                                  {.head = http1::Serialize(head),
+                                   .body = request_.body,
+                                   .head_method = request_.head.method == "HEAD",
+                                   // A kept connection may be dead, and a request that may run
+                                   // only once cannot be sent again when it was.
+                                   .new_connection = !route_->idempotent()},
+                                  *this);
+  if (route_->kind == directory::RequestKind::kStream) {
+    ArmPatience(FromSeconds(context_.options.patience_factor * ToSeconds(assignment_.predicted)) +
+                context_.options.patience);
+  } else if (route_->idempotent()) {
+    ArmPatience(FromSeconds(context_.options.service_patience * ToSeconds(deadline_ - now)));
+  }
+}
+
+void RequestRun::ArmPatience(Duration limit) {
+  patience_timer_.expires_after(limit);
+  patience_timer_.async_wait([self = shared_from_this()](std::error_code code) {
+    if (code || self->finished_ || self->exchange_ == nullptr) return;
+    if (self->patience_timer_.expiry() > std::chrono::steady_clock::now()) return;
+    if (self->port_->pending() > 0) {  // the client is slow, not the endpoint
+      self->ArmPatience(self->context_.options.min_gap_patience);
+      return;
+    }
+    self->AttemptFailed(AttemptEnd::kSilent, "");
+  });
+}
+
+void RequestRun::EndWorks() {
+  for (const dispatch::WorkId work : assignment_.works) context_.dispatcher.OnEnd(work);
+  assignment_.works.clear();
+}
+
+// Ends what the attempt holds at endpoints.
+void RequestRun::StopAttempt() {
+  patience_timer_.cancel();
+  if (const auto exchange = std::exchange(exchange_, nullptr)) exchange->Abandon();
+  if (const auto tickets = std::exchange(tickets_, nullptr)) tickets->Release();
+  EndWorks();
+}
+
+void RequestRun::OnClientGone() {
+  if (finished_) return;
+  Finish("client_gone", 0);
+}
+
+void RequestRun::OnClientDrained() {
+  if (exchange_ != nullptr) exchange_->Resume();
+}
+
+void RequestRun::OnAnswerHead(http1::ResponseHead head) {
+  answer_facts_ = context_.adapter.ReadAnswer(head);
+  const bool ok = head.status >= 200 && head.status < 300;
+  events_ = ok && route_->kind == directory::RequestKind::kStream && IsEventStream(head);
+  answer_ = std::move(head);
+}
+
+void RequestRun::OnAnswerBody(std::string_view data) {
+  const std::shared_ptr<RequestRun> self = shared_from_this();
+  if (finished_ || exchange_ == nullptr) return;
+  if (events_) {
+    OnEvents(data);
+    return;
+  }
+  body_.append(data);
+  if (body_.size() > context_.options.max_whole_answer) {
+    AttemptFailed(AttemptEnd::kBroken, "answer_too_large");
+  }
+}
+
+void RequestRun::OnEvents(std::string_view data) {
+  if (answer_facts_.attempt_id != facts_.attempt_id || !answer_facts_.sealed ||
+      answer_facts_.encoded) {
+    AttemptFailed(AttemptEnd::kBroken, "answer_not_of_this_request");
+    return;
+  }
+  for (const Event& event : splitter_.Feed(data)) {
+    if (!AcceptEvent(event)) return;
+  }
+  if (splitter_.too_long()) {
+    AttemptFailed(AttemptEnd::kBroken, "event_too_long");
+    return;
+  }
+  if (port_->pending() > context_.options.max_pending) exchange_->Pause();
+}
+
+bool RequestRun::AcceptEvent(const Event& event) {
+  const std::optional<std::uint64_t> before = last_event_ ? last_event_ : facts_.last_event_id;
+  if (!event.id) {
+    AttemptFailed(AttemptEnd::kBroken, "event_without_id");
+    return false;
+  }
+  // A stream that goes on must do so with the next event.
+  if (before && *event.id != *before + 1) {
+    AttemptFailed(AttemptEnd::kBroken, "event_out_of_order");
+    return false;
+  }
+  const TimePoint now = context_.clock.Now();
+  if (!first_seen_) OnFirstEvent();
+  if (events_sent_ > 0) longest_pause_ = std::max(longest_pause_, now - last_event_at_);
+  last_event_at_ = now;
+  last_event_ = event.id;
+  ++events_sent_;
+  port_->Send(event.bytes);
+  if (finished_) return false;
+  ArmPatience(std::max(FromSeconds(context_.options.gap_factor * ToSeconds(route_->target_gap)),
+                       context_.options.min_gap_patience));
+  return true;
+}
+
+void RequestRun::OnFirstEvent() {
+  first_seen_ = true;
+  for (const dispatch::WorkId work : assignment_.works) context_.dispatcher.OnFirstEvent(work);
+  context_.dispatcher.OnSuccess(assignment_.members.front());
+  if (begun_) return;
+  begun_ = true;
+  first_event_after_ = Elapsed();
+  context_.metrics.latency.With({std::to_string(priority_)}).Observe(ToSeconds(first_event_after_));
+  http1::ResponseHead head{.status = answer_->status};
+  const std::string_view connection = answer_->header("Connection");
+  for (const http1::Header& header : answer_->headers) {
+    if (http1::IsHopByHop(header.name, connection)) continue;
+    if (http1::EqualsIgnoringCase(header.name, "Content-Length")) continue;
+    head.headers.push_back(header);
+  }
+  port_->Begin(std::move(head));
+}
+
+void RequestRun::OnAnswerEnd() {
+  const std::shared_ptr<RequestRun> self = shared_from_this();
+  exchange_ = nullptr;
+  if (finished_) return;
+  patience_timer_.cancel();
+  if (!events_) {
+    OnWholeAnswer();
+    return;
+  }
+  if (splitter_.partial() || !first_seen_) {
+    AttemptFailed(AttemptEnd::kBroken, "stream_cut_off");
+    return;
+  }
+  context_.crashes.OnCompleted(digest_);
+  Finish("served", answer_->status);
+  port_->End();
+}
+
+void RequestRun::OnWholeAnswer() {
+  const int status = answer_->status;
+  if (answer_facts_.not_executed || status == 421) {
+    AttemptFailed(AttemptEnd::kRefused, std::to_string(status));
+    return;
+  }
+  const bool ok = status >= 200 && status < 300;
+  const bool other_id =
+      !answer_facts_.attempt_id.empty() && answer_facts_.attempt_id != facts_.attempt_id;
+  const bool unproved = ok && (answer_facts_.attempt_id.empty() || !answer_facts_.sealed ||
+                               answer_facts_.encoded);
+  if (other_id || unproved || begun_) {
+    AttemptFailed(AttemptEnd::kBroken, "answer_not_of_this_request");
+    return;
+  }
+  if (status >= 500 && route_->idempotent() && runs_ + 1 < route_->attempts &&
+      MayTryAgain(AttemptEnd::kServerError)) {
+    AttemptFailed(AttemptEnd::kServerError, std::to_string(status));
+    return;
+  }
+  if (status < 500) context_.dispatcher.OnSuccess(assignment_.members.front());
+  context_.crashes.OnCompleted(digest_);
+  first_event_after_ = Elapsed();
+  context_.metrics.latency.With({std::to_string(priority_)}).Observe(ToSeconds(first_event_after_));
+  http1::ResponseHead head{.status = status};
+  const std::string_view connection = answer_->header("Connection");
+  for (const http1::Header& header : answer_->headers) {
+    if (http1::IsHopByHop(header.name, connection)) continue;
+    if (http1::EqualsIgnoringCase(header.name, "Content-Length")) continue;
+    head.headers.push_back(header);
+  }
+  Finish(ok ? "served" : "endpoint_failure", status);
+  port_->Answer(std::move(head), body_);
+}
+
+void RequestRun::OnExchangeFailed(ExchangeFailure failure) {
+  const std::shared_ptr<RequestRun> self = shared_from_this();
+  exchange_ = nullptr;
+  if (finished_) return;
+  AttemptFailed(failure == ExchangeFailure::kNotConnected ? AttemptEnd::kNotConnected
+                                                          : AttemptEnd::kBroken,
+                ToText(failure));
+}
+
+void RequestRun::NoteHealth(AttemptEnd end) {
+  const directory::Endpoint& endpoint = assignment_.members.front();
+  using dispatch::FailureKind;
+  switch (end) {
+    case AttemptEnd::kNotConnected:
+    case AttemptEnd::kSilent:
+      context_.dispatcher.OnFailure(endpoint, FailureKind::kUnreachable);
+      return;
+    case AttemptEnd::kRefused:
+      context_.dispatcher.OnFailure(endpoint, FailureKind::kFull);
+      return;
+    case AttemptEnd::kBroken:
+      context_.dispatcher.OnFailure(endpoint, FailureKind::kBroken);
+      return;
+    case AttemptEnd::kServerError:
+      context_.dispatcher.OnFailure(endpoint, FailureKind::kError);
+      return;
+  }
+}
+
+bool RequestRun::MayTryAgain(AttemptEnd end) {
+  const TimePoint now = context_.clock.Now();
+  if (offers_ >= context_.options.max_offers || now >= deadline_) return false;
+  if (end == AttemptEnd::kNotConnected) return true;
+  const bool may_have_run = end != AttemptEnd::kRefused;
+  if (may_have_run) {
+    if (!route_->idempotent() || runs_ >= route_->attempts) return false;
+    if (context_.crashes.Refused(digest_, now)) return false;
+  }
+  return context_.BudgetOf(service_).Take(snapshot_->hosts, now);
+}
+
+void RequestRun::AttemptFailed(AttemptEnd end, std::string_view detail) {
+  const bool may_have_run = end != AttemptEnd::kNotConnected && end != AttemptEnd::kRefused;
+  if (may_have_run) ++runs_;
+  LogAttempt(end, detail);
+  NoteHealth(end);
+  const Digest endpoint = EndpointKey(assignment_.members.front());
+  if (end == AttemptEnd::kBroken) {
+    if (context_.crashes.OnCrash(digest_, endpoint, context_.clock.Now())) {
+      context_.dispatcher.OnCrash(digest_, assignment_.members.front());
+    }
+  }
+  excluded_.push_back(endpoint);
+  StopAttempt();
+  // A server error that is passed over has drawn on the budget already.
+  if (end == AttemptEnd::kServerError || MayTryAgain(end)) {
+    FindEndpoint();
+  } else {
+    GiveUp(end);
+  }
+}
+
+void RequestRun::GiveUp(AttemptEnd end) {
+  if (begun_) {
+    Finish("stream_broken", 0);
+    port_->Abort();
+  } else if (runs_ == 0) {
+    Refuse(503, end == AttemptEnd::kRefused ? "endpoints_full" : "endpoints_unreachable");
+  } else {
+    Refuse(502, "outcome_unknown");
+  }
+}
+
+void RequestRun::Refuse(int status, std::string_view reason) {
+  if (finished_) return;
+  context_.metrics.refusals.With({reason}).Add();
+  http1::ResponseHead head{.status = status};
+  if (status == 503) {
+    char text[32];
+    std::snprintf(text, sizeof text, "%.2f", ToSeconds(context_.options.retry_after));
+    head.headers.push_back({"Retry-After", text});
+  }
+  if (status == 401) head.headers.push_back({"WWW-Authenticate", "Bearer"});
+  head.headers.push_back({"Content-Type", "application/json"});
+  Finish(reason, status);
+  port_->Answer(std::move(head), "{\"error\":\"" + std::string(reason) + "\"}");
+}
+
+void RequestRun::Finish(std::string_view outcome, int status) {
+  finished_ = true;
+  deadline_timer_.cancel();
+  if (dispatch_id_ != 0) context_.dispatcher.Cancel(dispatch_id_);
+  const std::string_view endpoint =
+      assignment_.members.empty() ? std::string_view() : assignment_.members.front().id.value();
+  const std::size_t members = assignment_.members.size();
+  StopAttempt();
+  const std::string_view route = route_ == nullptr ? std::string_view() : route_->name;
+  context_.metrics.requests.With({route, outcome}).Add();
+  telemetry::Log(
+      Level::kInfo, "request",
+      {{"id", facts_.attempt_id},
+       {"outcome", outcome},
+       {"status", status},
+       {"route", route},
+       {"client_account", account_.value()},
+       {"priority", priority_},
+       {"service", service_.value()},
+       {"endpoint", endpoint},
+       {"members", members},
+       {"offers", offers_},
+       {"runs", runs_},
+       {"prompt_tokens", facts_.prompt_tokens},
+       {"duration_ms", Milliseconds(Elapsed())},
+       {"held_ms", offers_ == 0 ? 0 : Milliseconds(attempt_started_ - request_.arrived)},
+       {"predicted_ms", Milliseconds(assignment_.predicted)},
+       {"first_event_ms", Milliseconds(first_event_after_)},
+       {"longest_pause_ms", Milliseconds(longest_pause_)},
+       {"events", events_sent_},
+       {"cost", assignment_.cost},
+       {"candidates", assignment_.candidates},
+       {"configuration",
+        snapshot_->configuration == nullptr ? 0 : snapshot_->configuration->version()},
+       {"endpoints_age_ms", Milliseconds(context_.clock.Now() - snapshot_->endpoints_read)}});
+}
+
+void RequestRun::LogAttempt(AttemptEnd end, std::string_view detail) const {
+  constexpr std::string_view kNames[] = {"not_connected", "refused", "silent", "broken",
+                                         "server_error"};
+  const std::string_view name = kNames[static_cast<std::size_t>(end)];
+  context_.metrics.attempts.With({name}).Add();
+  telemetry::Log(Level::kInfo, "attempt_failed",
+                 {{"id", facts_.attempt_id},
+                  {"end", name},
+                  {"detail", detail},
+                  {"endpoint", assignment_.members.front().id.value()},
+                  {"offer", offers_},
+                  {"runs", runs_},
+                  {"after_ms", Milliseconds(context_.clock.Now() - attempt_started_)},
+                  {"reused_connection", exchange_ != nullptr && exchange_->reused()},
+                  {"predicted_ms", Milliseconds(assignment_.predicted)},
+                  {"events", events_sent_},
+                  {"status", answer_ ? answer_->status : 0},
+                  {"candidates", assignment_.candidates}});
+}
+
+}  // namespace verbenaridge::forwarding
--- /dev/null
+++ b/verbenaridge/forwarding/ticket_set.cc
@@ -0,0 +1,128 @@
+#include "verbenaridge/forwarding/ticket_set.h"
+
+#include <utility>
+
+#include "verbenaridge/telemetry/log.h"
+
+namespace verbenaridge::forwarding {
+
+// One order to one endpoint. Keeps itself alive until it ends.
+class TicketSet::Order final : public ExchangeObserver, public std::enable_shared_from_this<Order> {
+ public:
+  Order(asio::io_context& io_context, std::function<void(bool)> done)
+      : timer_(io_context), done_(std::move(done)) {}
+
+  void Start(EndpointPool& pool, const directory::Endpoint& endpoint, std::string bytes,
+             Duration limit) {
+    exchange_ = pool.Start(endpoint, {.head = std::move(bytes)}, *this);
+    timer_.expires_after(limit);
+    timer_.async_wait([self = shared_from_this()](std::error_code code) {
+      if (code || self->exchange_ == nullptr) return;
+      self->exchange_->Abandon();
+      self->Finish(false);
+    });
+  }
+
+  void OnAnswerHead(http1::ResponseHead head) override { accepted_ = head.status == 200; }
+  void OnAnswerBody(std::string_view /*data*/) override {}
+  void OnAnswerEnd() override { Finish(accepted_); }
+  void OnExchangeFailed(ExchangeFailure /*failure*/) override { Finish(false); }
+
+ private:
+  void Finish(bool accepted) {
+    const std::shared_ptr<Order> self = shared_from_this();
+    exchange_ = nullptr;
+    timer_.cancel();
+    if (const auto done = std::exchange(done_, nullptr)) done(accepted);
+  }
+
+  asio::steady_timer timer_;
+  std::function<void(bool)> done_;
+  std::shared_ptr<Exchange> exchange_;
+  bool accepted_ = false;
+};
+
+std::shared_ptr<TicketSet> TicketSet::Create(asio::io_context& io_context, EndpointPool& pool,
+                                             const MessageAdapter& adapter, std::string name,
+                                             const TicketOptions& options) {
+  return std::shared_ptr<TicketSet>(
+      new TicketSet(io_context, pool, adapter, std::move(name), options));
+}
+
+TicketSet::TicketSet(asio::io_context& io_context, EndpointPool& pool,
+                     const MessageAdapter& adapter, std::string name, const TicketOptions& options)
+    : io_context_(io_context),
+      pool_(pool),
+      adapter_(adapter),
+      name_(std::move(name)),
+      options_(options),
+      timer_(io_context) {}
+
+void TicketSet::Send(const directory::Endpoint& endpoint, std::string bytes,
+                     std::function<void(bool)> done) {
+  std::make_shared<Order>(io_context_, std::move(done))
+      ->Start(pool_, endpoint, std::move(bytes), options_.order_limit);
+}
+
+void TicketSet::Reserve(std::vector<directory::Endpoint> members, std::vector<TokenCount> tokens,
+                        std::function<void(bool)> done) {
+  members_ = std::move(members);
+  tokens_ = std::move(tokens);
+  done_ = std::move(done);
+  waiting_ = members_.size();
+  for (std::size_t i = 0; i < members_.size(); ++i) {
+    Send(members_[i],
+         adapter_.WriteReservation(
+             members_[i], {.ticket = name_, .tokens = tokens_[i], .hold = options_.hold}),
+         [self = shared_from_this()](bool accepted) { self->OnReserved(accepted); });
+  }
+}
+
+void TicketSet::OnReserved(bool reserved) {
+  refused_ = refused_ || !reserved;
+  if (--waiting_ > 0 || released_) return;
+  const auto done = std::exchange(done_, nullptr);
+  if (refused_) {
+    Release();
+  } else {
+    ArmRenewal();
+  }
+  if (done) done(!refused_);
+}
+
+void TicketSet::ArmRenewal() {
+  timer_.expires_after(options_.renew_every);
+  timer_.async_wait([self = shared_from_this()](std::error_code code) {
+    if (code || self->released_) return;
+    for (std::size_t i = 0; i < self->members_.size(); ++i) {
+      const directory::Endpoint& member = self->members_[i];
+      self->Send(member,
+                 self->adapter_.WriteReservation(member, {.ticket = self->name_,
+                                                          .tokens = self->tokens_[i],
+                                                          .hold = self->options_.hold}),
+                 [self, id = member.id.value()](bool accepted) {
+                   if (accepted || self->released_) return;
+                   telemetry::Log(telemetry::Level::kWarning, "ticket_not_renewed",
+                                  {{"ticket", self->name_}, {"endpoint", id}});
+                 });
+    }
+    self->ArmRenewal();
+  });
+}
+
+void TicketSet::Release() {
+  if (std::exchange(released_, true)) return;
+  done_ = nullptr;
+  timer_.cancel();
+  for (const directory::Endpoint& member : members_) {
+    Send(member, adapter_.WriteRelease(member, name_),
+         [name = name_, id = member.id.value()](bool accepted) {
+           if (accepted) return;
+           telemetry::Log(telemetry::Level::kWarning, "ticket_not_released",
+                          {{"ticket", name}, {"endpoint", id},
+                           {"reason", "the reservation ends by itself"}});
+         });
+  }
+}
+
+}  // namespace verbenaridge::forwarding
--- /dev/null
+++ b/verbenaridge/forwarding/ticket_set.h
@@ -0,0 +1,76 @@
+// Memory reserved at several endpoints for one prompt, all or nothing.
+//
+//   auto tickets = TicketSet::Create(pool, adapter, clock, io_context, "t-7f3a", {});
+//   tickets->Reserve(members, tokens, [](bool reserved) { ... });
+//   tickets->Release();
+//
+// Reservations are short and are renewed while the set lives, so that what a dead host reserved is
+// free soon. Release gives back everything, also what an unanswered order may have reserved. Used
+// by the thread of its event loop.
+#ifndef VERBENARIDGE_FORWARDING_TICKET_SET_H_
+#define VERBENARIDGE_FORWARDING_TICKET_SET_H_
+
+#include <asio/io_context.hpp>
+#include <asio/steady_timer.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "verbenaridge/base/clock.h"
+#include "verbenaridge/directory/endpoint_table.h"
+#include "verbenaridge/forwarding/endpoint_pool.h"
+#include "verbenaridge/forwarding/message_adapter.h"
+
+namespace verbenaridge::forwarding {
+
+struct TicketOptions {
+  Duration hold = std::chrono::milliseconds(3'500);
+  Duration renew_every = std::chrono::milliseconds(1'200);
+  // Orders are answered within a round trip. One that is not may still be carried out later.
+  Duration order_limit = std::chrono::milliseconds(400);
+};
+
+class TicketSet : public std::enable_shared_from_this<TicketSet> {
+ public:
+  static std::shared_ptr<TicketSet> Create(asio::io_context& io_context, EndpointPool& pool,
+                                           const MessageAdapter& adapter, std::string name,
+                                           const TicketOptions& options);
+
+  // `tokens` of each member. The callback runs once, unless the set is released first.
+  void Reserve(std::vector<directory::Endpoint> members, std::vector<TokenCount> tokens,
+               std::function<void(bool reserved)> done);
+
+  // Releases all tickets and stops renewing. Idempotent.
+  void Release();
+
+  const std::string& name() const { return name_; }
+
+ private:
+  class Order;
+
+  TicketSet(asio::io_context& io_context, EndpointPool& pool, const MessageAdapter& adapter,
+            std::string name, const TicketOptions& options);
+
+  void OnReserved(bool reserved);
+  void ArmRenewal();
+  void Send(const directory::Endpoint& endpoint, std::string bytes,
+            std::function<void(bool accepted)> done);
+
+  asio::io_context& io_context_;
+  EndpointPool& pool_;
+  const MessageAdapter& adapter_;
+  const std::string name_;
+  const TicketOptions options_;
+  asio::steady_timer timer_;
+  std::vector<directory::Endpoint> members_;
+  std::vector<TokenCount> tokens_;
+  std::function<void(bool)> done_;
+  std::size_t waiting_ = 0;
+  bool refused_ = false;
+  bool released_ = false;
+};
+
+}  // namespace verbenaridge::forwarding
+
+#endif  // VERBENARIDGE_FORWARDING_TICKET_SET_H_
--- /dev/null
+++ b/verbenaridge/http1/message_parser.cc
@@ -0,0 +1,200 @@
+#include "verbenaridge/http1/message_parser.h"
+
+#include <http_parser.h>
+
+#include <utility>
+
+namespace verbenaridge::http1 {
+namespace internal {
+
+// What both parsers share. The callbacks of http_parser find it in `parser.data`.
+class ParserState {
+ public:
+  ParserState(http_parser_type type, const ParserLimits& limits, RequestObserver* request_observer,
+              ResponseObserver* response_observer)
+      : type_(type),
+        limits_(limits),
+        request_observer_(request_observer),
+        response_observer_(response_observer) {
+    Reset(false);
+  }
+
+  void Reset(bool head_request) {
+    http_parser_init(&parser_, type_);
+    parser_.data = this;
+    head_request_ = head_request;
+    started_ = head_done_ = complete_ = too_large_ = interim_ = false;
+    ClearHead();
+  }
+
+  Result<std::size_t> Feed(std::string_view data) {
+    if (complete_ || data.empty()) return std::size_t{0};
+    std::size_t used = 0;
+    while (used < data.size() && !complete_) {
+      started_ = true;
+      const std::string_view rest = data.substr(used);
+      used += http_parser_execute(&parser_, &Callbacks(), rest.data(), rest.size());
+      const auto error = HTTP_PARSER_ERRNO(&parser_);
+      if (too_large_) return Errc::kTooLarge;
+      if (interim_ && error == HPE_PAUSED) {
+        Reset(head_request_);
+        continue;
+      }
+      if (error == HPE_PAUSED) break;
+      if (error != HPE_OK || parser_.upgrade != 0) return Errc::kMalformed;
+    }
+    return used;
+  }
+
+  Status Finish() {
+    if (complete_) return Ok();
+    if (!head_done_) return Errc::kMalformed;
+    http_parser_execute(&parser_, &Callbacks(), nullptr, 0);
+    if (!complete_) return Errc::kMalformed;
+    return Ok();
+  }
+
+  bool started() const { return started_; }
+  bool head_done() const { return head_done_; }
+  bool complete() const { return complete_; }
+
+ private:
+  static ParserState& Of(http_parser* parser) { return *static_cast<ParserState*>(parser->data); }
+
+  static const http_parser_settings& Callbacks() {
+    static const http_parser_settings settings = [] {
+      http_parser_settings s;
+      http_parser_settings_init(&s);
+      s.on_url = [](http_parser* p, const char* at, size_t n) {
+        return Of(p).Append(Of(p).target_, at, n);
+      };
+      s.on_header_field = [](http_parser* p, const char* at, size_t n) {
+        return Of(p).OnName(at, n);
+      };
+      s.on_header_value = [](http_parser* p, const char* at, size_t n) {
+        return Of(p).OnValue(at, n);
+      };
+      s.on_headers_complete = [](http_parser* p) { return Of(p).OnHeadersComplete(); };
+      s.on_body = [](http_parser* p, const char* at, size_t n) { return Of(p).OnBody({at, n}); };
+      s.on_message_complete = [](http_parser* p) { return Of(p).OnComplete(); };
+      return s;
+    }();
+    return settings;
+  }
+
+  int Count(std::size_t bytes) {
+    head_bytes_ += bytes;
+    too_large_ = head_bytes_ > limits_.head_bytes;
+    return too_large_ ? 1 : 0;
+  }
+
+  int Append(std::string& text, const char* at, std::size_t n) {
+    text.append(at, n);
+    return Count(n);
+  }
+
+  int OnName(const char* at, std::size_t n) {
+    if (head_done_) return 0;  // trailers are not forwarded
+    if (in_value_ || headers_.empty()) {
+      headers_.emplace_back();
+      in_value_ = false;
+      Count(4);  // separator and line end
+    }
+    return Append(headers_.back().name, at, n);
+  }
+
+  int OnValue(const char* at, std::size_t n) {
+    if (head_done_ || headers_.empty()) return 0;
+    in_value_ = true;
+    return Append(headers_.back().value, at, n);
+  }
+
+  int OnHeadersComplete() {
+    const bool keep_alive = http_should_keep_alive(&parser_) != 0;
+    if (type_ == HTTP_REQUEST) {
+      head_done_ = true;
+      request_observer_->OnHead({.method = http_method_str(static_cast<http_method>(parser_.method)),
+                                 .target = std::move(target_),
+                                 .headers = std::move(headers_),
+                                 .keep_alive = keep_alive});
+      return 0;
+    }
+    const int status = static_cast<int>(parser_.status_code);
+    interim_ = status >= 100 && status < 200;
+    if (interim_) return 1;
+    head_done_ = true;
+    const bool until_close = http_message_needs_eof(parser_) && !head_request_;
+    response_observer_->OnHead({.status = status,
+                                .headers = std::move(headers_),
+                                .keep_alive = keep_alive,
+                                .until_close = until_close});
+    return head_request_ ? 1 : 0;
+  }
+
+  static bool http_message_needs_eof(const http_parser& parser) {
+    const int status = static_cast<int>(parser.status_code);
+    const bool no_body = status == 204 || status == 304 || (status >= 100 && status < 200);
+    return !no_body && (parser.flags & (F_CHUNKED | F_CONTENTLENGTH)) == 0;
+  }
+
+  int OnBody(std::string_view data) {
+    if (type_ == HTTP_REQUEST) {
+      request_observer_->OnBody(data);
+    } else {
+      response_observer_->OnBody(data);
+    }
+    return 0;
+  }
+
+  int OnComplete() {
+    complete_ = !interim_;
+    http_parser_pause(&parser_, 1);
+    return 0;
+  }
+
+  void ClearHead() {
+    target_.clear();
+    headers_.clear();
+    in_value_ = false;
+    head_bytes_ = 0;
+  }
+
+  const http_parser_type type_;
+  const ParserLimits limits_;
+  RequestObserver* const request_observer_;
+  ResponseObserver* const response_observer_;
+  http_parser parser_{};
+  std::string target_;
+  std::vector<Header> headers_;
+  std::size_t head_bytes_ = 0;
+  bool in_value_ = false;
+  bool head_request_ = false;
+  bool started_ = false;
+  bool head_done_ = false;
+  bool complete_ = false;
+  bool too_large_ = false;
+  bool interim_ = false;
+};
+
+}  // namespace internal
+
+RequestParser::RequestParser(const ParserLimits& limits, RequestObserver& observer)
+    : state_(std::make_unique<internal::ParserState>(HTTP_REQUEST, limits, &observer, nullptr)) {}
+RequestParser::~RequestParser() = default;
+Result<std::size_t> RequestParser::Feed(std::string_view data) { return state_->Feed(data); }
+void RequestParser::Reset() { state_->Reset(false); }
+bool RequestParser::started() const { return state_->started(); }
+bool RequestParser::head_done() const { return state_->head_done(); }
+bool RequestParser::complete() const { return state_->complete(); }
+
+ResponseParser::ResponseParser(ResponseObserver& observer, const ParserLimits& limits)
+    : state_(std::make_unique<internal::ParserState>(HTTP_RESPONSE, limits, nullptr, &observer)) {}
+ResponseParser::~ResponseParser() = default;
+Result<std::size_t> ResponseParser::Feed(std::string_view data) { return state_->Feed(data); }
+Status ResponseParser::Finish() { return state_->Finish(); }
+void ResponseParser::Reset(bool head_request) { state_->Reset(head_request); }
+bool ResponseParser::started() const { return state_->started(); }
+bool ResponseParser::head_done() const { return state_->head_done(); }
+bool ResponseParser::complete() const { return state_->complete(); }
+
+}  // namespace verbenaridge::http1
--- /dev/null
+++ b/verbenaridge/http1/message_parser_test.cc
@@ -0,0 +1,142 @@
+#include "verbenaridge/http1/message_parser.h"
+
+#include <doctest/doctest.h>
+
+#include <string>
+
+namespace verbenaridge::http1 {
+namespace {
+
+class Recorder final : public RequestObserver, public ResponseObserver {
+ public:
+  void OnHead(RequestHead head) override { request = std::move(head); }
+  void OnHead(ResponseHead head) override { response = std::move(head); }
+  void OnBody(std::string_view data) override { body.append(data); }
+
+  RequestHead request;
+  ResponseHead response;
+  std::string body;
+};
+
+// Guards against a request that takes bytes of the next one, or is taken for whole too early.
+TEST_CASE("requests end where their framing says") {
+  struct Row {
+    const char* name;
+    std::string bytes;
+    bool complete;
+    std::string body;
+    std::size_t left;
+  };
+  const Row rows[] = {
+      {"no body", "GET /a/ HTTP/1.1\r\nHost: h\r\n\r\n", true, "", 0},
+      {"length", "POST /a/ HTTP/1.1\r\nContent-Length: 3\r\n\r\nabc", true, "abc", 0},
+      {"length, one byte missing", "POST / HTTP/1.1\r\nContent-Length: 3\r\n\r\nab", false, "ab", 0},
+      {"chunks", "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n1\r\nc\r\n0\r\n\r\n",
+       true, "abc", 0},
+      {"next request follows", "GET /a HTTP/1.1\r\n\r\nGET /b HTTP/1.1\r\n\r\n", true, "", 19},
+      {"next request after a body", "POST / HTTP/1.1\r\nContent-Length: 1\r\n\r\naGET /", true, "a", 5},
+  };
+  for (const Row& row : rows) {
+    CAPTURE(row.name);
+    Recorder recorder;
+    RequestParser parser({}, recorder);
+    const Result<std::size_t> used = parser.Feed(row.bytes);
+    REQUIRE(used.has_value());
+    CHECK(parser.complete() == row.complete);
+    CHECK(recorder.body == row.body);
+    CHECK(row.bytes.size() - used.value() == row.left);
+  }
+}
+
+// Guards against a parse that depends on where a read ends.
+TEST_CASE("bytes may come one at a time") {
+  const std::string bytes = "POST /x?q=1 HTTP/1.1\r\nHost: a.example\r\nContent-Length: 4\r\n\r\nwxyz";
+  Recorder recorder;
+  RequestParser parser({}, recorder);
+  for (const char c : bytes) REQUIRE(parser.Feed({&c, 1}).has_value());
+  CHECK(parser.complete());
+  CHECK(recorder.request.method == "POST");
+  CHECK(recorder.request.target == "/x?q=1");
+  CHECK(recorder.request.header("HOST") == "a.example");
+  CHECK(recorder.body == "wxyz");
+}
+
+// Guards against request smuggling and against heads that fill the memory.
+TEST_CASE("faulty requests are refused") {
+  struct Row {
+    const char* name;
+    std::string bytes;
+    Errc error;
+  };
+  const Row rows[] = {
+      {"no HTTP", "hello\r\n\r\n", Errc::kMalformed},
+      {"length and chunks",
+       "POST / HTTP/1.1\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n", Errc::kMalformed},
+      {"two lengths", "POST / HTTP/1.1\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\n",
+       Errc::kMalformed},
+      {"head over the limit", "GET / HTTP/1.1\r\nX: " + std::string(200, 'x') + "\r\n\r\n",
+       Errc::kTooLarge},
+  };
+  for (const Row& row : rows) {
+    CAPTURE(row.name);
+    Recorder recorder;
+    RequestParser parser({.head_bytes = 100}, recorder);
+    const Result<std::size_t> used = parser.Feed(row.bytes);
+    REQUIRE(used.has_error());
+    CHECK(used.error() == row.error);
+  }
+}
+
+// Guards against a response that is cut off and looks whole.
+TEST_CASE("responses end where their framing says") {
+  struct Row {
+    const char* name;
+    std::string bytes;
+    bool complete;
+    bool complete_at_end;
+    bool until_close;
+    std::size_t left;
+  };
+  const Row rows[] = {
+      {"length", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", true, true, false, 0},
+      {"length, cut off", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\no", false, false, false, 0},
+      {"chunks, cut off", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n", false,
+       false, false, 0},
+      {"until close", "HTTP/1.1 200 OK\r\n\r\nok", false, true, true, 0},
+      {"head cut off", "HTTP/1.1 200 OK\r\nContent-", false, false, false, 0},
+      {"second response", "HTTP/1.1 204 No Content\r\n\r\nHTTP/1.1 200", true, true, false, 12},
+      {"interim response first",
+       "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", true, true,
+       false, 0},
+  };
+  for (const Row& row : rows) {
+    CAPTURE(row.name);
+    Recorder recorder;
+    ResponseParser parser(recorder);
+    const Result<std::size_t> used = parser.Feed(row.bytes);
+    REQUIRE(used.has_value());
+    CHECK(parser.complete() == row.complete);
+    CHECK(recorder.response.until_close == row.until_close);
+    CHECK(row.bytes.size() - used.value() == row.left);
+    CHECK(parser.Finish().has_value() == row.complete_at_end);
+  }
+}
+
+// Guards against connection headers that reach the other side.
+TEST_CASE("hop-by-hop headers") {
+  struct Row {
+    const char* name;
+    const char* connection;
+    bool hop_by_hop;
+  };
+  const Row rows[] = {{"Connection", "", true},        {"Keep-Alive", "", true},
+                      {"Transfer-Encoding", "", true}, {"X-One", "close, x-one", true},
+                      {"X-Two", "x-one", false},       {"Content-Type", "", false}};
+  for (const Row& row : rows) {
+    CAPTURE(row.name);
+    CHECK(IsHopByHop(row.name, row.connection) == row.hop_by_hop);
+  }
+}
+
+}  // namespace
+}  // namespace verbenaridge::http1
--- /dev/null
+++ b/verbenaridge/ingress/directory_service.cc
@@ -0,0 +1,390 @@
+#include "verbenaridge/ingress/directory_service.h"
+
+#include <algorithm>
+#include <utility>
+#include <variant>
+
+#include "verbenaridge/base/hash.h"
+#include "verbenaridge/telemetry/log.h"
+
+namespace verbenaridge::ingress {
+namespace {
+
+using telemetry::Level;
+using telemetry::Log;
+
+constexpr Duration kTick = std::chrono::milliseconds(40);
+// Ticks this far apart mean that the process or its host stood still.
+constexpr Duration kPause = std::chrono::milliseconds(900);
+// A reading that a peer passed on is of use only if it is newer than the own one.
+constexpr Duration kMaxPeerAge = std::chrono::seconds(5);
+
+double Milliseconds(Duration duration) { return ToSeconds(duration) * 1000; }
+
+Digest DigestOf(std::vector<directory::Endpoint>& entries) {
+  std::sort(entries.begin(), entries.end(),
+            [](const auto& a, const auto& b) { return a.id < b.id; });
+  Digest digest = 1;
+  for (const directory::Endpoint& entry : entries) {
+    digest = CombineDigests(
+        digest, HashOf({entry.id.value(), entry.service.value(), entry.ip,
+                        std::to_string(entry.port), std::to_string(entry.born),
+                        entry.draining ? std::string_view("d") : std::string_view("r")}));
+  }
+  return digest;
+}
+
+std::string_view ToText(directory::EndpointTable::Change::Kind kind) {
+  using Kind = directory::EndpointTable::Change::Kind;
+  switch (kind) {
+    case Kind::kAdded:
+      return "added";
+    case Kind::kRestarted:
+      return "restarted";
+    case Kind::kDraining:
+      return "draining";
+    case Kind::kRemoved:
+      return "removed";
+    case Kind::kMoved:
+      return "moved";
+  }
+  return "unknown";
+}
+
+}  // namespace
+
+DirectoryService::DirectoryService(asio::io_context& io_context, const DirectoryOptions& options,
+                                   directory::DirectoryStore& store, const Clock& clock,
+                                   RandomSource& random, DirectoryOutputs outputs)
+    : options_(options),
+      store_(store),
+      clock_(clock),
+      random_(random),
+      outputs_(std::move(outputs)),
+      peers_(options.self, options.ip),
+      socket_(io_context,
+              {.listen = {options.ip, options.port}, .self = options.self, .keys = options.keys},
+              clock,
+              [this](const wire::Datagram& datagram, const wire::PeerAddress& from) {
+                if (const auto* notice = std::get_if<wire::DirectoryNotice>(&datagram)) {
+                  OnNotice(*notice, from.ip);
+                }
+              }),
+      peer_directory_(io_context,
+                      {.self = options.self, .ip = options.ip, .port = options.port,
+                       .keys = options.keys},
+                      *this),
+      tick_(io_context, kTick, [this] { Tick(); }),
+      configuration_schedule_(options.configuration, random, clock.Now()),
+      endpoints_schedule_(options.endpoints, random, clock.Now()),
+      table_({.outage_after = 2 * options.endpoint_heartbeat}) {
+  for (const std::string& seed : options.seeds) peers_.AddSeed(seed);
+}
+
+Status DirectoryService::Open() {
+  BOOST_OUTCOME_TRYV(socket_.Open());
+  return peer_directory_.Open();
+}
+
+void DirectoryService::Start() {
+  started_ = true;
+  last_tick_ = clock_.Now();
+  SendNotice(false, false, nullptr);
+  Tick();
+}
+
+std::uint64_t DirectoryService::version() const {
+  return configuration_.configuration == nullptr ? 0 : configuration_.configuration->version();
+}
+
+void DirectoryService::Tick() {
+  if (!started_) return;
+  const TimePoint now = clock_.Now();
+  NoticePause(now);
+  if (configuration_schedule_.Due(now)) ReadConfiguration();
+  if (endpoints_schedule_.Due(now)) ReadEndpoints();
+  for (const HostId& host : peers_.RemoveSilent(now)) {
+    Log(Level::kInfo, "peer_silent", {{"peer", host.value()}, {"hosts", peers_.live()}});
+  }
+  if (now - last_notice_ >= options_.notice_interval) SendNotice(false, false, nullptr);
+  std::vector<std::string> live = peers_.LiveAddresses();
+  if (live != published_peers_) {
+    published_peers_ = live;
+    outputs_.peers(std::move(live));
+  }
+}
+
+void DirectoryService::NoticePause(TimePoint now) {
+  const Duration gap = now - std::exchange(last_tick_, now);
+  if (gap < kPause) return;
+  Log(Level::kWarning, "pause_noticed", {{"gap_ms", Milliseconds(gap)}});
+  configuration_schedule_.OnPeerDiffers(now);
+  endpoints_schedule_.OnPeerDiffers(now);
+}
+
+void DirectoryService::ReadConfiguration() {
+  configuration_schedule_.OnStarted(clock_.Now());
+  if (read_anew_) {
+    store_.ReadConfiguration([this](Result<directory::ConfigurationReading> reading) {
+      OnConfigurationRead(std::move(reading));
+    });
+  } else {
+    store_.PollConfiguration(
+        configuration_.revision,
+        [this](Result<std::optional<directory::ConfigurationReading>> reading) {
+          OnConfigurationPolled(std::move(reading));
+        });
+  }
+}
+
+void DirectoryService::OnConfigurationRead(Result<directory::ConfigurationReading> reading) {
+  if (reading.has_error()) {
+    OnConfigurationFailed(reading.error());
+    return;
+  }
+  read_anew_ = false;
+  NoteStore(true, {});
+  configuration_schedule_.OnRead(clock_.Now());
+  Adopt(std::move(reading).value(), "store");
+  SendNotice(true, false, nullptr);
+}
+
+void DirectoryService::OnConfigurationPolled(
+    Result<std::optional<directory::ConfigurationReading>> reading) {
+  if (reading.has_error()) {
+    if (reading.error() == Errc::kConflict) read_anew_ = true;
+    OnConfigurationFailed(reading.error());
+    return;
+  }
+  NoteStore(true, {});
+  configuration_schedule_.OnRead(clock_.Now());
+  if (reading.value()) Adopt(std::move(*reading.value()), "store");
+  SendNotice(true, false, nullptr);
+}
+
+void DirectoryService::Adopt(directory::ConfigurationReading reading, std::string_view source) {
+  const std::uint64_t known = version();
+  if (reading.configuration->version() < known) {
+    Log(Level::kWarning, "configuration_older",
+        {{"version", reading.configuration->version()}, {"known", known}, {"source", source}});
+    return;
+  }
+  configuration_.revision = std::max(configuration_.revision, reading.revision);
+  if (reading.configuration->version() == known) return;
+  configuration_.configuration = std::move(reading.configuration);
+  configuration_.document = std::move(reading.document);
+  Log(Level::kInfo, "configuration_in_force",
+      {{"version", version()},
+       {"before", known},
+       {"source", source},
+       {"revision", configuration_.revision},
+       {"routes", configuration_.configuration->route_count()}});
+  Publish();
+}
+
+void DirectoryService::OnConfigurationFailed(std::error_code error) {
+  configuration_schedule_.OnFailed(clock_.Now());
+  if (error == Errc::kMalformed) {
+    Log(Level::kError, "configuration_malformed", {{"known", version()}});
+  } else if (error == Errc::kConflict) {
+    Log(Level::kInfo, "store_history_lost", {{"revision", configuration_.revision}});
+    configuration_schedule_.OnPeerDiffers(clock_.Now());
+  } else {
+    NoteStore(false, error);
+  }
+  AskPeer();
+}
+
+void DirectoryService::ReadEndpoints() {
+  endpoints_schedule_.OnStarted(clock_.Now());
+  store_.ReadEndpoints([this](Result<directory::EndpointsReading> reading) {
+    OnEndpointsRead(std::move(reading));
+  });
+}
+
+void DirectoryService::OnEndpointsRead(Result<directory::EndpointsReading> reading) {
+  if (reading.has_error()) {
+    endpoints_schedule_.OnFailed(clock_.Now());
+    table_.OnReadingFailed(clock_.Now());
+    NoteStore(false, reading.error());
+    AskPeer();
+    return;
+  }
+  NoteStore(true, {});
+  endpoints_schedule_.OnRead(clock_.Now());
+  ApplyEndpoints(std::move(reading.value().endpoints), "store");
+  SendNotice(false, true, nullptr);
+}
+
+void DirectoryService::ApplyEndpoints(std::vector<directory::Endpoint> entries,
+                                      std::string_view source) {
+  last_digest_ = DigestOf(entries);
+  last_entries_ = entries;
+  for (const auto& change : table_.OnReading(std::move(entries), clock_.Now())) {
+    Log(Level::kInfo, "endpoint_changed",
+        {{"endpoint", change.endpoint.id.value()},
+         {"change", ToText(change.kind)},
+         {"service", change.endpoint.service.value()},
+         {"data_centre", change.endpoint.data_centre.value()},
+         {"source", source}});
+  }
+  Publish();
+}
+
+void DirectoryService::OnNotice(const wire::DirectoryNotice& notice, const std::string& ip) {
+  const TimePoint now = clock_.Now();
+  if (notice.leaving) {
+    peers_.OnLeaving(notice.sender);
+    return;
+  }
+  const PeerList::Heard heard = peers_.OnHeard(notice.sender, ip, notice.incarnation, now);
+  for (const wire::PeerEntry& peer : notice.peers) peers_.OnNamed(peer.host, peer.ip, now);
+  if (heard != PeerList::Heard::kKnown) {
+    Log(Level::kInfo, "peer_heard",
+        {{"peer", notice.sender.value()},
+         {"restarted", heard == PeerList::Heard::kRestarted},
+         {"hosts", peers_.live()}});
+    SendNotice(false, false, &ip);
+  }
+  if (notice.configuration_version > version()) {
+    informed_peer_ = ip;
+    configuration_schedule_.OnPeerDiffers(now);
+    if (configuration_schedule_.failures() > 0) AskPeer();
+  } else if (notice.configuration_read && notice.configuration_version == version()) {
+    configuration_schedule_.OnPeerRead(now);
+  }
+  if (!notice.endpoints_read) return;
+  if (notice.endpoints == last_digest_ && table_.read_once()) {
+    endpoints_schedule_.OnPeerRead(now);
+    ApplyEndpoints(last_entries_, "peer");
+  } else {
+    informed_peer_ = ip;
+    endpoints_schedule_.OnPeerDiffers(now);
+    if (endpoints_schedule_.failures() > 0) AskPeer();
+  }
+}
+
+void DirectoryService::SendNotice(bool configuration_read, bool endpoints_read,
+                                  const std::string* to) {
+  wire::DirectoryNotice notice{.sender = options_.self,
+                               .ip = options_.ip,
+                               .incarnation = options_.incarnation,
+                               .configuration_version = version(),
+                               .configuration_read = configuration_read,
+                               .endpoints = last_digest_,
+                               .endpoints_read = endpoints_read};
+  for (auto& [host, ip] : peers_.Sample(random_)) notice.peers.push_back({host, ip});
+  const wire::Datagram datagram = std::move(notice);
+  const auto send = [&](const std::string& ip) {
+    const Status sent = socket_.Send({ip, options_.port}, datagram);
+    if (sent.has_error()) {
+      Log(Level::kDebug, "notice_dropped", {{"peer", ip}, {"error", sent.error().message()}});
+    }
+  };
+  if (to != nullptr) {
+    send(*to);
+    return;
+  }
+  last_notice_ = clock_.Now();
+  for (const std::string& ip : peers_.Addresses(last_notice_)) send(ip);
+}
+
+void DirectoryService::AnnounceLeaving() {
+  const wire::Datagram datagram = wire::DirectoryNotice{.sender = options_.self,
+                                                        .ip = options_.ip,
+                                                        .incarnation = options_.incarnation,
+                                                        .leaving = true};
+  for (const std::string& ip : peers_.LiveAddresses()) {
+    // The peers notice the silence otherwise.
+    (void)socket_.Send({ip, options_.port}, datagram);
+  }
+}
+
+void DirectoryService::AskPeer() {
+  if (asking_peer_) return;
+  std::string ip = std::exchange(informed_peer_, {});
+  if (ip.empty()) {
+    const auto sample = peers_.Sample(random_);
+    if (sample.empty()) return;
+    ip = sample.front().second;
+  }
+  asking_peer_ = true;
+  peer_directory_.Fetch(ip, version(), [this, ip](Result<wire::FetchDirectoryReply> reply) {
+    asking_peer_ = false;
+    OnPeerContent(std::move(reply), ip);
+  });
+}
+
+void DirectoryService::OnPeerContent(Result<wire::FetchDirectoryReply> reply,
+                                     const std::string& ip) {
+  if (reply.has_error()) {
+    Log(Level::kInfo, "peer_not_answering", {{"peer", ip}, {"error", reply.error().message()}});
+    return;
+  }
+  wire::FetchDirectoryReply content = std::move(reply).value();
+  if (!content.configuration.empty() && content.configuration_version > version()) {
+    Result<std::shared_ptr<const directory::Configuration>> decoded =
+        store_.Decode(content.configuration);
+    if (decoded.has_error()) {
+      Log(Level::kError, "configuration_malformed", {{"peer", ip}});
+    } else {
+      Adopt({.configuration = std::move(decoded).value(),
+             .document = std::move(content.configuration)},
+            "peer");
+    }
+  }
+  const bool newer = !table_.read_once() || content.endpoints_age < endpoints_age();
+  if (!content.has_endpoints || !newer || content.endpoints_age > kMaxPeerAge) return;
+  std::vector<directory::Endpoint> entries;
+  for (wire::EndpointEntry& entry : content.endpoints) {
+    entries.push_back({.id = std::move(entry.id),
+                       .service = std::move(entry.service),
+                       .ip = std::move(entry.ip),
+                       .port = entry.port,
+                       .data_centre = std::move(entry.data_centre),
+                       .slots = entry.slots,
+                       .born = entry.born,
+                       .draining = entry.draining});
+  }
+  endpoints_schedule_.OnPeerRead(clock_.Now() - content.endpoints_age);
+  ApplyEndpoints(std::move(entries), "peer");
+}
+
+wire::FetchDirectoryReply DirectoryService::Content(std::uint64_t have_version) const {
+  wire::FetchDirectoryReply reply{.configuration_version = version(),
+                                  .has_endpoints = table_.read_once()};
+  if (version() > have_version) reply.configuration = configuration_.document;
+  if (!reply.has_endpoints) return reply;
+  reply.endpoints_age = endpoints_age();
+  for (const directory::Endpoint& entry : last_entries_) {
+    reply.endpoints.push_back({.id = entry.id,
+                               .service = entry.service,
+                               .ip = entry.ip,
+                               .port = entry.port,
+                               .data_centre = entry.data_centre,
+                               .slots = entry.slots,
+                               .born = entry.born,
+                               .draining = entry.draining});
+  }
+  return reply;
+}
+
+void DirectoryService::NoteStore(bool works, std::error_code error) {
+  if (std::exchange(store_works_, works) == works) return;
+  if (works) {
+    Log(Level::kInfo, "store_regained", {{"endpoints_age_ms", Milliseconds(endpoints_age())}});
+  } else {
+    Log(Level::kWarning, "store_lost", {{"error", error.message()}});
+  }
+}
+
+void DirectoryService::Publish() {
+  auto snapshot = std::make_shared<forwarding::DirectorySnapshot>();
+  snapshot->configuration = configuration_.configuration;
+  snapshot->endpoints = table_.endpoints();
+  snapshot->endpoints_read = endpoints_schedule_.fresh();
+  snapshot->hosts = peers_.live();
+  outputs_.snapshot(std::move(snapshot));
+}
+
+}  // namespace verbenaridge::ingress
--- /dev/null
+++ b/verbenaridge/ingress/directory_service.h
@@ -0,0 +1,125 @@
+// Keeps this host's copy of configuration and endpoints current, from the store and from peers.
+//
+//   DirectoryService directory(io_context, options, store, clock, random, outputs);
+//   Status opened = directory.Open();
+//   directory.Start();
+//
+// One of the hosts reads from the store in each interval and tells the others; those that have the
+// same need not read. A host that the store turns away asks the peer that told it. The version of
+// the configuration never goes back. Used by the control thread.
+#ifndef VERBENARIDGE_INGRESS_DIRECTORY_SERVICE_H_
+#define VERBENARIDGE_INGRESS_DIRECTORY_SERVICE_H_
+
+#include <asio/io_context.hpp>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "verbenaridge/base/clock.h"
+#include "verbenaridge/base/random.h"
+#include "verbenaridge/directory/directory_store.h"
+#include "verbenaridge/directory/endpoint_table.h"
+#include "verbenaridge/directory/refresh_schedule.h"
+#include "verbenaridge/forwarding/dispatcher.h"
+#include "verbenaridge/ingress/peer_directory.h"
+#include "verbenaridge/ingress/peer_list.h"
+#include "verbenaridge/loop/periodic.h"
+#include "verbenaridge/wire/datagram_socket.h"
+
+namespace verbenaridge::ingress {
+
+struct DirectoryOptions {
+  HostId self;
+  std::string ip;
+  std::uint16_t port = 0;  // TCP and UDP, the same on all hosts
+  wire::FleetKeys keys;
+  std::vector<std::string> seeds;
+  Incarnation incarnation = 0;
+  Duration endpoint_heartbeat{};
+  // Versions must be in force within 2 s, and a leaving endpoint gets no work after 2 s.
+  directory::RefreshOptions configuration{.interval = std::chrono::milliseconds(450)};
+  directory::RefreshOptions endpoints{.interval = std::chrono::milliseconds(450)};
+  // A host that has read nothing for so long says that it lives.
+  Duration notice_interval = std::chrono::seconds(1);
+};
+
+struct DirectoryOutputs {
+  std::function<void(forwarding::SnapshotPtr)> snapshot;
+  std::function<void(std::vector<std::string>)> peers;  // live addresses
+};
+
+class DirectoryService final : private DirectoryContent {
+ public:
+  DirectoryService(asio::io_context& io_context, const DirectoryOptions& options,
+                   directory::DirectoryStore& store, const Clock& clock, RandomSource& random,
+                   DirectoryOutputs outputs);
+
+  Status Open();
+  void Start();
+
+  // Tells the peers that this host leaves.
+  void AnnounceLeaving();
+
+  bool ready() const { return configuration_.configuration != nullptr && table_.read_once(); }
+  std::uint64_t version() const;
+  std::size_t endpoints() const { return table_.endpoints().size(); }
+  std::size_t hosts() const { return peers_.live(); }
+  Duration configuration_age() const { return clock_.Now() - configuration_schedule_.fresh(); }
+  Duration endpoints_age() const { return clock_.Now() - endpoints_schedule_.fresh(); }
+
+ private:
+  // DirectoryContent
+  wire::FetchDirectoryReply Content(std::uint64_t have_version) const override;
+
+  void Tick();
+  void NoticePause(TimePoint now);
+
+  void ReadConfiguration();
+  void OnConfigurationRead(Result<directory::ConfigurationReading> reading);
+  void OnConfigurationPolled(Result<std::optional<directory::ConfigurationReading>> reading);
+  void Adopt(directory::ConfigurationReading reading, std::string_view source);
+  void OnConfigurationFailed(std::error_code error);
+
+  void ReadEndpoints();
+  void OnEndpointsRead(Result<directory::EndpointsReading> reading);
+  void ApplyEndpoints(std::vector<directory::Endpoint> entries, std::string_view source);
+
+  void OnNotice(const wire::DirectoryNotice& notice, const std::string& ip);
+  void SendNotice(bool configuration_read, bool endpoints_read, const std::string* to);
+  void AskPeer();
+  void OnPeerContent(Result<wire::FetchDirectoryReply> reply, const std::string& ip);
+
+  void NoteStore(bool works, std::error_code error);
+  void Publish();
+
+  const DirectoryOptions options_;
+  directory::DirectoryStore& store_;
+  const Clock& clock_;
+  RandomSource& random_;
+  const DirectoryOutputs outputs_;
+  PeerList peers_;
+  wire::DatagramSocket socket_;
+  PeerDirectory peer_directory_;
+  loop::Periodic tick_;
+  bool started_ = false;
+
+  directory::RefreshSchedule configuration_schedule_;
+  directory::RefreshSchedule endpoints_schedule_;
+  directory::ConfigurationReading configuration_;
+  bool read_anew_ = true;  // the history since the last reading is gone
+  directory::EndpointTable table_;
+  std::vector<directory::Endpoint> last_entries_;
+  Digest last_digest_ = 0;
+  std::string informed_peer_;  // the last one that had something else than this host
+  bool asking_peer_ = false;
+  bool store_works_ = true;
+  TimePoint last_notice_{};
+  TimePoint last_tick_{};
+  std::vector<std::string> published_peers_;
+};
+
+}  // namespace verbenaridge::ingress
+
+#endif  // VERBENARIDGE_INGRESS_DIRECTORY_SERVICE_H_
--- /dev/null
+++ b/verbenaridge/ingress/ingress.cc
@@ -0,0 +1,258 @@
+#include "verbenaridge/ingress/ingress.h"
+
+#include <asio/signal_set.hpp>
+#include <asio/steady_timer.hpp>
+#include <csignal>
+#include <future>
+#include <utility>
+
+#include "platform/http_adapter.h"
+#include "platform/store_client.h"
+#include "verbenaridge/base/random.h"
+#include "verbenaridge/frontend/http_server.h"
+#include "verbenaridge/ingress/directory_service.h"
+#include "verbenaridge/ingress/traffic.h"
+#include "verbenaridge/loop/event_loop.h"
+#include "verbenaridge/net/http_client.h"
+#include "verbenaridge/telemetry/log.h"
+#include "verbenaridge/telemetry/metrics.h"
+#include "verbenaridge/wire/handshake.h"
+
+namespace verbenaridge::ingress {
+namespace {
+
+using telemetry::Level;
+using telemetry::Log;
+
+// The load balancer asks once a second and takes a host out after two misses.
+constexpr Duration kBalancerDelay = std::chrono::milliseconds(3'200);
+constexpr Duration kDrainCheck = std::chrono::milliseconds(100);
+// The rest of the grace period is left for the end of the process.
+constexpr Duration kExitMargin = std::chrono::milliseconds(300);
+constexpr std::string_view kMetricsPath = "/metrics";
+
+// The pages for the load balancer and for metrics.
+class Pages final : public frontend::HttpService {
+ public:
+  Pages(std::function<std::string()> not_ready, std::function<std::string()> metrics)
+      : not_ready_(std::move(not_ready)), metrics_(std::move(metrics)) {}
+
+  void Handle(const frontend::HttpCall& call,
+              std::shared_ptr<frontend::ResponseWriter> writer) override {
+    if (call.target == platform::kReadinessPath) {
+      const std::string reason = not_ready_();
+      writer->Send(reason.empty() ? 200 : 503, {}, reason.empty() ? "ready" : reason);
+    } else if (call.target == kMetricsPath) {
+      writer->Send(200, {}, metrics_());
+    } else {
+      writer->Send(404, {}, "");
+    }
+  }
+
+ private:
+  const std::function<std::string()> not_ready_;
+  const std::function<std::string()> metrics_;
+};
+
+}  // namespace
+
+class Ingress::Parts {
+ public:
+  Parts(settings::IngressSettings settings, const Clock& clock)
+      : settings_(std::move(settings)), clock_(clock), random_(RandomSeed()), control_("control") {}
+
+  ~Parts() { StopLoops(); }
+
+  Status Open();
+  void Run();
+  void RequestStop();
+
+ private:
+  void OpenDirectory(const wire::FleetKeys& keys);
+  void WatchSignals();
+  void OnSignal(int signal);
+  void BeginDrain();
+  void ArmDrainCheck();
+  void CheckDrained();
+  void StopLoops();
+  std::string NotReadyReason() const;
+  std::string Metrics();
+
+  const settings::IngressSettings settings_;
+  const Clock& clock_;
+  SeededRandom random_;
+  telemetry::MetricsRegistry registry_;
+  platform::HttpAdapter adapter_;
+  loop::EventLoop control_;
+  std::unique_ptr<Traffic> traffic_;
+  std::unique_ptr<net::CurlHttpClient> http_;
+  std::unique_ptr<platform::StoreClient> store_;
+  std::unique_ptr<DirectoryService> directory_;
+  std::unique_ptr<Pages> pages_;
+  std::unique_ptr<frontend::HttpServer> readiness_server_;
+  std::unique_ptr<frontend::HttpServer> metrics_server_;
+  std::unique_ptr<asio::signal_set> signals_;
+  std::unique_ptr<asio::steady_timer> drain_timer_;
+  bool draining_ = false;  // control loop
+  TimePoint drain_began_{};
+  std::promise<void> stopped_;
+  bool stop_told_ = false;  // control loop
+};
+
+Status Ingress::Parts::Open() {
+  Result<wire::FleetKeys> keys = wire::FleetKeys::Create(settings_.fleet_keys);
+  if (keys.has_error()) return keys.error();
+  traffic_ = std::make_unique<Traffic>(settings_, keys.value(), clock_, adapter_, registry_);
+  BOOST_OUTCOME_TRYV(traffic_->Open());
+  OpenDirectory(keys.value());
+  BOOST_OUTCOME_TRYV(directory_->Open());
+  pages_ = std::make_unique<Pages>([this] { return NotReadyReason(); }, [this] { return Metrics(); });
+  readiness_server_ = std::make_unique<frontend::HttpServer>(
+      control_.io_context(),
+      frontend::HttpServer::Options{.address = settings_.readiness.ip,
+                                    .port = settings_.readiness.port},
+      *pages_);
+  BOOST_OUTCOME_TRYV(readiness_server_->Open());
+  if (settings_.metrics_port == 0) return Ok();
+  metrics_server_ = std::make_unique<frontend::HttpServer>(
+      control_.io_context(),
+      frontend::HttpServer::Options{.address = settings_.ip, .port = settings_.metrics_port},
+      *pages_);
+  return metrics_server_->Open();
+}
+
+void Ingress::Parts::OpenDirectory(const wire::FleetKeys& keys) {
+  http_ = std::make_unique<net::CurlHttpClient>(control_.io_context());
+  store_ = std::make_unique<platform::StoreClient>(
+      *http_,
+      platform::StoreClientOptions{.ip = settings_.store.ip, .port = settings_.store.port});
+  std::vector<std::string> seeds;
+  for (const settings::SocketAddress& seed : settings_.seeds) seeds.push_back(seed.ip);
+  directory_ = std::make_unique<DirectoryService>(
+      control_.io_context(),
+      DirectoryOptions{
+          .self = settings_.host,
+          .ip = settings_.ip,
+          .port = static_cast<std::uint16_t>(settings_.first_internal_port + 1),
+          .keys = keys,
+          .seeds = std::move(seeds),
+          .incarnation = static_cast<Incarnation>(random_.Next()),
+          .endpoint_heartbeat = settings_.endpoint_heartbeat},
+      *store_, clock_, random_,
+      DirectoryOutputs{
+          .snapshot =
+              [this](forwarding::SnapshotPtr snapshot) {
+                traffic_->PublishSnapshot(std::move(snapshot));
+              },
+          .peers =
+              [this](std::vector<std::string> addresses) {
+                traffic_->PublishPeers(std::move(addresses));
+              }});
+}
+
+void Ingress::Parts::Run() {
+  WatchSignals();
+  traffic_->Start();
+  control_.Post([this] { directory_->Start(); });
+  control_.Start();
+  Log(Level::kInfo, "started",
+      {{"host", settings_.host.value()}, {"data_centre", settings_.data_centre.value()}});
+  stopped_.get_future().wait();
+  StopLoops();
+  Log(Level::kInfo, "stopped");
+}
+
+void Ingress::Parts::WatchSignals() {
+  drain_timer_ = std::make_unique<asio::steady_timer>(control_.io_context());
+  signals_ = std::make_unique<asio::signal_set>(control_.io_context(), SIGTERM, SIGINT, SIGHUP);
+  OnSignal(0);
+}
+
+void Ingress::Parts::OnSignal(int signal) {
+  if (signal == SIGHUP) {
+    Log(Level::kInfo, "signal_ignored",
+        {{"signal", "SIGHUP"}, {"reason", "settings are read at the start"}});
+  } else if (signal != 0) {
+    BeginDrain();
+  }
+  signals_->async_wait([this](std::error_code error, int next) {
+    if (!error) OnSignal(next);
+  });
+}
+
+void Ingress::Parts::RequestStop() {
+  control_.Post([this] { BeginDrain(); });
+}
+
+void Ingress::Parts::BeginDrain() {
+  if (std::exchange(draining_, true)) return;
+  drain_began_ = clock_.Now();
+  Log(Level::kInfo, "draining", {{"requests_running", traffic_->busy()}});
+  directory_->AnnounceLeaving();
+  traffic_->BeginDrain();
+  ArmDrainCheck();
+}
+
+void Ingress::Parts::ArmDrainCheck() {
+  drain_timer_->expires_after(kDrainCheck);
+  drain_timer_->async_wait([this](std::error_code error) {
+    if (!error) CheckDrained();
+  });
+}
+
+void Ingress::Parts::CheckDrained() {
+  const Duration since = clock_.Now() - drain_began_;
+  if (since >= kBalancerDelay) traffic_->StopAccepting();
+  const bool idle = since >= kBalancerDelay + 2 * kDrainCheck + std::chrono::milliseconds(500) &&
+                    traffic_->busy() == 0;
+  if (!idle && since < settings_.grace_period - kExitMargin) {
+    ArmDrainCheck();
+    return;
+  }
+  Log(Level::kInfo, "drained", {{"requests_running", traffic_->busy()}});
+  if (!std::exchange(stop_told_, true)) stopped_.set_value();
+}
+
+void Ingress::Parts::StopLoops() {
+  control_.Stop();
+  control_.Join();
+  if (traffic_) traffic_->Stop();
+}
+
+std::string Ingress::Parts::NotReadyReason() const {
+  if (draining_) return "draining";
+  if (!directory_->ready()) return "no configuration or endpoints yet";
+  return {};
+}
+
+std::string Ingress::Parts::Metrics() {
+  const auto set = [this](std::string name, std::string help, double value) {
+    registry_.AddGauge({.name = std::move(name), .help = std::move(help)}).With({}).Set(value);
+  };
+  set("verbenaridge_configuration_version", "Version in force.",
+      static_cast<double>(directory_->version()));
+  set("verbenaridge_configuration_age_seconds", "Since it was known to be the newest.",
+      ToSeconds(directory_->configuration_age()));
+  set("verbenaridge_endpoints", "Endpoints in the table.",
+      static_cast<double>(directory_->endpoints()));
+  set("verbenaridge_endpoints_age_seconds", "Since the endpoints were read.",
+      ToSeconds(directory_->endpoints_age()));
+  set("verbenaridge_hosts", "Hosts of the system that live.",
+      static_cast<double>(directory_->hosts()));
+  set("verbenaridge_store_calls", "Calls of the platform's store since the start.",
+      static_cast<double>(store_->calls()));
+  return registry_.PrometheusText();
+}
+
+Ingress::Ingress(settings::IngressSettings settings, const Clock& clock)
+    : parts_(std::make_unique<Parts>(std::move(settings), clock)) {}
+
+Ingress::~Ingress() = default;
+
+Status Ingress::Open() { return parts_->Open(); }
+
+void Ingress::Run() { parts_->Run(); }
+
+void Ingress::RequestStop() { parts_->RequestStop(); }
+
+}  // namespace verbenaridge::ingress
--- /dev/null
+++ b/verbenaridge/ingress/ingress.h
@@ -0,0 +1,35 @@
+// One ingress daemon: a control thread and a traffic thread.
+//
+//   Ingress ingress(settings, clock);
+//   if (Status opened = ingress.Open(); opened.has_error()) ...
+//   ingress.Run();   // until a signal to stop
+#ifndef VERBENARIDGE_INGRESS_INGRESS_H_
+#define VERBENARIDGE_INGRESS_INGRESS_H_
+
+#include <memory>
+
+#include "verbenaridge/base/clock.h"
+#include "verbenaridge/base/result.h"
+#include "verbenaridge/settings/ingress_settings.h"
+
+namespace verbenaridge::ingress {
+
+class Ingress {
+ public:
+  Ingress(settings::IngressSettings settings, const Clock& clock);
+  ~Ingress();
+
+  Status Open();
+  void Run();
+
+  // Thread-safe.
+  void RequestStop();
+
+ private:
+  class Parts;
+  std::unique_ptr<Parts> parts_;
+};
+
+}  // namespace verbenaridge::ingress
+
+#endif  // VERBENARIDGE_INGRESS_INGRESS_H_
--- /dev/null
+++ b/verbenaridge/ingress/load_exchange.cc
@@ -0,0 +1,97 @@
+#include "verbenaridge/ingress/load_exchange.h"
+
+#include <utility>
+#include <variant>
+
+#include "verbenaridge/telemetry/log.h"
+
+namespace verbenaridge::ingress {
+namespace {
+
+// Work entries take some 50 bytes and ids 9; a datagram holds 1,200 bytes.
+constexpr std::size_t kMaxWorks = 14;
+constexpr std::size_t kMaxIds = 30;
+
+}  // namespace
+
+LoadExchange::LoadExchange(asio::io_context& io_context, const Clock& clock,
+                           const LoadExchangeOptions& options, LoadReceiver& receiver)
+    : options_(options),
+      socket_(io_context,
+              {.listen = {options.ip, options.port}, .self = options.self, .keys = options.keys},
+              clock,
+              [&receiver](const wire::Datagram& datagram, const wire::PeerAddress& /*from*/) {
+                if (const auto* update = std::get_if<wire::LoadUpdate>(&datagram)) {
+                  receiver.OnLoadUpdate(*update);
+                }
+              }),
+      timer_(io_context) {}
+
+void LoadExchange::OnBegin(const dispatch::Work& work) {
+  update_.begun.push_back({.id = work.id,
+                           .endpoint = work.endpoint,
+                           .read_time = work.read_time,
+                           .kv_tokens = work.kv_tokens,
+                           .target_gap = work.target_gap,
+                           .lifetime = work.lifetime,
+                           .decodes = work.decodes});
+  Arm();
+}
+
+void LoadExchange::OnFirstEvent(dispatch::WorkId work) {
+  update_.first_events.push_back(work);
+  Arm();
+}
+
+void LoadExchange::OnEnd(dispatch::WorkId work) {
+  update_.ended.push_back(work);
+  Arm();
+}
+
+void LoadExchange::OnUnreachable(Digest endpoint) {
+  update_.unreachable.push_back(endpoint);
+  Arm();
+}
+
+void LoadExchange::OnCrash(Digest request, Digest endpoint) {
+  update_.crashes.push_back({.request = request, .endpoint = endpoint});
+  Arm();
+}
+
+void LoadExchange::Arm() {
+  if (update_.begun.size() >= kMaxWorks ||
+      update_.first_events.size() + update_.ended.size() + update_.unreachable.size() +
+              2 * update_.crashes.size() >=
+          kMaxIds) {
+    Send();
+    return;
+  }
+  if (std::exchange(armed_, true)) return;
+  timer_.expires_after(options_.gather);
+  timer_.async_wait([this](std::error_code code) {
+    if (!code) Flush();
+  });
+}
+
+void LoadExchange::Flush() {
+  armed_ = false;
+  const bool empty = update_.begun.empty() && update_.first_events.empty() &&
+                     update_.ended.empty() && update_.unreachable.empty() &&
+                     update_.crashes.empty();
+  if (!empty) Send();
+}
+
+void LoadExchange::Send() {
+  wire::LoadUpdate update = std::exchange(update_, {});
+  update.sender = options_.self;
+  const wire::Datagram datagram = std::move(update);
+  for (const std::string& ip : peers_) {
+    const Status sent = socket_.Send({ip, options_.port}, datagram);
+    if (sent.has_error()) {
+      telemetry::Log(telemetry::Level::kDebug, "load_update_dropped",
+                     {{"peer", ip}, {"error", sent.error().message()}});
+    }
+  }
+}
+
+}  // namespace verbenaridge::ingress
--- /dev/null
+++ b/verbenaridge/ingress/peer_directory.h
@@ -0,0 +1,56 @@
+// Answers other hosts that ask for configuration and endpoints, and asks them.
+//
+//   PeerDirectory peers(io_context, options, content);
+//   peers.Open();
+//   peers.Fetch(ip, have_version, [](Result<wire::FetchDirectoryReply> reply) { ... });
+#ifndef VERBENARIDGE_INGRESS_PEER_DIRECTORY_H_
+#define VERBENARIDGE_INGRESS_PEER_DIRECTORY_H_
+
+#include <asio/io_context.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "verbenaridge/base/result.h"
+#include "verbenaridge/wire/nghttp2_transport.h"
+#include "verbenaridge/wire/peer_transport.h"
+
+namespace verbenaridge::ingress {
+
+// What this host knows.
+class DirectoryContent {
+ public:
+  virtual ~DirectoryContent() = default;
+
+  virtual wire::FetchDirectoryReply Content(std::uint64_t have_version) const = 0;
+};
+
+class PeerDirectory final : private wire::PeerService {
+ public:
+  struct Options {
+    HostId self;
+    std::string ip;
+    std::uint16_t port = 0;  // the same on all hosts
+    wire::FleetKeys keys;
+  };
+
+  PeerDirectory(asio::io_context& io_context, const Options& options,
+                const DirectoryContent& content);
+
+  Status Open() { return server_.Listen(); }
+
+  void Fetch(const std::string& ip, std::uint64_t have_version,
+             std::function<void(Result<wire::FetchDirectoryReply>)> done);
+
+ private:
+  void Serve(wire::Request request, std::shared_ptr<wire::ServerCall> call) override;
+
+  const std::uint16_t port_;
+  const DirectoryContent& content_;
+  wire::Nghttp2Transport transport_;
+  wire::Nghttp2Server server_;
+};
+
+}  // namespace verbenaridge::ingress
+
+#endif  // VERBENARIDGE_INGRESS_PEER_DIRECTORY_H_
--- /dev/null
+++ b/verbenaridge/ingress/traffic.cc
@@ -0,0 +1,154 @@
+#include "verbenaridge/ingress/traffic.h"
+
+#include <utility>
+
+#include "verbenaridge/telemetry/log.h"
+
+namespace verbenaridge::ingress {
+namespace {
+
+constexpr Duration kMeasurePeriod = std::chrono::milliseconds(250);
+
+forwarding::RunOptions MakeRunOptions(const settings::IngressSettings& settings) {
+  return {.budget = {.ratio = settings.retry_budget_ratio,
+                     .window = settings.retry_budget_window,
+                     .slack = settings.retry_budget_slack}};
+}
+
+telemetry::Gauge& AddGauge(telemetry::MetricsRegistry& registry, std::string name,
+                           std::string help) {
+  return registry.AddGauge({.name = std::move(name), .help = std::move(help)}).With({});
+}
+
+}  // namespace
+
+Traffic::Traffic(const settings::IngressSettings& settings, const wire::FleetKeys& keys,
+                 const Clock& clock, const forwarding::MessageAdapter& adapter,
+                 telemetry::MetricsRegistry& registry)
+    : settings_(settings),
+      clock_(clock),
+      run_options_(MakeRunOptions(settings)),
+      random_(RandomSeed()),
+      metrics_(registry),
+      connections_(AddGauge(registry, "verbenaridge_client_connections", "Open connections.")),
+      works_(AddGauge(registry, "verbenaridge_known_works",
+                      "Requests at endpoints that this host knows of, of all hosts.")),
+      held_(AddGauge(registry, "verbenaridge_held_requests", "Requests that wait here.")),
+      unusable_(AddGauge(registry, "verbenaridge_unusable_endpoints",
+                         "Endpoints that this host leaves out after failures.")),
+      loop_("traffic-0"),
+      exchange_(loop_.io_context(), clock,
+                {.self = settings.host,
+                 .ip = settings.ip,
+                 .port = settings.first_internal_port,
+                 .keys = keys},
+                *this),
+      dispatcher_(loop_.io_context(), clock, random_, exchange_, {.host = settings.host}),
+      pool_(loop_.io_context(), adapter, clock, {}),
+      context_{.io_context = loop_.io_context(),
+               .clock = clock,
+               .random = random_,
+               .adapter = adapter,
+               .pool = pool_,
+               .dispatcher = dispatcher_,
+               .metrics = metrics_,
+               .options = run_options_,
+               .ticket_prefix = settings.host.value() + "-" + std::to_string(random_.Next() % 100'000) + "-"},
+      server_(loop_.io_context(),
+              {.ip = settings.clients.ip,
+               .port = settings.clients.port,
+               .max_connections = settings.max_connections},
+              clock, *this),
+      measure_(loop_.io_context(), kMeasurePeriod, [this] { Measure(); }) {}
+
+Traffic::~Traffic() { Stop(); }
+
+Status Traffic::Open() {
+  BOOST_OUTCOME_TRYV(exchange_.Open());
+  return server_.Open();
+}
+
+void Traffic::Stop() {
+  loop_.Stop();
+  loop_.Join();
+}
+
+void Traffic::PublishSnapshot(forwarding::SnapshotPtr snapshot) {
+  loop_.Post([this, snapshot = std::move(snapshot)]() mutable {
+    ForgetLostEndpoints(*dispatcher_.snapshot(), *snapshot);
+    dispatcher_.SetSnapshot(std::move(snapshot));
+  });
+}
+
+void Traffic::ForgetLostEndpoints(const forwarding::DirectorySnapshot& before,
+                                  const forwarding::DirectorySnapshot& after) {
+  for (const directory::Endpoint& endpoint : before.endpoints) {
+    bool kept = false;
+    for (const directory::Endpoint& other : after.endpoints) {
+      kept = kept || (other.id == endpoint.id && other.born == endpoint.born);
+    }
+    if (!kept) pool_.Forget(endpoint.id);
+  }
+}
+
+void Traffic::PublishPeers(std::vector<std::string> addresses) {
+  loop_.Post([this, addresses = std::move(addresses)]() mutable {
+    exchange_.SetPeers(std::move(addresses));
+  });
+}
+
+void Traffic::BeginDrain() {
+  loop_.Post([this] { server_.BeginDrain(); });
+}
+
+void Traffic::StopAccepting() {
+  loop_.Post([this] { server_.StopAccepting(); });
+}
+
+std::shared_ptr<forwarding::RequestInWork> Traffic::Start(
+    forwarding::IncomingRequest request, std::shared_ptr<forwarding::ClientPort> port) {
+  auto run = std::make_shared<forwarding::RequestRun>(context_, std::move(request),
+                                                      std::move(port));
+  busy_.fetch_add(1, std::memory_order_relaxed);
+  run->Start();
+  return run;
+}
+
+directory::ClientLimits Traffic::limits() const {
+  const auto& configuration = dispatcher_.snapshot()->configuration;
+  return configuration == nullptr ? directory::ClientLimits{} : configuration->limits();
+}
+
+void Traffic::OnRejected(int status) {
+  metrics_.refusals.With({"unreadable"}).Add();
+  telemetry::Log(telemetry::Level::kInfo, "request_unreadable", {{"status", status}});
+}
+
+void Traffic::OnLoadUpdate(const wire::LoadUpdate& update) {
+  for (const wire::WorkEntry& work : update.begun) {
+    dispatcher_.OnPeerBegin({.id = work.id,
+                             .endpoint = work.endpoint,
+                             .read_time = work.read_time,
+                             .kv_tokens = work.kv_tokens,
+                             .target_gap = work.target_gap,
+                             .lifetime = work.lifetime,
+                             .decodes = work.decodes});
+  }
+  for (const std::uint64_t work : update.first_events) dispatcher_.OnPeerFirstEvent(work);
+  for (const std::uint64_t work : update.ended) dispatcher_.OnPeerEnd(work);
+  for (const Digest endpoint : update.unreachable) dispatcher_.OnPeerUnreachable(endpoint);
+  for (const wire::CrashEntry& crash : update.crashes) {
+    context_.crashes.OnCrash(crash.request, crash.endpoint, clock_.Now());
+  }
+}
+
+void Traffic::Measure() {
+  busy_.store(server_.busy(), std::memory_order_relaxed);
+  connections_.Set(static_cast<double>(server_.connections()));
+  works_.Set(static_cast<double>(dispatcher_.works()));
+  held_.Set(static_cast<double>(dispatcher_.held()));
+  unusable_.Set(static_cast<double>(dispatcher_.unusable()));
+  dispatcher_.RemoveExpired();
+}
+
+}  // namespace verbenaridge::ingress
--- /dev/null
+++ b/verbenaridge/ingress/traffic.h
@@ -0,0 +1,86 @@
+// The traffic thread: clients, endpoints, the load board and the exchange of load with other hosts.
+//
+//   Traffic traffic(settings, keys, clock, adapter, metrics);
+//   Status opened = traffic.Open();
+//   traffic.Start();
+//   traffic.PublishSnapshot(snapshot);   // from any thread
+#ifndef VERBENARIDGE_INGRESS_TRAFFIC_H_
+#define VERBENARIDGE_INGRESS_TRAFFIC_H_
+
+#include <atomic>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "verbenaridge/base/clock.h"
+#include "verbenaridge/base/random.h"
+#include "verbenaridge/forwarding/client_server.h"
+#include "verbenaridge/forwarding/dispatcher.h"
+#include "verbenaridge/forwarding/message_adapter.h"
+#include "verbenaridge/forwarding/request_run.h"
+#include "verbenaridge/ingress/load_exchange.h"
+#include "verbenaridge/loop/event_loop.h"
+#include "verbenaridge/loop/periodic.h"
+#include "verbenaridge/settings/ingress_settings.h"
+#include "verbenaridge/telemetry/metrics.h"
+#include "verbenaridge/wire/handshake.h"
+
+namespace verbenaridge::ingress {
+
+// Thread-safe unless stated otherwise.
+class Traffic final : private forwarding::RequestHandler, private LoadReceiver {
+ public:
+  Traffic(const settings::IngressSettings& settings, const wire::FleetKeys& keys,
+          const Clock& clock, const forwarding::MessageAdapter& adapter,
+          telemetry::MetricsRegistry& registry);
+  ~Traffic() override;
+
+  // Before Start.
+  Status Open();
+  void Start() { loop_.Start(); }
+  void Stop();
+
+  void PublishSnapshot(forwarding::SnapshotPtr snapshot);
+  void PublishPeers(std::vector<std::string> addresses);
+
+  void BeginDrain();
+  void StopAccepting();
+
+  // Requests that have not ended.
+  std::size_t busy() const { return busy_.load(std::memory_order_relaxed); }
+
+ private:
+  // forwarding::RequestHandler
+  std::shared_ptr<forwarding::RequestInWork> Start(
+      forwarding::IncomingRequest request, std::shared_ptr<forwarding::ClientPort> port) override;
+  directory::ClientLimits limits() const override;
+  void OnRejected(int status) override;
+  // LoadReceiver
+  void OnLoadUpdate(const wire::LoadUpdate& update) override;
+
+  void ForgetLostEndpoints(const forwarding::DirectorySnapshot& before,
+                           const forwarding::DirectorySnapshot& after);
+  void Measure();
+
+  const settings::IngressSettings settings_;
+  const Clock& clock_;
+  const forwarding::RunOptions run_options_;
+  SeededRandom random_;
+  forwarding::RequestMetrics metrics_;
+  telemetry::Gauge& connections_;
+  telemetry::Gauge& works_;
+  telemetry::Gauge& held_;
+  telemetry::Gauge& unusable_;
+  loop::EventLoop loop_;
+  LoadExchange exchange_;
+  forwarding::Dispatcher dispatcher_;
+  forwarding::EndpointPool pool_;
+  forwarding::RunContext context_;
+  forwarding::ClientServer server_;
+  loop::Periodic measure_;
+  std::atomic<std::size_t> busy_{0};
+};
+
+}  // namespace verbenaridge::ingress
+
+#endif  // VERBENARIDGE_INGRESS_TRAFFIC_H_
--- /dev/null
+++ b/verbenaridge/loop/periodic.h
@@ -0,0 +1,33 @@
+// Runs an action at a fixed period on an event loop.
+//
+//   Periodic tick(io_context, std::chrono::milliseconds(100), [] { ... });
+#ifndef VERBENARIDGE_LOOP_PERIODIC_H_
+#define VERBENARIDGE_LOOP_PERIODIC_H_
+
+#include <asio/io_context.hpp>
+#include <asio/steady_timer.hpp>
+#include <functional>
+
+#include "verbenaridge/base/clock.h"
+
+namespace verbenaridge::loop {
+
+// Used on its loop alone. A late tick is not made up for.
+class Periodic {
+ public:
+  Periodic(asio::io_context& io_context, Duration period, std::function<void()> action);
+
+  Periodic(const Periodic&) = delete;
+  Periodic& operator=(const Periodic&) = delete;
+
+ private:
+  void Arm();
+
+  const Duration period_;
+  const std::function<void()> action_;
+  asio::steady_timer timer_;
+};
+
+}  // namespace verbenaridge::loop
+
+#endif  // VERBENARIDGE_LOOP_PERIODIC_H_
--- /dev/null
+++ b/verbenaridge/settings/ingress_settings.cc
@@ -0,0 +1,99 @@
+#include "verbenaridge/settings/ingress_settings.h"
+
+#include <fstream>
+#include <iterator>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "verbenaridge/settings/internal/object_reader.h"
+
+namespace verbenaridge::settings {
+namespace {
+
+using internal::ErrorList;
+using internal::ObjectReader;
+
+constexpr std::string_view kLogLevels[] = {"debug", "info", "warn", "error"};
+// Descriptors that are not for clients: logs, the event loops, the store, peers and endpoints.
+constexpr std::int64_t kReservedDescriptors = 200;
+// A client's request needs a connection to an endpoint as well.
+constexpr std::int64_t kDescriptorsPerClient = 2;
+constexpr std::int64_t kMaxPort = 65'535;
+
+void ReadRetryBudget(ObjectReader& reader, IngressSettings& settings) {
+  settings.retry_budget_ratio = reader.Number("ratio", {.minimum = 0, .maximum = 10}, 0.2);
+  settings.retry_budget_window =
+      reader.Milliseconds("window_ms", {.minimum = 100, .maximum = 600'000}, std::chrono::seconds(10));
+  settings.retry_budget_slack = reader.Number("slack", {.minimum = 0, .maximum = 1e6}, 0);
+}
+
+void ReadSeeds(ObjectReader& reader, IngressSettings& settings) {
+  reader.Objects(
+      "seeds",
+      [&](ObjectReader& seed) {
+        SocketAddress address;
+        seed.Address("address", address);
+        settings.seeds.push_back(std::move(address));
+      },
+      ObjectReader::Presence::kOptional);
+}
+
+void ReadAll(ObjectReader& reader, IngressSettings& settings) {
+  std::string host;
+  std::string data_centre;
+  reader.Text("host", host);
+  reader.Text("data_centre", data_centre);
+  settings.host = HostId(std::move(host));
+  settings.data_centre = DataCentreId(std::move(data_centre));
+  reader.Text("ip", settings.ip);
+  reader.Address("clients", settings.clients);
+  reader.Address("readiness", settings.readiness);
+  reader.Address("control", settings.control);
+  reader.Address("store", settings.store);
+  using Presence = ObjectReader::Presence;
+  settings.first_internal_port = static_cast<std::uint16_t>(reader.Integer(
+      "first_internal_port", {.minimum = 1, .maximum = kMaxPort - 2}, 0, Presence::kRequired));
+  settings.metrics_port = static_cast<std::uint16_t>(
+      reader.Integer("metrics_port", {.minimum = 0, .maximum = kMaxPort}, 0));
+  reader.Texts("fleet_keys", settings.fleet_keys);
+  ReadSeeds(reader, settings);
+  const std::int64_t descriptors =
+      reader.Integer("file_descriptors", {.minimum = 300, .maximum = 1 << 20}, 2'200);
+  settings.max_connections =
+      static_cast<std::size_t>((descriptors - kReservedDescriptors) / kDescriptorsPerClient);
+  reader.OneOf("log_level", kLogLevels, settings.log_level);
+  reader.Object(
+      "retry_budget", [&](ObjectReader& budget) { ReadRetryBudget(budget, settings); },
+      Presence::kOptional);
+  settings.grace_period = reader.Milliseconds(
+      "grace_period_ms", {.minimum = 1'000, .maximum = 600'000}, std::chrono::seconds(8));
+  settings.endpoint_heartbeat = reader.Milliseconds(
+      "endpoint_heartbeat_ms", {.minimum = 10, .maximum = 60'000}, std::chrono::milliseconds(1'200));
+  reader.RefuseUnknownKeys();
+}
+
+}  // namespace
+
+LoadedIngressSettings ParseIngressSettings(std::string_view text, std::string_view file) {
+  LoadedIngressSettings loaded;
+  ErrorList errors(file);
+  const nlohmann::json json = nlohmann::json::parse(text, nullptr, false);
+  if (json.is_discarded()) {
+    errors.Add("/", "a JSON object");
+  } else {
+    ObjectReader reader(json, "", errors);
+    ReadAll(reader, loaded.settings);
+  }
+  loaded.errors = errors.Take();
+  return loaded;
+}
+
+LoadedIngressSettings LoadIngressSettings(const std::string& file) {
+  std::ifstream stream(file, std::ios::binary);
+  if (!stream) return {.settings = {}, .errors = {{file, "/", "a readable file"}}};
+  const std::string text((std::istreambuf_iterator<char>(stream)),
+                         std::istreambuf_iterator<char>());
+  return ParseIngressSettings(text, file);
+}
+
+}  // namespace verbenaridge::settings
--- /dev/null
+++ b/verbenaridge/settings/ingress_settings.h
@@ -0,0 +1,51 @@
+// Settings of one ingress daemon, read from a JSON file and checked as a whole.
+//
+//   auto loaded = settings::LoadIngressSettings(path);
+//   for (const auto& error : loaded.errors) std::cerr << error.Text();
+#ifndef VERBENARIDGE_SETTINGS_INGRESS_SETTINGS_H_
+#define VERBENARIDGE_SETTINGS_INGRESS_SETTINGS_H_
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "verbenaridge/base/clock.h"
+#include "verbenaridge/base/ids.h"
+#include "verbenaridge/settings/settings.h"
+
+namespace verbenaridge::settings {
+
+struct IngressSettings {
+  HostId host;
+  DataCentreId data_centre;
+  SocketAddress clients;    // for clients
+  SocketAddress readiness;  // for the platform's load balancer
+  SocketAddress control;    // for other hosts that look for their peers
+  SocketAddress store;      // of the platform
+  std::string ip;           // of this host
+  std::uint16_t first_internal_port = 0;
+  std::uint16_t metrics_port = 0;  // 0: none
+  std::vector<std::string> fleet_keys;
+  std::vector<SocketAddress> seeds;
+  std::size_t max_connections = 1'000;
+  std::string log_level = "info";
+
+  double retry_budget_ratio = 0;
+  Duration retry_budget_window{};
+  double retry_budget_slack = 0;
+  Duration grace_period{};  // between the signal to stop and the kill
+  Duration endpoint_heartbeat{};
+};
+
+struct LoadedIngressSettings {
+  IngressSettings settings;
+  std::vector<SettingError> errors;
+};
+
+LoadedIngressSettings LoadIngressSettings(const std::string& file);
+LoadedIngressSettings ParseIngressSettings(std::string_view json, std::string_view file);
+
+}  // namespace verbenaridge::settings
+
+#endif  // VERBENARIDGE_SETTINGS_INGRESS_SETTINGS_H_
--- a/verbenaridge/wire/internal/message_fields.h
+++ b/verbenaridge/wire/internal/message_fields.h
@@ -202,6 +202,48 @@
   return std::tie(m.sender, m.gossip);
 }
 
+template <Like<WorkEntry> Self>
+auto Fields(Self& m) {
+  return std::tie(m.id, m.endpoint, m.read_time, m.kv_tokens, m.target_gap, m.lifetime, m.decodes);
+}
+
+template <Like<CrashEntry> Self>
+auto Fields(Self& m) {
+  return std::tie(m.request, m.endpoint);
+}
+
+template <Like<LoadUpdate> Self>
+auto Fields(Self& m) {
+  return std::tie(m.sender, m.begun, m.first_events, m.ended, m.unreachable, m.crashes);
+}
+
+template <Like<PeerEntry> Self>
+auto Fields(Self& m) {
+  return std::tie(m.host, m.ip);
+}
+
+template <Like<DirectoryNotice> Self>
+auto Fields(Self& m) {
+  return std::tie(m.sender, m.ip, m.incarnation, m.configuration_version, m.configuration_read,
+                  m.endpoints, m.endpoints_read, m.leaving, m.peers);
+}
+
+template <Like<FetchDirectoryRequest> Self>
+auto Fields(Self& m) {
+  return std::tie(m.have_version);
+}
+
+template <Like<EndpointEntry> Self>
+auto Fields(Self& m) {
+  return std::tie(m.id, m.service, m.ip, m.port, m.data_centre, m.slots, m.born, m.draining);
+}
+
+template <Like<FetchDirectoryReply> Self>
+auto Fields(Self& m) {
+  return std::tie(m.configuration_version, m.configuration, m.has_endpoints, m.endpoints,
+                  m.endpoints_age);
+}
+
 // Largest value of each enum that peers exchange.
 constexpr unsigned Largest(Priority) { return static_cast<unsigned>(Priority::kBackground); }
 constexpr unsigned Largest(Outcome) { return static_cast<unsigned>(Outcome::kUnknown); }
--- a/verbenaridge/wire/messages.h
+++ b/verbenaridge/wire/messages.h
@@ -322,16 +322,86 @@
   Gossip gossip;
 };
 
+// Work that a host gave to an endpoint, for the load boards of the others.
+struct WorkEntry {
+  std::uint64_t id = 0;
+  Digest endpoint = 0;
+  Duration read_time{};
+  TokenCount kv_tokens = 0;
+  Duration target_gap{};
+  Duration lifetime{};
+  bool decodes = true;
+};
+
+// A request was at an endpoint when it died.
+struct CrashEntry {
+  Digest request = 0;
+  Digest endpoint = 0;
+};
+
+struct LoadUpdate {
+  HostId sender;
+  std::vector<WorkEntry> begun;
+  std::vector<std::uint64_t> first_events;
+  std::vector<std::uint64_t> ended;
+  std::vector<Digest> unreachable;  // endpoints
+  std::vector<CrashEntry> crashes;
+};
+
+struct PeerEntry {
+  HostId host;
+  std::string ip;
+};
+
+// What a host believes of configuration and endpoints, and whether it has just read it from the
+// store. A host sends it after each reading, and at times to show that it lives.
+struct DirectoryNotice {
+  HostId sender;
+  std::string ip;
+  Incarnation incarnation = 0;
+  std::uint64_t configuration_version = 0;
+  bool configuration_read = false;
+  Digest endpoints = 0;  // of the last reading
+  bool endpoints_read = false;
+  bool leaving = false;
+  std::vector<PeerEntry> peers;  // some of those it knows
+};
+
+// For a host that the store turns away.
+struct FetchDirectoryRequest {
+  std::uint64_t have_version = 0;
+};
+
+struct EndpointEntry {
+  EndpointId id;
+  ServiceId service;
+  std::string ip;
+  std::uint16_t port = 0;
+  DataCentreId data_centre;
+  std::uint64_t slots = 0;
+  std::uint64_t born = 0;
+  bool draining = false;
+};
+
+struct FetchDirectoryReply {
+  std::uint64_t configuration_version = 0;
+  std::string configuration;  // empty if not newer than the asker's
+  bool has_endpoints = false;
+  std::vector<EndpointEntry> endpoints;
+  Duration endpoints_age{};  // since they were read from the store
+};
+
 using Request =
     std::variant<AdmitRequest, FinishAdmissionRequest, PermitRequest, RenewPermitsRequest,
                  ReleasePermitRequest, RevokePermitRequest, ClaimRequest, RecordOutcomeRequest,
                  LookUpClaimRequest, PushPlanDeltaRequest, FetchPlanRequest, StatusRequest,
-                 DrainRequest, FirstTokenRequest>;
+                 DrainRequest, FirstTokenRequest, FetchDirectoryRequest>;
 
 using Reply = std::variant<Acknowledged, AdmitReply, PermitReply, RenewPermitsReply, ClaimReply,
-                           PushPlanDeltaReply, FetchPlanReply, StatusReply, ReleasePermitReply>;
+                           PushPlanDeltaReply, FetchPlanReply, StatusReply, ReleasePermitReply,
+                           FetchDirectoryReply>;
 
-using Datagram = std::variant<Ping, PingRequest, Ack, GossipPush>;
+using Datagram = std::variant<Ping, PingRequest, Ack, GossipPush, LoadUpdate, DirectoryNotice>;
 
 }  // namespace verbenaridge::wire
 
