--- a/verbenaridge/forwarding/request_run.cc
+++ b/verbenaridge/forwarding/request_run.cc
@@ -500,9 +500,11 @@
   finished_ = true;
   deadline_timer_.cancel();
   if (dispatch_id_ != 0) context_.dispatcher.Cancel(dispatch_id_);
-  const std::string_view endpoint =
-      assignment_.members.empty() ? std::string_view() : assignment_.members.front().id.value();
-  const std::size_t members = assignment_.members.size();
+  std::string endpoints;
+  for (const directory::Endpoint& member : assignment_.members) {
+    if (!endpoints.empty()) endpoints.push_back(',');
+    endpoints.append(member.id.value());
+  }
   StopAttempt();
   const std::string_view route = route_ == nullptr ? std::string_view() : route_->name;
   context_.metrics.requests.With({route, outcome}).Add();
@@ -515,8 +517,7 @@
        {"client_account", account_.value()},
        {"priority", priority_},
        {"service", service_.value()},
-       {"endpoint", endpoint},
-       {"members", members},
+       {"endpoints", endpoints},
        {"offers", offers_},
        {"runs", runs_},
        {"prompt_tokens", facts_.prompt_tokens},
