Follow how far engines have read, and gather short prompts on few engines

Change: the load board simulates the order of reads; the chooser weighs harm to readers and decoders, adds a cost for scattering short prompts and holds requests that would do harm while waiting costs them nothing. Silence is a reason to try another endpoint, not to end the request. Memory that is not free makes a request wait.

--- a/verbenaridge/dispatch/endpoint_chooser.cc
+++ b/verbenaridge/dispatch/endpoint_chooser.cc
@@ -8,7 +8,7 @@
 
 constexpr std::array<std::size_t, 6> kGroupSizes = {1, 2, 3, 4, 6, 8};
 
-// Requests that differ by less than this in cost are spread at random, so that hosts with the same
+// Endpoints that differ by less than this in cost are spread at random, so that hosts with the same
 // view do not choose alike.
 constexpr double kSpread = 0.01;
 
@@ -26,9 +26,10 @@
  private:
   struct Place {
     std::size_t index = 0;
-    double harm = 0;        // requests that this one makes late
-    Duration wait{};        // until the engine reads this prompt
-    Duration first_pass{};  // from the end of the read to the first event
+    double harm = 0;        // weight of the requests that this one makes late
+    Duration read_end{};    // from now until this engine has read its part
+    Duration first_pass{};  // from there to the first event
+    double cost = 0;        // as the only member, for the order
   };
 
   double Late(double ratio) const {
@@ -36,42 +37,64 @@
                       1.0);
   }
 
-  double Harm(const Demand& demand, const Candidate& candidate, Duration read) const;
+  double HarmToDecoders(const Demand& demand, const Candidate& candidate, Duration read,
+                        std::size_t parts) const;
+  double HarmToReaders(const Demand& demand, const Candidate& candidate, Duration read,
+                       std::size_t parts) const;
+  double Crowding(const Demand& demand, const Candidate& candidate) const;
   Place PlaceAt(const Demand& demand, std::span<const Candidate> candidates, std::size_t index,
                 std::size_t parts) const;
   Choice Group(const Demand& demand, std::span<const Candidate> candidates, std::size_t parts,
                bool reserve, RandomSource& random) const;
-  bool MayHold(const Demand& demand, const Candidate& candidate, std::size_t parts) const;
+  bool MayHold(const Demand& demand, const Candidate& candidate, const Choice& choice) const;
 
   const ChooserOptions options_;
 };
 
-// The harm that reading for `read` does to those who are at the engine.
-double PredictiveChooser::Harm(const Demand& demand, const Candidate& candidate,
-                               Duration read) const {
+// Reading stretches the passes of those who decode.
+double PredictiveChooser::HarmToDecoders(const Demand& demand, const Candidate& candidate,
+                                         Duration read, std::size_t parts) const {
   const EndpointLoad& load = candidate.load;
-  double harm = 0;
+  if (load.tightest_gap <= Duration{}) return 0;
   const Duration pass = candidate.model->PassTime(load.decoding);
-  if (load.tightest_gap > Duration{}) {
-    const double before = Late(Ratio(pass + load.reading, load.tightest_gap));
-    const double after = Late(Ratio(pass + load.reading + read, load.tightest_gap));
-    harm += static_cast<double>(load.decoders_with_gap) * (after - before);
-  }
-  if (load.tightest_reader_gap > Duration{}) {
-    // Those who read now decode while this prompt is read.
-    const Duration later =
-        candidate.model->PassTime({.sequences = load.decoding.sequences + 1,
-                                   .context_tokens = load.decoding.context_tokens}) +
-        read;
-    harm += static_cast<double>(load.readers) * Late(Ratio(later, load.tightest_reader_gap));
+  const Duration in_pass = std::min(
+      load.reading + read,
+      std::max(load.reading, candidate.model->LongestReadInPass(demand.prompt_tokens, parts)));
+  const double before = Late(Ratio(pass + load.reading, load.tightest_gap));
+  const double after = Late(Ratio(pass + in_pass, load.tightest_gap));
+  return load.decoders_weight * std::max(after - before, 0.0);
+}
+
+double PredictiveChooser::HarmToReaders(const Demand& demand, const Candidate& candidate,
+                                        Duration read, std::size_t parts) const {
+  const EndpointLoad& load = candidate.load;
+  const Duration pass = candidate.model->PassTime(
+      {.sequences = load.decoding.sequences + 1, .context_tokens = load.decoding.context_tokens});
+  double harm = 0;
+  for (const Reader& reader : load.readers) {
+    if (parts > 1) {  // a part goes ahead, so the reader waits for it
+      const Duration finish = reader.finish + pass;
+      const double before = reader.due <= Duration{} ? 1 : Late(Ratio(finish, reader.due));
+      const double after = reader.due <= Duration{} ? 1 : Late(Ratio(finish + read, reader.due));
+      harm += reader.weight * (after - before);
+    } else if (reader.target_gap > Duration{}) {  // the reader decodes while this prompt is read
+      const Duration longest = candidate.model->LongestReadInPass(demand.prompt_tokens, parts);
+      harm += reader.weight * Late(Ratio(pass + std::min(read, longest), reader.target_gap));
+    }
   }
-  if (load.works >= candidate.slots) harm += options_.full_cost;
+  return harm;
+}
+
+// No free slot, or no memory.
+double PredictiveChooser::Crowding(const Demand& demand, const Candidate& candidate) const {
+  double cost = 0;
+  if (candidate.load.works >= candidate.slots) cost += options_.full_cost;
   const auto memory = static_cast<double>(candidate.model->timing().kv_tokens) * options_.kv_fill;
-  const auto needed = static_cast<double>(load.kv_tokens + demand.kv_tokens());
-  if (needed > memory && demand.kv_tokens() < static_cast<TokenCount>(memory)) {
-    harm += options_.no_memory_cost;
+  const auto own = static_cast<double>(demand.kv_tokens());
+  if (own <= memory && static_cast<double>(candidate.load.kv_tokens) + own > memory) {
+    cost += options_.no_memory_cost;
   }
-  return harm;
+  return cost;
 }
 
 PredictiveChooser::Place PredictiveChooser::PlaceAt(const Demand& demand,
@@ -79,16 +102,24 @@
                                                     std::size_t index, std::size_t parts) const {
   const Candidate& candidate = candidates[index];
   const EndpointLoad& load = candidate.load;
-  const Duration read = candidate.model->ReadTime(demand.prompt_tokens, parts);
-  Place place{.index = index, .harm = Harm(demand, candidate, read)};
-  if (load.works == 0 && read < options_.short_read && parts == 1) {
-    place.harm += options_.idle_engine_cost;
-  }
+  const PassModel& model = *candidate.model;
+  const Duration read = model.ReadTime(demand.prompt_tokens, parts);
+  Place place{.index = index};
+  place.harm = HarmToDecoders(demand, candidate, read, parts) +
+               HarmToReaders(demand, candidate, read, parts) + Crowding(demand, candidate);
   // A pass that has begun ends first; on average half of it is left.
-  place.wait = candidate.model->PassTime(load.decoding) / 2 + load.reading;
-  place.first_pass = candidate.model->PassTime(
-      {.sequences = load.decoding.sequences + 1,
-       .context_tokens = load.decoding.context_tokens + demand.prompt_tokens});
+  place.read_end = model.PassTime(load.decoding) / 2 + read;
+  if (parts == 1) place.read_end += load.reading;
+  place.first_pass =
+      model.PassTime({.sequences = load.decoding.sequences + 1,
+                      .context_tokens = load.decoding.context_tokens + demand.prompt_tokens});
+  const double ratio =
+      Ratio(demand.waited + place.read_end + place.first_pass, demand.target_latency);
+  place.cost = place.harm + demand.weight() * Late(ratio) + options_.latency_weight * ratio;
+  if (parts == 1 && read < options_.short_read) {
+    const double beside = std::min(static_cast<double>(load.works), options_.gathered);
+    place.cost += options_.scatter_cost * (1 - beside / options_.gathered);
+  }
   return place;
 }
 
@@ -98,20 +129,13 @@
   places.reserve(candidates.size());
   for (std::size_t i = 0; i < candidates.size(); ++i) {
     Place place = PlaceAt(demand, candidates, i, parts);
-    place.harm += kSpread * random.Uniform();
+    place.cost += kSpread * random.Uniform();
     places.push_back(place);
   }
-  const auto cost_of = [&](const Place& place) {
-    const Duration first_event =
-        place.wait + candidates[place.index].model->ReadTime(demand.prompt_tokens, parts) +
-        place.first_pass;
-    const double ratio = Ratio(demand.waited + first_event, demand.target_latency);
-    return place.harm + Late(ratio) + options_.latency_weight * ratio;
-  };
   const std::size_t count = std::min(parts, places.size());
-  std::partial_sort(
-      places.begin(), places.begin() + static_cast<std::ptrdiff_t>(count), places.end(),
-      [&](const Place& a, const Place& b) { return cost_of(a) < cost_of(b); });
+  std::partial_sort(places.begin(), places.begin() + static_cast<std::ptrdiff_t>(count),
+                    places.end(),
+                    [](const Place& a, const Place& b) { return a.cost < b.cost; });
   Choice choice{.kind = ChoiceKind::kDispatch, .reserve = reserve};
   Duration slowest{};
   double memory = 0;
@@ -119,27 +143,32 @@
     const Place& place = places[i];
     const Candidate& candidate = candidates[place.index];
     choice.members.push_back(place.index);
-    choice.cost += place.harm;
-    slowest = std::max(slowest, place.wait + candidate.model->ReadTime(demand.prompt_tokens, parts));
-    memory += static_cast<double>(candidate.model->timing().kv_tokens) * options_.kv_fill -
-              static_cast<double>(candidate.load.kv_tokens);
+    choice.harm += place.harm;
+    slowest = std::max(slowest, place.read_end);
+    memory += std::max(static_cast<double>(candidate.model->timing().kv_tokens) * options_.kv_fill -
+                           static_cast<double>(candidate.load.kv_tokens),
+                       0.0);
   }
-  choice.first_event = slowest + places[0].first_pass;
-  const double ratio = Ratio(demand.waited + choice.first_event, demand.target_latency);
-  choice.cost += Late(ratio) + options_.latency_weight * ratio +
-                 options_.member_cost * static_cast<double>(count - 1);
   if (reserve && memory < static_cast<double>(demand.kv_tokens())) {
-    choice.cost += options_.no_memory_cost * static_cast<double>(count);
+    choice.harm += options_.no_memory_cost;
   }
+  choice.first_event = slowest + places[0].first_pass;
+  const double ratio = Ratio(demand.waited + choice.first_event, demand.target_latency);
+  choice.cost = choice.harm + demand.weight() * Late(ratio) + options_.latency_weight * ratio +
+                options_.member_cost * static_cast<double>(count - 1);
   return choice;
 }
 
-// Whether the request can wait a little and still be in time at an idle endpoint.
+// Whether waiting costs the request nothing: it can still be in time, or it is late anyway and can
+// still be answered.
 bool PredictiveChooser::MayHold(const Demand& demand, const Candidate& candidate,
-                                std::size_t parts) const {
-  const Duration best = candidate.model->ReadTime(demand.prompt_tokens, parts) +
-                        candidate.model->PassTime({.sequences = 1});
-  return Ratio(demand.waited + best, demand.target_latency) < options_.late_from;
+                                const Choice& choice) const {
+  const Duration needed =
+      candidate.model->ReadTime(demand.prompt_tokens, choice.members.size()) +
+      candidate.model->PassTime({.sequences = 1, .context_tokens = demand.prompt_tokens});
+  if (Ratio(demand.waited + needed, demand.target_latency) < options_.late_from) return true;
+  const bool late = Ratio(demand.waited + needed, demand.target_latency) > options_.late_at;
+  return late && demand.remaining > 2 * needed + options_.hold_margin;
 }
 
 Choice PredictiveChooser::Choose(const Demand& demand, std::span<const Candidate> candidates,
@@ -159,8 +188,7 @@
     if (best.kind != ChoiceKind::kDispatch || choice.cost < best.cost) best = std::move(choice);
   }
   if (best.kind != ChoiceKind::kDispatch) return {.kind = ChoiceKind::kNever};
-  if (best.cost > options_.hold_above &&
-      MayHold(demand, candidates.front(), is_short ? 1 : best.members.size())) {
+  if (best.harm > options_.hold_above && MayHold(demand, candidates.front(), best)) {
     best.kind = ChoiceKind::kHold;
   }
   return best;
--- a/verbenaridge/dispatch/endpoint_chooser.h
+++ b/verbenaridge/dispatch/endpoint_chooser.h
@@ -6,9 +6,10 @@
 //
 // The predictive chooser works out, for each endpoint, when the first event would come and which
 // other requests would miss their targets because of it. It takes the endpoint with the lowest sum
-// of both, in requests that come late. A request that would do harm everywhere is held while it
-// can still be in time later. Long prompts are read in even parts by several engines where that
-// brings them into their target.
+// of both, in requests that come late, where a long prompt counts for more than a short one. A
+// request that would do harm everywhere is held while it can still be in time later, or while it is
+// late anyway and its deadline is far. Long prompts are read in even parts by several engines where
+// that brings them into their target.
 #ifndef VERBENARIDGE_DISPATCH_ENDPOINT_CHOOSER_H_
 #define VERBENARIDGE_DISPATCH_ENDPOINT_CHOOSER_H_
 
@@ -36,6 +37,12 @@
 
   // Memory that it holds on engines at its end.
   TokenCount kv_tokens() const { return prompt_tokens + output_tokens; }
+
+  // What it counts for: a longer prompt has cost its client and the engines more.
+  double weight() const {
+    constexpr double kTokensOfTwo = 100'000;
+    return 1 + static_cast<double>(prompt_tokens) / kTokensOfTwo;
+  }
 };
 
 // An endpoint that may take the request.
@@ -60,6 +67,7 @@
   bool reserve = false;              // memory must be reserved at the members first
   Duration first_event{};            // predicted, from now
   double cost = 0;
+  double harm = 0;  // the part of the cost that others bear
 };
 
 struct ChooserOptions {
@@ -68,17 +76,22 @@
   double late_at = 1.1;
   // Added for the predicted time, so that the faster of two harmless endpoints is taken.
   double latency_weight = 0.1;
-  // Added where a short prompt would be the first on an idle engine: idle engines are for long
-  // prompts, which stretch the pauses of all who decode beside them.
-  double idle_engine_cost = 0.08;
-  Duration short_read = std::chrono::milliseconds(130);
+  // Short prompts gather on few engines, because a long one stretches the pauses of all who decode
+  // beside it and needs an engine without them. This is added for a short prompt on an idle engine,
+  // and less where others are, down to nothing at `gathered`.
+  double scatter_cost = 0.1;
+  double gathered = 10;
+  Duration short_read = std::chrono::milliseconds(200);
   double full_cost = 2;       // no slot is free: the request waits for one
   double no_memory_cost = 3;  // the engine would preempt its newest request
   double kv_fill = 0.95;      // token counts of answers are estimates
-  double member_cost = 0.03;  // of each further engine of a group
+  double member_cost = 0.05;  // of each further engine of a group
   std::size_t max_members = 8;
-  // A request whose cheapest choice costs more than this is held while it may still be in time.
-  double hold_above = 0.5;
+  // A request that does more harm than this is held while waiting costs it nothing.
+  double hold_above = 0.4;
+  // A request that is late anyway is dispatched when its deadline is this near, beyond twice the
+  // time that it needs.
+  Duration hold_margin = std::chrono::milliseconds(1'500);
 };
 
 // Used by one thread.
--- a/verbenaridge/dispatch/load_board.cc
+++ b/verbenaridge/dispatch/load_board.cc
@@ -9,82 +9,91 @@
 // behind the prediction.
 constexpr Duration kOverdueRead = std::chrono::milliseconds(10);
 
-void Tighten(Duration gap, Duration& tightest) {
-  if (gap == Duration{}) return;
-  tightest = tightest == Duration{} ? gap : std::min(tightest, gap);
-}
-
 }  // namespace
 
+void LoadBoard::Advance(Engine& engine, TimePoint now) {
+  Duration left = now - engine.updated;
+  engine.updated = std::max(engine.updated, now);
+  for (Item& item : engine.items) {
+    if (left <= Duration{}) return;
+    if (item.decoding) continue;
+    const Duration read = std::min(item.remaining, left);
+    item.remaining -= read;
+    left -= read;
+  }
+}
+
 void LoadBoard::Begin(const Work& work, TimePoint now) {
-  if (endpoint_of_.contains(work.id)) return;
-  endpoint_of_[work.id] = work.endpoint;
-  items_[work.endpoint].push_back({work, now, now + work.lifetime, false});
+  if (!endpoint_of_.emplace(work.id, work.endpoint).second) return;
+  Engine& engine = engines_[work.endpoint];
+  Advance(engine, now);
+  Item item{.work = work,
+            .begun = now,
+            .expiry = now + work.lifetime,
+            .remaining = work.read_time};
+  engine.items.insert(work.part ? engine.items.begin() : engine.items.end(), std::move(item));
 }
 
-LoadBoard::Item* LoadBoard::Find(WorkId id) {
+void LoadBoard::OnFirstEvent(WorkId id, TimePoint now) {
   const auto endpoint = endpoint_of_.find(id);
-  if (endpoint == endpoint_of_.end()) return nullptr;
-  for (Item& item : items_[endpoint->second]) {
-    if (item.work.id == id) return &item;
+  if (endpoint == endpoint_of_.end()) return;
+  Engine& engine = engines_[endpoint->second];
+  Advance(engine, now);
+  for (Item& item : engine.items) {
+    if (item.work.id != id) continue;
+    item.decoding = true;
+    item.remaining = {};
   }
-  return nullptr;
-}
-
-void LoadBoard::OnFirstEvent(WorkId id, TimePoint /*now*/) {
-  if (Item* item = Find(id)) item->decoding = true;
 }
 
-void LoadBoard::End(WorkId id) {
+void LoadBoard::End(WorkId id, TimePoint now) {
   const auto endpoint = endpoint_of_.find(id);
   if (endpoint == endpoint_of_.end()) return;
-  const auto items = items_.find(endpoint->second);
-  std::erase_if(items->second, [id](const Item& item) { return item.work.id == id; });
-  if (items->second.empty()) items_.erase(items);
+  const auto engine = engines_.find(endpoint->second);
+  Advance(engine->second, now);
+  std::erase_if(engine->second.items, [id](const Item& item) { return item.work.id == id; });
+  if (engine->second.items.empty()) engines_.erase(engine);
   endpoint_of_.erase(endpoint);
 }
 
-void LoadBoard::EndAllOf(Digest endpoint) {
-  const auto items = items_.find(endpoint);
-  if (items == items_.end()) return;
-  for (const Item& item : items->second) endpoint_of_.erase(item.work.id);
-  items_.erase(items);
-}
-
 std::size_t LoadBoard::RemoveExpired(TimePoint now) {
   std::vector<WorkId> expired;
-  for (const auto& [endpoint, items] : items_) {
-    for (const Item& item : items) {
+  for (const auto& [endpoint, engine] : engines_) {
+    for (const Item& item : engine.items) {
       if (item.expiry <= now) expired.push_back(item.work.id);
     }
   }
-  for (const WorkId id : expired) End(id);
+  for (const WorkId id : expired) End(id, now);
   return expired.size();
 }
 
-EndpointLoad LoadBoard::Load(Digest endpoint, TimePoint now) const {
+EndpointLoad LoadBoard::Load(Digest endpoint, TimePoint now) {
   EndpointLoad load;
-  const auto found = items_.find(endpoint);
-  if (found == items_.end()) return load;
-  TimePoint cursor{};
-  for (const Item& item : found->second) {
+  const auto found = engines_.find(endpoint);
+  if (found == engines_.end()) return load;
+  Advance(found->second, now);
+  for (const Item& item : found->second.items) {
+    const Work& work = item.work;
     ++load.works;
-    load.kv_tokens += item.work.kv_tokens;
+    load.kv_tokens += work.kv_tokens;
     if (item.decoding) {
       ++load.decoding.sequences;
-      load.decoding.context_tokens += item.work.kv_tokens;
-      Tighten(item.work.target_gap, load.tightest_gap);
-      if (item.work.target_gap != Duration{}) ++load.decoders_with_gap;
+      load.decoding.context_tokens += work.kv_tokens;
+      if (work.target_gap == Duration{}) continue;
+      load.tightest_gap = load.tightest_gap == Duration{}
+                              ? work.target_gap
+                              : std::min(load.tightest_gap, work.target_gap);
+      load.decoders_weight += work.weight;
       continue;
     }
-    if (item.work.read_time == Duration{}) continue;
-    ++load.readers;
-    if (item.work.decodes) Tighten(item.work.target_gap, load.tightest_reader_gap);
-    cursor = std::max(cursor, item.begun) + item.work.read_time;
-    // The engine cannot have finished a read whose first event is missing.
-    cursor = std::max(cursor, now + kOverdueRead);
+    if (work.read_time == Duration{}) continue;
+    load.reading += std::max(item.remaining, kOverdueRead);
+    if (!work.decodes) continue;
+    load.readers.push_back({.finish = load.reading,
+                            .due = item.begun + work.due - now,
+                            .target_gap = work.target_gap,
+                            .weight = work.weight});
   }
-  if (cursor > now) load.reading = cursor - now;
   return load;
 }
 
--- a/verbenaridge/dispatch/load_board.h
+++ b/verbenaridge/dispatch/load_board.h
@@ -4,10 +4,12 @@
 //   board.Begin({.id = 7, .endpoint = key, .read_time = read, ...}, clock.Now());
 //   board.OnFirstEvent(7, clock.Now());
 //   EndpointLoad load = board.Load(key, clock.Now());
-//   board.End(7);
+//   board.End(7, clock.Now());
 //
-// The board is a hint: an announcement may be lost or late, so each piece of work has an expiry,
-// and two hosts may choose one endpoint at the same moment. Used by one thread.
+// The board follows how far each engine has read. An engine reads whole prompts in the order in
+// which they came; a part of a prompt that a group reads goes ahead of all others, the newest part
+// first. The board is a hint: an announcement may be lost or late, so each piece of work has a
+// lifetime, and two hosts may choose one endpoint at the same moment. Used by one thread.
 #ifndef VERBENARIDGE_DISPATCH_LOAD_BOARD_H_
 #define VERBENARIDGE_DISPATCH_LOAD_BOARD_H_
 
@@ -29,35 +31,44 @@
 struct Work {
   WorkId id = 0;
   Digest endpoint = 0;
-  Duration read_time{};        // of this endpoint's part of the prompt
-  TokenCount kv_tokens = 0;    // memory that it holds here when it decodes
-  Duration target_gap{};       // zero: no pause matters
-  Duration lifetime{};         // forgotten this long after Begin if nobody says that it ended
-  bool decodes = true;         // false: reads a part for another engine, or is no generation
+  Duration read_time{};   // of this endpoint's part of the prompt
+  TokenCount kv_tokens = 0;  // memory that it holds here when it decodes
+  Duration due{};         // from its begin until its first event is late
+  Duration target_gap{};  // zero: no pause matters
+  Duration lifetime{};    // forgotten this long after its begin if nobody says that it ended
+  double weight = 1;      // what it counts for when it is late
+  bool decodes = true;    // false: reads a part for another engine, or is no generation
+  bool part = false;      // one of several engines that read the prompt
+};
+
+// A request whose prompt is not read yet.
+struct Reader {
+  Duration finish{};  // from now until its prompt is read
+  Duration due{};     // from now until its first event is late; may be negative
+  Duration target_gap{};
+  double weight = 1;
 };
 
 struct EndpointLoad {
   std::size_t works = 0;
   Decoding decoding;
   TokenCount kv_tokens = 0;
-  Duration reading{};          // read time that is ahead of a newcomer
-  Duration tightest_gap{};     // of the requests that decode here; zero: none
-  std::size_t decoders_with_gap = 0;
-  std::size_t readers = 0;
-  Duration tightest_reader_gap{};  // of the requests that still read here
+  Duration reading{};       // read time of all readers together
+  Duration tightest_gap{};  // of the requests that decode here; zero: none
+  double decoders_weight = 0;  // of those with a target
+  std::vector<Reader> readers{};
 };
 
 class LoadBoard {
  public:
   void Begin(const Work& work, TimePoint now);
   void OnFirstEvent(WorkId id, TimePoint now);
-  void End(WorkId id);
-  void EndAllOf(Digest endpoint);
+  void End(WorkId id, TimePoint now);
 
   // Forgets work whose lifetime is over. Returns how many.
   std::size_t RemoveExpired(TimePoint now);
 
-  EndpointLoad Load(Digest endpoint, TimePoint now) const;
+  EndpointLoad Load(Digest endpoint, TimePoint now);
   std::size_t size() const { return endpoint_of_.size(); }
 
  private:
@@ -65,13 +76,17 @@
     Work work;
     TimePoint begun{};
     TimePoint expiry{};
+    Duration remaining{};  // of the read
     bool decoding = false;
   };
-  using Items = std::vector<Item>;  // in the order of Begin
+  struct Engine {
+    std::vector<Item> items;  // in the order in which they are read
+    TimePoint updated{};
+  };
 
-  Item* Find(WorkId id);
+  static void Advance(Engine& engine, TimePoint now);
 
-  std::unordered_map<Digest, Items> items_;
+  std::unordered_map<Digest, Engine> engines_;
   std::unordered_map<WorkId, Digest> endpoint_of_;
 };
 
--- a/verbenaridge/forwarding/dispatcher.cc
+++ b/verbenaridge/forwarding/dispatcher.cc
@@ -10,6 +10,10 @@
 // Work ids of one host share their upper bits, which come from the host's name and its start.
 constexpr int kSequenceBits = 24;
 
+// Held requests that are tried at a time. Each try looks at every endpoint of a service, and a host
+// has a small part of a processor.
+constexpr std::size_t kMaxTries = 24;
+
 }  // namespace
 
 Digest EndpointKey(const directory::Endpoint& endpoint) {
@@ -144,8 +148,11 @@
     const std::size_t index = choice.members[i];
     dispatch::Work work{.id = next_work_++,
                         .endpoint = candidates[index].key,
+                        .due = request.arrived + request.demand.target_latency - now,
                         .lifetime = std::min(request.deadline - now, options_.longest_work),
-                        .decodes = i == 0};
+                        .weight = request.demand.weight(),
+                        .decodes = i == 0,
+                        .part = choice.members.size() > 1};
     if (group.model != nullptr) {
       work.read_time = group.model->ReadTime(request.demand.prompt_tokens, choice.members.size());
       work.target_gap = i == 0 ? request.demand.target_gap : Duration{};
@@ -167,7 +174,17 @@
 }
 
 void Dispatcher::TryHeld() {
-  const std::vector<Place> places(order_.begin(), order_.end());
+  // Those that can still be in time come before those that are late.
+  std::vector<Place> places;
+  std::vector<Place> late;
+  const TimePoint now = clock_.Now();
+  for (const Place& place : order_) {
+    const DispatchRequest& request = held_.at(place.second).request;
+    const bool in_time = now - request.arrived < request.demand.target_latency;
+    (in_time ? places : late).push_back(place);
+  }
+  places.insert(places.end(), late.begin(), late.end());
+  if (places.size() > kMaxTries) places.resize(kMaxTries);
   for (const Place& place : places) {
     const auto found = held_.find(place.second);
     if (found == held_.end()) continue;  // a callback cancelled it
@@ -198,7 +215,7 @@
 }
 
 void Dispatcher::OnEnd(dispatch::WorkId work) {
-  board_.End(work);
+  board_.End(work, clock_.Now());
   announcements_.OnEnd(work);
 }
 
@@ -224,7 +241,7 @@
   board_.OnFirstEvent(work, clock_.Now());
 }
 
-void Dispatcher::OnPeerEnd(dispatch::WorkId work) { board_.End(work); }
+void Dispatcher::OnPeerEnd(dispatch::WorkId work) { board_.End(work, clock_.Now()); }
 
 void Dispatcher::OnPeerUnreachable(Digest endpoint) {
   health_.OnFailure(endpoint, dispatch::FailureKind::kUnreachable, clock_.Now());
--- a/verbenaridge/forwarding/endpoint_pool.cc
+++ b/verbenaridge/forwarding/endpoint_pool.cc
@@ -134,6 +134,11 @@
         std::chrono::duration_cast<std::chrono::milliseconds>(pool_->options_.unacknowledged_limit)
             .count());
     ::setsockopt(socket_.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &limit, sizeof limit);
+    // Probes find a dead path while an answer is awaited and nothing is sent.
+    socket_.set_option(asio::socket_base::keep_alive(true), ignored);
+    const int second = 1;
+    ::setsockopt(socket_.native_handle(), IPPROTO_TCP, TCP_KEEPIDLE, &second, sizeof second);
+    ::setsockopt(socket_.native_handle(), IPPROTO_TCP, TCP_KEEPINTVL, &second, sizeof second);
     Write();
     Read();
   }
--- a/verbenaridge/forwarding/request_run.cc
+++ b/verbenaridge/forwarding/request_run.cc
@@ -183,6 +183,10 @@
                          static_cast<double>(std::max<TokenCount>(free, 1));
     tokens.push_back(static_cast<TokenCount>(share * static_cast<double>(needed)) + 1);
   }
+  if (free < needed) {  // no member would grant its share
+    RetryReservation();
+    return;
+  }
   tickets_ = TicketSet::Create(context_.io_context, context_.pool, context_.adapter,
                                context_.ticket_prefix + std::to_string(++context_.tickets_made),
                                context_.options.tickets);
@@ -191,7 +195,7 @@
                       if (self->finished_) return;
                       if (!reserved) {
                         self->tickets_ = nullptr;
-                        self->AttemptFailed(AttemptEnd::kRefused, "memory_not_free");
+                        self->RetryReservation();
                         return;
                       }
                       std::vector<Helper> helpers;
@@ -204,6 +208,17 @@
                     });
 }
 
+// Nothing was sent, so the request waits for memory as it would wait for an endpoint.
+void RequestRun::RetryReservation() {
+  telemetry::Log(Level::kInfo, "memory_not_free",
+                 {{"id", facts_.attempt_id}, {"members", assignment_.members.size()}});
+  EndWorks();
+  patience_timer_.expires_after(context_.options.reservation_pause);
+  patience_timer_.async_wait([self = shared_from_this()](std::error_code code) {
+    if (!code && !self->finished_) self->FindEndpoint();
+  });
+}
+
 void RequestRun::Launch(std::vector<Helper> helpers) {
   const TimePoint now = context_.clock.Now();
   const directory::Endpoint& endpoint = assignment_.members.front();
@@ -251,7 +266,12 @@
       self->ArmPatience(self->context_.options.min_gap_patience);
       return;
     }
-    self->AttemptFailed(AttemptEnd::kSilent, "");
+    // The silence of an endpoint is a reason to try another one, not to end the request.
+    if (self->MayTryAgain(AttemptEnd::kSilent)) {
+      self->AttemptFailed(AttemptEnd::kSilent, "");
+    } else {
+      self->ArmPatience(self->context_.options.patience);
+    }
   });
 }
 
@@ -388,8 +408,7 @@
     AttemptFailed(AttemptEnd::kBroken, "answer_not_of_this_request");
     return;
   }
-  if (status >= 500 && route_->idempotent() && runs_ + 1 < route_->attempts &&
-      MayTryAgain(AttemptEnd::kServerError)) {
+  if (status >= 500 && MayTryAgain(AttemptEnd::kServerError)) {
     AttemptFailed(AttemptEnd::kServerError, std::to_string(status));
     return;
   }
@@ -422,9 +441,11 @@
   using dispatch::FailureKind;
   switch (end) {
     case AttemptEnd::kNotConnected:
-    case AttemptEnd::kSilent:
       context_.dispatcher.OnFailure(endpoint, FailureKind::kUnreachable);
       return;
+    case AttemptEnd::kSilent:  // its connection works
+      context_.dispatcher.OnFailure(endpoint, FailureKind::kError);
+      return;
     case AttemptEnd::kRefused:
       context_.dispatcher.OnFailure(endpoint, FailureKind::kFull);
       return;
@@ -437,19 +458,23 @@
   }
 }
 
+// Draws on the retry budget if the answer is yes. Asked before the attempt that failed is counted.
 bool RequestRun::MayTryAgain(AttemptEnd end) {
   const TimePoint now = context_.clock.Now();
   if (offers_ >= context_.options.max_offers || now >= deadline_) return false;
   if (end == AttemptEnd::kNotConnected) return true;
   const bool may_have_run = end != AttemptEnd::kRefused;
   if (may_have_run) {
-    if (!route_->idempotent() || runs_ >= route_->attempts) return false;
+    if (!route_->idempotent() || runs_ + 1 >= route_->attempts) return false;
     if (context_.crashes.Refused(digest_, now)) return false;
   }
   return context_.BudgetOf(service_).Take(snapshot_->hosts, now);
 }
 
 void RequestRun::AttemptFailed(AttemptEnd end, std::string_view detail) {
+  // A silent endpoint and a server error are given up only after the budget was drawn on.
+  const bool again = end == AttemptEnd::kSilent || end == AttemptEnd::kServerError ||
+                     MayTryAgain(end);
   const bool may_have_run = end != AttemptEnd::kNotConnected && end != AttemptEnd::kRefused;
   if (may_have_run) ++runs_;
   LogAttempt(end, detail);
@@ -462,8 +487,7 @@
   }
   excluded_.push_back(endpoint);
   StopAttempt();
-  // A server error that is passed over has drawn on the budget already.
-  if (end == AttemptEnd::kServerError || MayTryAgain(end)) {
+  if (again) {
     FindEndpoint();
   } else {
     GiveUp(end);
@@ -531,7 +555,7 @@
        {"candidates", assignment_.candidates},
        {"configuration",
         snapshot_->configuration == nullptr ? 0 : snapshot_->configuration->version()},
-       {"endpoints_age_ms", Milliseconds(context_.clock.Now() - snapshot_->endpoints_read)}});
+       {"endpoints_age_ms", Milliseconds(request_.arrived - snapshot_->endpoints_read)}});
 }
 
 void RequestRun::LogAttempt(AttemptEnd end, std::string_view detail) const {
--- a/verbenaridge/forwarding/request_run.h
+++ b/verbenaridge/forwarding/request_run.h
@@ -35,14 +35,16 @@
 struct RunOptions {
   // Offers of one request to endpoints, also those that refuse it before they run it.
   int max_offers = 5;
-  // An endpoint is given up when the first event is this much later than predicted. Sending again
-  // too soon doubles the load of engines that are only slow.
+  // An endpoint whose connection works is given up when the first event is this much later than
+  // predicted. Sending again too soon doubles the load of engines that are only slow.
   double patience_factor = 3;
-  Duration patience = std::chrono::milliseconds(700);
+  Duration patience = std::chrono::milliseconds(900);
   // The same for the pause between two events, in parts of the target, and at least so long.
   // Clients leave a stream after a pause of two seconds or more.
   double gap_factor = 3;
-  Duration min_gap_patience = std::chrono::milliseconds(1'200);
+  Duration min_gap_patience = std::chrono::milliseconds(1'600);
+  // Between two tries to reserve memory.
+  Duration reservation_pause = std::chrono::milliseconds(80);
   // A plain service is given up after this part of the time left, if the request may be repeated.
   double service_patience = 0.4;
   // A whole answer is kept back up to this size, so that a broken one can be replaced.
@@ -110,6 +112,7 @@
   void FindEndpoint();
   void OnAssigned(Assignment assignment);
   void ReserveMemory();
+  void RetryReservation();
   void Launch(std::vector<Helper> helpers);
   void ArmPatience(Duration limit);
   void EndWorks();
--- a/verbenaridge/ingress/load_exchange.cc
+++ b/verbenaridge/ingress/load_exchange.cc
@@ -8,8 +8,8 @@
 namespace verbenaridge::ingress {
 namespace {
 
-// Work entries take some 50 bytes and ids 9; a datagram holds 1,200 bytes.
-constexpr std::size_t kMaxWorks = 14;
+// Work entries take some 70 bytes and ids 9; a datagram holds 1,200 bytes.
+constexpr std::size_t kMaxWorks = 10;
 constexpr std::size_t kMaxIds = 30;
 
 }  // namespace
@@ -32,9 +32,12 @@
                            .endpoint = work.endpoint,
                            .read_time = work.read_time,
                            .kv_tokens = work.kv_tokens,
+                           .due = work.due,
                            .target_gap = work.target_gap,
                            .lifetime = work.lifetime,
-                           .decodes = work.decodes});
+                           .weight = work.weight,
+                           .decodes = work.decodes,
+                           .part = work.part});
   Arm();
 }
 
--- a/verbenaridge/ingress/traffic.cc
+++ b/verbenaridge/ingress/traffic.cc
@@ -130,9 +130,12 @@
                              .endpoint = work.endpoint,
                              .read_time = work.read_time,
                              .kv_tokens = work.kv_tokens,
+                             .due = work.due,
                              .target_gap = work.target_gap,
                              .lifetime = work.lifetime,
-                             .decodes = work.decodes});
+                             .weight = work.weight,
+                             .decodes = work.decodes,
+                             .part = work.part});
   }
   for (const std::uint64_t work : update.first_events) dispatcher_.OnPeerFirstEvent(work);
   for (const std::uint64_t work : update.ended) dispatcher_.OnPeerEnd(work);
--- a/verbenaridge/wire/internal/message_fields.h
+++ b/verbenaridge/wire/internal/message_fields.h
@@ -204,7 +204,8 @@
 
 template <Like<WorkEntry> Self>
 auto Fields(Self& m) {
-  return std::tie(m.id, m.endpoint, m.read_time, m.kv_tokens, m.target_gap, m.lifetime, m.decodes);
+  return std::tie(m.id, m.endpoint, m.read_time, m.kv_tokens, m.due, m.target_gap, m.lifetime,
+                  m.weight, m.decodes, m.part);
 }
 
 template <Like<CrashEntry> Self>
--- a/verbenaridge/wire/messages.h
+++ b/verbenaridge/wire/messages.h
@@ -328,9 +328,12 @@
   Digest endpoint = 0;
   Duration read_time{};
   TokenCount kv_tokens = 0;
+  Duration due{};
   Duration target_gap{};
   Duration lifetime{};
+  double weight = 1;
   bool decodes = true;
+  bool part = false;
 };
 
 // A request was at an endpoint when it died.
