--- a/verbenaridge/dispatch/endpoint_chooser.h
+++ b/verbenaridge/dispatch/endpoint_chooser.h
@@ -72,8 +72,8 @@
 
 struct ChooserOptions {
   // A request counts as late from here on, in parts of its target: predictions err.
-  double late_from = 0.7;
-  double late_at = 1.1;
+  double late_from = 0.6;
+  double late_at = 1.0;
   // Added for the predicted time, so that the faster of two harmless endpoints is taken.
   double latency_weight = 0.1;
   // Short prompts gather on few engines, because a long one stretches the pauses of all who decode
--- a/verbenaridge/dispatch/load_board.cc
+++ b/verbenaridge/dispatch/load_board.cc
@@ -88,7 +88,6 @@
     }
     if (work.read_time == Duration{}) continue;
     load.reading += std::max(item.remaining, kOverdueRead);
-    if (!work.decodes) continue;
     load.readers.push_back({.finish = load.reading,
                             .due = item.begun + work.due - now,
                             .target_gap = work.target_gap,
--- a/verbenaridge/dispatch/load_board.h
+++ b/verbenaridge/dispatch/load_board.h
@@ -41,7 +41,7 @@
   bool part = false;      // one of several engines that read the prompt
 };
 
-// A request whose prompt is not read yet.
+// A request whose prompt, or whose part here, is not read yet.
 struct Reader {
   Duration finish{};  // from now until its prompt is read
   Duration due{};     // from now until its first event is late; may be negative
--- a/verbenaridge/forwarding/request_run.h
+++ b/verbenaridge/forwarding/request_run.h
@@ -37,8 +37,8 @@
   int max_offers = 5;
   // An endpoint whose connection works is given up when the first event is this much later than
   // predicted. Sending again too soon doubles the load of engines that are only slow.
-  double patience_factor = 3;
-  Duration patience = std::chrono::milliseconds(900);
+  double patience_factor = 4;
+  Duration patience = std::chrono::milliseconds(1'200);
   // The same for the pause between two events, in parts of the target, and at least so long.
   // Clients leave a stream after a pause of two seconds or more.
   double gap_factor = 3;
