--- a/verbenaridge/ctl/apply_fuzz_test.cc
+++ b/verbenaridge/ctl/apply_fuzz_test.cc
@@ -29,15 +29,15 @@
   FaultyStore(std::vector<int> script, ManualClock& clock)
       : script_(std::move(script)), clock_(clock) {}
 
-  Result<platform::StoredValue> Read(std::string_view key) override {
+  Result<store::StoredValue> Read(std::string_view key) override {
     BeforeCall();
-    if (key != plans::kCurrentPlanKey) return platform::StoredValue{};
+    if (key != plans::kCurrentPlanKey) return store::StoredValue{};
     const Fate fate = Next();
     if (fate != Fate::kAnswered && fate != Fate::kLostReply) return Errc::kTimeout;
-    return platform::StoredValue{version_, value_};
+    return store::StoredValue{version_, value_};
   }
 
-  Result<platform::KeyVersion> CompareAndSwap(std::string_view, platform::KeyVersion expected,
+  Result<store::KeyVersion> CompareAndSwap(std::string_view, store::KeyVersion expected,
                                               std::string_view value) override {
     BeforeCall();
     const Fate fate = Next();
@@ -85,7 +85,7 @@
     others_.push_back(id);
   }
 
-  bool Write(platform::KeyVersion expected, const std::string& text) {
+  bool Write(store::KeyVersion expected, const std::string& text) {
     if (expected != version_) return false;
     ++version_;
     value_ = text;
@@ -95,7 +95,7 @@
   const std::vector<int> script_;
   ManualClock& clock_;
   std::size_t next_ = 0;
-  platform::KeyVersion version_ = 0;
+  store::KeyVersion version_ = 0;
   std::string value_;
   std::function<void()> late_;
   std::vector<std::string> others_;
--- a/verbenaridge/ctl/blocking_store.cc
+++ b/verbenaridge/ctl/blocking_store.cc
@@ -22,19 +22,19 @@
 
 }  // namespace
 
-Result<platform::StoredValue> LoopStore::Read(std::string_view key) {
-  auto slot = std::make_shared<std::optional<Result<platform::StoredValue>>>();
-  store_.Read(key, [slot](const Result<platform::StoredValue>& value) { slot->emplace(value); });
-  return Await<platform::StoredValue>(io_context_, slot);
+Result<store::StoredValue> LoopStore::Read(std::string_view key) {
+  auto slot = std::make_shared<std::optional<Result<store::StoredValue>>>();
+  store_.Read(key, [slot](const Result<store::StoredValue>& value) { slot->emplace(value); });
+  return Await<store::StoredValue>(io_context_, slot);
 }
 
-Result<platform::KeyVersion> LoopStore::CompareAndSwap(std::string_view key,
-                                                       platform::KeyVersion expected,
+Result<store::KeyVersion> LoopStore::CompareAndSwap(std::string_view key,
+                                                       store::KeyVersion expected,
                                                        std::string_view value) {
-  auto slot = std::make_shared<std::optional<Result<platform::KeyVersion>>>();
+  auto slot = std::make_shared<std::optional<Result<store::KeyVersion>>>();
   store_.CompareAndSwap(key, expected, value,
-                        [slot](Result<platform::KeyVersion> version) { slot->emplace(version); });
-  return Await<platform::KeyVersion>(io_context_, slot);
+                        [slot](Result<store::KeyVersion> version) { slot->emplace(version); });
+  return Await<store::KeyVersion>(io_context_, slot);
 }
 
 void LoopStore::Wait(Duration time) {
--- a/verbenaridge/ctl/blocking_store.h
+++ b/verbenaridge/ctl/blocking_store.h
@@ -1,7 +1,7 @@
 // A blocking view of the store for the command-line tool, which does one thing at a time.
 //
 //   LoopStore store(io_context, key_value_store);
-//   Result<platform::StoredValue> value = store.Read("plans/current");
+//   Result<store::StoredValue> value = store.Read("plans/current");
 #ifndef VERBENARIDGE_CTL_BLOCKING_STORE_H_
 #define VERBENARIDGE_CTL_BLOCKING_STORE_H_
 
@@ -9,7 +9,7 @@
 #include <string_view>
 
 #include "verbenaridge/base/clock.h"
-#include "verbenaridge/platform/key_value_store.h"
+#include "verbenaridge/store/key_value_store.h"
 
 namespace verbenaridge::ctl {
 
@@ -17,10 +17,10 @@
  public:
   virtual ~BlockingStore() = default;
 
-  // Errors as for platform::KeyValueStore.
-  virtual Result<platform::StoredValue> Read(std::string_view key) = 0;
-  virtual Result<platform::KeyVersion> CompareAndSwap(std::string_view key,
-                                                      platform::KeyVersion expected,
+  // Errors as for store::KeyValueStore.
+  virtual Result<store::StoredValue> Read(std::string_view key) = 0;
+  virtual Result<store::KeyVersion> CompareAndSwap(std::string_view key,
+                                                      store::KeyVersion expected,
                                                       std::string_view value) = 0;
 
   virtual void Wait(Duration time) = 0;
@@ -29,17 +29,17 @@
 // Each call runs the loop until its answer is there.
 class LoopStore final : public BlockingStore {
  public:
-  LoopStore(asio::io_context& io_context, platform::KeyValueStore& store)
+  LoopStore(asio::io_context& io_context, store::KeyValueStore& store)
       : io_context_(io_context), store_(store) {}
 
-  Result<platform::StoredValue> Read(std::string_view key) override;
-  Result<platform::KeyVersion> CompareAndSwap(std::string_view key, platform::KeyVersion expected,
+  Result<store::StoredValue> Read(std::string_view key) override;
+  Result<store::KeyVersion> CompareAndSwap(std::string_view key, store::KeyVersion expected,
                                               std::string_view value) override;
   void Wait(Duration time) override;
 
  private:
   asio::io_context& io_context_;
-  platform::KeyValueStore& store_;
+  store::KeyValueStore& store_;
 };
 
 }  // namespace verbenaridge::ctl
--- a/verbenaridge/ctl/ctl_test.cc
+++ b/verbenaridge/ctl/ctl_test.cc
@@ -11,7 +11,7 @@
 #include "verbenaridge/ctl/plan_commands.h"
 #include "verbenaridge/fakes/platform/fake_platform.h"
 #include "verbenaridge/plan_codec/plan_codec.h"
-#include "verbenaridge/platform/http_key_value_store.h"
+#include "verbenaridge/store/http_key_value_store.h"
 
 namespace verbenaridge::ctl {
 namespace {
@@ -32,11 +32,11 @@
 }
 
 // Another operator writes between each read and its answer.
-class RacingStore final : public platform::KeyValueStore {
+class RacingStore final : public store::KeyValueStore {
  public:
   explicit RacingStore(KeyValueStore& inner) : inner_(inner) {}
 
-  void Read(std::string_view key, platform::ReadCallback callback) override {
+  void Read(std::string_view key, store::ReadCallback callback) override {
     inner_.Read(key, [this, name = std::string(key), callback](auto value) {
       const plans::PlanDocument other =
           plans::MakeSuccessor({}, *plan_codec::DecodeDocument(File(3)).value, {0, "o", "biei", 0});
@@ -44,12 +44,12 @@
                             [value, callback](auto) { callback(value); });
     });
   }
-  void CompareAndSwap(std::string_view key, platform::KeyVersion expected, std::string_view value,
-                      platform::WriteCallback callback) override {
+  void CompareAndSwap(std::string_view key, store::KeyVersion expected, std::string_view value,
+                      store::WriteCallback callback) override {
     inner_.CompareAndSwap(key, expected, value, std::move(callback));
   }
-  void Watch(std::string_view, platform::KeyVersion, Duration, platform::ReadCallback) override {}
-  void Lease(std::string_view, std::string_view, Duration, platform::WriteCallback) override {}
+  void Watch(std::string_view, store::KeyVersion, Duration, store::ReadCallback) override {}
+  void Lease(std::string_view, std::string_view, Duration, store::WriteCallback) override {}
 
  private:
   KeyValueStore& inner_;
@@ -59,7 +59,7 @@
   asio::io_context io_context;
   fakes::FakePlatform fake{io_context, {}};
   net::CurlHttpClient client{io_context};
-  platform::HttpKeyValueStore key_value_store{client, fake.base_url()};
+  store::HttpKeyValueStore key_value_store{client, fake.base_url()};
   LoopStore store{io_context, key_value_store};
   SystemClock clock;
   std::ostringstream out;
--- a/verbenaridge/ctl/main.cc
+++ b/verbenaridge/ctl/main.cc
@@ -14,7 +14,7 @@
 #include "verbenaridge/ctl/plan_commands.h"
 #include "verbenaridge/net/http_client.h"
 #include "verbenaridge/plan_codec/plan_codec.h"
-#include "verbenaridge/platform/http_key_value_store.h"
+#include "verbenaridge/store/http_key_value_store.h"
 
 namespace {
 
@@ -83,7 +83,7 @@
     return RunOperatorCommand(*line, io_context, client, reporter);
   }
   verbenaridge::SystemClock clock;
-  verbenaridge::platform::HttpKeyValueStore key_value_store(client, line->store_url);
+  verbenaridge::store::HttpKeyValueStore key_value_store(client, line->store_url);
   verbenaridge::ctl::LoopStore store(io_context, key_value_store);
   verbenaridge::ctl::PlanCommands commands(store, reporter, clock);
   return RunPlanCommand(*line, commands);
--- a/verbenaridge/ctl/plan_commands.cc
+++ b/verbenaridge/ctl/plan_commands.cc
@@ -177,7 +177,7 @@
 
 ExitCode PlanCommands::Write(const Current& current, const plans::PlanDocument& next) {
   const std::string text = plan_codec::EncodeDocument(next);
-  if (text.size() > platform::kMaxValueBytes) {
+  if (text.size() > store::kMaxValueBytes) {
     return Fail(ExitCode::kInvalid, "invalid",
                 "the document has " + std::to_string(text.size()) +
                     " bytes; the store holds at most 1000000");
--- a/verbenaridge/ctl/plan_commands.h
+++ b/verbenaridge/ctl/plan_commands.h
@@ -64,7 +64,7 @@
 
  private:
   struct Current {
-    platform::KeyVersion key_version = 0;
+    store::KeyVersion key_version = 0;
     plans::PlanDocument document;
   };
 
--- a/verbenaridge/daemon/call_dispatcher.cc
+++ b/verbenaridge/daemon/call_dispatcher.cc
@@ -38,7 +38,7 @@
   return HashOf(name) % thread_count;
 }
 
-void CallDispatcher::Dispatch(EventLoop& origin, wire::Request request,
+void CallDispatcher::Dispatch(loop::EventLoop& origin, wire::Request request,
                               std::shared_ptr<wire::ServerCall> call) const {
   const ServingLoop& target = LoopFor(request);
   ServeOnLoop(origin, *target.loop, *target.service, std::move(request), std::move(call), clock_);
--- a/verbenaridge/daemon/call_dispatcher.h
+++ b/verbenaridge/daemon/call_dispatcher.h
@@ -10,14 +10,14 @@
 #include <vector>
 
 #include "verbenaridge/base/clock.h"
-#include "verbenaridge/daemon/event_loop.h"
+#include "verbenaridge/loop/event_loop.h"
 #include "verbenaridge/wire/peer_transport.h"
 
 namespace verbenaridge::daemon {
 
 // A loop and the service that runs on it.
 struct ServingLoop {
-  EventLoop* loop = nullptr;
+  loop::EventLoop* loop = nullptr;
   wire::PeerService* service = nullptr;
 };
 
@@ -31,7 +31,7 @@
       : control_(control), traffic_(std::move(traffic)), clock_(clock) {}
 
   // `origin` is the current loop, on which `call` lives.
-  void Dispatch(EventLoop& origin, wire::Request request,
+  void Dispatch(loop::EventLoop& origin, wire::Request request,
                 std::shared_ptr<wire::ServerCall> call) const;
 
  private:
@@ -45,7 +45,7 @@
 // PeerService of one loop's server: passes every call to the dispatcher.
 class DispatchingService final : public wire::PeerService {
  public:
-  DispatchingService(EventLoop& loop, const CallDispatcher& dispatcher)
+  DispatchingService(loop::EventLoop& loop, const CallDispatcher& dispatcher)
       : loop_(loop), dispatcher_(dispatcher) {}
 
   void Serve(wire::Request request, std::shared_ptr<wire::ServerCall> call) override {
@@ -53,7 +53,7 @@
   }
 
  private:
-  EventLoop& loop_;
+  loop::EventLoop& loop_;
   const CallDispatcher& dispatcher_;
 };
 
--- a/verbenaridge/daemon/claim_service.cc
+++ b/verbenaridge/daemon/claim_service.cc
@@ -9,7 +9,7 @@
 namespace verbenaridge::daemon {
 
 ClaimService::ClaimService(asio::io_context& io_context, const Clock& clock, RandomSource& random,
-                           platform::KeyValueStore& store)
+                           store::KeyValueStore& store)
     : clock_(clock), store_(store), timer_(io_context), book_({}, clock, random, *this) {}
 
 bool ClaimService::MayBeRunning(const HolderId& holder) const {
@@ -50,7 +50,7 @@
 
 void ClaimService::Perform(const claims::ReadBucket& read) {
   store_.Read(claim_codec::StoreKey(read.bucket),
-              [this, read](Result<platform::StoredValue> reply) {
+              [this, read](Result<store::StoredValue> reply) {
                 if (reply.has_error()) {
                   Execute(book_.OnRead(read.bucket, read.operation, reply.error()));
                   return;
@@ -70,7 +70,7 @@
   store_.CompareAndSwap(claim_codec::StoreKey(write.bucket), write.expected_version,
                         claim_codec::EncodeBucket(write.value),
                         [this, bucket = write.bucket,
-                         operation = write.operation](Result<platform::KeyVersion> reply) {
+                         operation = write.operation](Result<store::KeyVersion> reply) {
                           Execute(book_.OnWrite(bucket, operation, reply));
                         });
 }
--- a/verbenaridge/daemon/claim_service.h
+++ b/verbenaridge/daemon/claim_service.h
@@ -11,7 +11,7 @@
 #include "verbenaridge/base/random.h"
 #include "verbenaridge/claims/claim_book.h"
 #include "verbenaridge/daemon/snapshot.h"
-#include "verbenaridge/platform/key_value_store.h"
+#include "verbenaridge/store/key_value_store.h"
 #include "verbenaridge/wire/peer_transport.h"
 
 namespace verbenaridge::daemon {
@@ -20,7 +20,7 @@
 class ClaimService final : private claims::HolderDirectory {
  public:
   ClaimService(asio::io_context& io_context, const Clock& clock, RandomSource& random,
-               platform::KeyValueStore& store);
+               store::KeyValueStore& store);
 
   void SetSnapshot(SnapshotPtr snapshot) { snapshot_ = std::move(snapshot); }
 
@@ -43,7 +43,7 @@
   void ArmTimer();
 
   const Clock& clock_;
-  platform::KeyValueStore& store_;
+  store::KeyValueStore& store_;
   asio::steady_timer timer_;
   claims::ClaimBook book_;
   SnapshotPtr snapshot_;
--- a/verbenaridge/daemon/control_plane.cc
+++ b/verbenaridge/daemon/control_plane.cc
@@ -8,15 +8,15 @@
 #include "verbenaridge/daemon/conversions.h"
 #include "verbenaridge/daemon/fleet_view.h"
 #include "verbenaridge/daemon/gateway_pump.h"
-#include "verbenaridge/daemon/periodic.h"
+#include "verbenaridge/loop/periodic.h"
 #include "verbenaridge/daemon/plan_service.h"
 #include "verbenaridge/daemon/snapshot_builder.h"
 #include "verbenaridge/daemon/status_report.h"
 #include "verbenaridge/frontend/operator_server.h"
 #include "verbenaridge/net/http_client.h"
-#include "verbenaridge/platform/host_list.h"
-#include "verbenaridge/platform/http_key_value_store.h"
-#include "verbenaridge/platform/store_gateway.h"
+#include "verbenaridge/store/host_list.h"
+#include "verbenaridge/store/http_key_value_store.h"
+#include "verbenaridge/store/store_gateway.h"
 #include "verbenaridge/telemetry/log.h"
 #include "verbenaridge/wire/nghttp2_transport.h"
 #include "verbenaridge/wire/operator_proof.h"
@@ -63,8 +63,8 @@
   const settings::Settings& settings_;
   SeededRandom random_;
   net::CurlHttpClient http_;
-  platform::HttpKeyValueStore store_;
-  platform::StoreGateway gateway_;
+  store::HttpKeyValueStore store_;
+  store::StoreGateway gateway_;
   GatewayPump pump_;
   PumpedStore claim_store_;
   PumpedStore plan_store_;
@@ -72,14 +72,14 @@
   PeerRouter router_;
   SnapshotBuilder builder_;
   poison::SuspectRegistry suspects_;
-  platform::HostListClient host_list_;
+  store::HostListClient host_list_;
   FleetView fleet_;
   ClaimService claims_;
   PlanService plans_;
   wire::OperatorProofChecker proofs_;
   frontend::OperatorServer operator_server_;
-  Periodic control_tick_;
-  Periodic host_list_tick_;
+  loop::Periodic control_tick_;
+  loop::Periodic host_list_tick_;
   SnapshotPtr snapshot_ = std::make_shared<const Snapshot>();
   plans::PlanDocumentPtr published_plan_;
   std::shared_ptr<const plans::PlanIndex> plan_index_;
@@ -97,12 +97,12 @@
       store_(http_, settings_.platform.key_value_store_url),
       gateway_(store_, control.clock_, random_),
       pump_(control.loop_.io_context(), control.clock_, gateway_),
-      claim_store_(pump_, {.read = platform::CallKind::kClaim,
-                           .write = platform::CallKind::kClaim,
-                           .watch = platform::CallKind::kClaim}),
-      plan_store_(pump_, {.read = platform::CallKind::kPlanRead,
-                          .write = platform::CallKind::kPlanConfirm,
-                          .watch = platform::CallKind::kPlanWatch}),
+      claim_store_(pump_, {.read = store::CallKind::kClaim,
+                           .write = store::CallKind::kClaim,
+                           .watch = store::CallKind::kClaim}),
+      plan_store_(pump_, {.read = store::CallKind::kPlanRead,
+                          .write = store::CallKind::kPlanConfirm,
+                          .watch = store::CallKind::kPlanWatch}),
       transport_(control.loop_.io_context(),
                  {.self = settings_.host, .keys = control.options_.keys, .timeouts = {}}),
       router_({.self = settings_.host}, control.loop_, transport_, dispatcher, control.clock_),
@@ -173,7 +173,7 @@
   // Watchers need the list for confirmations; for the others it only adds members, and reading it
   // every 5 s at 380 hosts would take 6 KB/s of each.
   if (!plans_.watching() && host_list_ticks_++ % kHostListSkips != 0) return;
-  host_list_.Fetch([this](Result<std::vector<platform::ListedHost>> hosts) {
+  host_list_.Fetch([this](Result<std::vector<store::ListedHost>> hosts) {
     if (hosts.has_value()) fleet_.OnHostList(hosts.value());
   });
 }
--- a/verbenaridge/daemon/control_plane.h
+++ b/verbenaridge/daemon/control_plane.h
@@ -11,7 +11,7 @@
 #include "verbenaridge/base/clock.h"
 #include "verbenaridge/base/result.h"
 #include "verbenaridge/daemon/call_dispatcher.h"
-#include "verbenaridge/daemon/event_loop.h"
+#include "verbenaridge/loop/event_loop.h"
 #include "verbenaridge/daemon/snapshot.h"
 #include "verbenaridge/daemon/traffic_thread.h"
 #include "verbenaridge/settings/settings.h"
@@ -37,7 +37,7 @@
   ControlPlane(Options options, const Clock& clock, Outputs outputs);
   ~ControlPlane() override;
 
-  EventLoop& loop() { return loop_; }
+  loop::EventLoop& loop() { return loop_; }
 
   // Serves claims, plans, status and drains. Used on the control loop.
   wire::PeerService& service();
@@ -65,7 +65,7 @@
   const Options options_;
   const Clock& clock_;
   const Outputs outputs_;
-  EventLoop loop_;
+  loop::EventLoop loop_;
   std::unique_ptr<Parts> parts_;
 };
 
--- a/verbenaridge/daemon/cross_thread_call.cc
+++ b/verbenaridge/daemon/cross_thread_call.cc
@@ -10,7 +10,7 @@
 // loop.
 class CrossThreadCall final : public wire::ServerCall {
  public:
-  CrossThreadCall(EventLoop& origin, std::shared_ptr<wire::ServerCall> inner, const Clock& clock)
+  CrossThreadCall(loop::EventLoop& origin, std::shared_ptr<wire::ServerCall> inner, const Clock& clock)
       : origin_(origin),
         inner_(std::move(inner)),
         clock_(clock),
@@ -42,7 +42,7 @@
     if (auto callback = std::exchange(cancelled_callback_, nullptr)) callback();
   }
 
-  EventLoop& origin_;
+  loop::EventLoop& origin_;
   const std::shared_ptr<wire::ServerCall> inner_;
   const Clock& clock_;
   const TimePoint deadline_;
@@ -52,7 +52,7 @@
 
 }  // namespace
 
-void ServeOnLoop(EventLoop& origin, EventLoop& serving, wire::PeerService& service,
+void ServeOnLoop(loop::EventLoop& origin, loop::EventLoop& serving, wire::PeerService& service,
                  wire::Request request, std::shared_ptr<wire::ServerCall> call,
                  const Clock& clock) {
   if (&origin == &serving) {
--- a/verbenaridge/daemon/cross_thread_call.h
+++ b/verbenaridge/daemon/cross_thread_call.h
@@ -6,13 +6,13 @@
 #include <memory>
 
 #include "verbenaridge/base/clock.h"
-#include "verbenaridge/daemon/event_loop.h"
+#include "verbenaridge/loop/event_loop.h"
 #include "verbenaridge/wire/peer_transport.h"
 
 namespace verbenaridge::daemon {
 
 // Serves `request` with `service` on `serving`. Called on `origin`, where `call` lives.
-void ServeOnLoop(EventLoop& origin, EventLoop& serving, wire::PeerService& service,
+void ServeOnLoop(loop::EventLoop& origin, loop::EventLoop& serving, wire::PeerService& service,
                  wire::Request request, std::shared_ptr<wire::ServerCall> call, const Clock& clock);
 
 }  // namespace verbenaridge::daemon
--- a/verbenaridge/daemon/daemon.cc
+++ b/verbenaridge/daemon/daemon.cc
@@ -12,7 +12,7 @@
 #include "verbenaridge/daemon/call_dispatcher.h"
 #include "verbenaridge/daemon/control_plane.h"
 #include "verbenaridge/daemon/conversions.h"
-#include "verbenaridge/daemon/periodic.h"
+#include "verbenaridge/loop/periodic.h"
 #include "verbenaridge/daemon/telemetry_metrics.h"
 #include "verbenaridge/daemon/traffic_thread.h"
 #include "verbenaridge/telemetry/log.h"
--- a/verbenaridge/daemon/endpoint_owners.h
+++ b/verbenaridge/daemon/endpoint_owners.h
@@ -12,7 +12,7 @@
 #include "verbenaridge/base/clock.h"
 #include "verbenaridge/base/holder.h"
 #include "verbenaridge/cost/cost_model.h"
-#include "verbenaridge/daemon/event_loop.h"
+#include "verbenaridge/loop/event_loop.h"
 #include "verbenaridge/daemon/peer_router.h"
 #include "verbenaridge/daemon/snapshot.h"
 #include "verbenaridge/engine/endpoint_client.h"
--- a/verbenaridge/daemon/fleet_view.cc
+++ b/verbenaridge/daemon/fleet_view.cc
@@ -112,9 +112,9 @@
 
 void FleetView::Tick() { Perform(table_.Tick(clock_.Now())); }
 
-void FleetView::OnHostList(std::span<const platform::ListedHost> hosts) {
+void FleetView::OnHostList(std::span<const store::ListedHost> hosts) {
   std::vector<membership::HostListEntry> entries;
-  for (const platform::ListedHost& host : hosts) {
+  for (const store::ListedHost& host : hosts) {
     entries.push_back({host.host, host.data_centre, host.ip, host.port, host.leaving});
   }
   Perform(table_.OnHostList(entries, clock_.Now()));
--- a/verbenaridge/daemon/fleet_view.h
+++ b/verbenaridge/daemon/fleet_view.h
@@ -16,7 +16,7 @@
 #include "verbenaridge/membership/membership_table.h"
 #include "verbenaridge/plans/plan_distributor.h"
 #include "verbenaridge/plans/plan_replica.h"
-#include "verbenaridge/platform/host_list.h"
+#include "verbenaridge/store/host_list.h"
 #include "verbenaridge/settings/settings.h"
 #include "verbenaridge/wire/datagram_socket.h"
 
@@ -38,7 +38,7 @@
 
   // Run every 100 ms.
   void Tick();
-  void OnHostList(std::span<const platform::ListedHost> hosts);
+  void OnHostList(std::span<const store::ListedHost> hosts);
 
   // Announces that this host takes no new work, and that it has ended.
   void Leave();
--- a/verbenaridge/daemon/gateway_pump.cc
+++ b/verbenaridge/daemon/gateway_pump.cc
@@ -27,25 +27,25 @@
   });
 }
 
-void PumpedStore::Read(std::string_view key, platform::ReadCallback callback) {
+void PumpedStore::Read(std::string_view key, store::ReadCallback callback) {
   store_.Read(key, std::move(callback));
   pump_.Kick();
 }
 
-void PumpedStore::CompareAndSwap(std::string_view key, platform::KeyVersion expected,
-                                 std::string_view value, platform::WriteCallback callback) {
+void PumpedStore::CompareAndSwap(std::string_view key, store::KeyVersion expected,
+                                 std::string_view value, store::WriteCallback callback) {
   store_.CompareAndSwap(key, expected, value, std::move(callback));
   pump_.Kick();
 }
 
-void PumpedStore::Watch(std::string_view key, platform::KeyVersion after, Duration wait,
-                        platform::ReadCallback callback) {
+void PumpedStore::Watch(std::string_view key, store::KeyVersion after, Duration wait,
+                        store::ReadCallback callback) {
   store_.Watch(key, after, wait, std::move(callback));
   pump_.Kick();
 }
 
 void PumpedStore::Lease(std::string_view key, std::string_view value, Duration time_to_live,
-                        platform::WriteCallback callback) {
+                        store::WriteCallback callback) {
   store_.Lease(key, value, time_to_live, std::move(callback));
   pump_.Kick();
 }
--- a/verbenaridge/daemon/gateway_pump.h
+++ b/verbenaridge/daemon/gateway_pump.h
@@ -8,17 +8,17 @@
 #include <string_view>
 
 #include "verbenaridge/base/clock.h"
-#include "verbenaridge/platform/store_gateway.h"
+#include "verbenaridge/store/store_gateway.h"
 
 namespace verbenaridge::daemon {
 
 // Used on its loop alone.
 class GatewayPump {
  public:
-  GatewayPump(asio::io_context& io_context, const Clock& clock, platform::StoreGateway& gateway)
+  GatewayPump(asio::io_context& io_context, const Clock& clock, store::StoreGateway& gateway)
       : io_context_(io_context), clock_(clock), gateway_(gateway), timer_(io_context) {}
 
-  platform::StoreGateway& gateway() { return gateway_; }
+  store::StoreGateway& gateway() { return gateway_; }
 
   // A call was added: runs the gateway on the next turn of the loop.
   void Kick();
@@ -28,28 +28,28 @@
 
   asio::io_context& io_context_;
   const Clock& clock_;
-  platform::StoreGateway& gateway_;
+  store::StoreGateway& gateway_;
   asio::steady_timer timer_;
   bool kicked_ = false;
 };
 
 // A BudgetedStore that kicks the pump after each call.
-class PumpedStore final : public platform::KeyValueStore {
+class PumpedStore final : public store::KeyValueStore {
  public:
-  PumpedStore(GatewayPump& pump, platform::BudgetedStore::Kinds kinds)
+  PumpedStore(GatewayPump& pump, store::BudgetedStore::Kinds kinds)
       : pump_(pump), store_(pump.gateway(), kinds) {}
 
-  void Read(std::string_view key, platform::ReadCallback callback) override;
-  void CompareAndSwap(std::string_view key, platform::KeyVersion expected, std::string_view value,
-                      platform::WriteCallback callback) override;
-  void Watch(std::string_view key, platform::KeyVersion after, Duration wait,
-             platform::ReadCallback callback) override;
+  void Read(std::string_view key, store::ReadCallback callback) override;
+  void CompareAndSwap(std::string_view key, store::KeyVersion expected, std::string_view value,
+                      store::WriteCallback callback) override;
+  void Watch(std::string_view key, store::KeyVersion after, Duration wait,
+             store::ReadCallback callback) override;
   void Lease(std::string_view key, std::string_view value, Duration time_to_live,
-             platform::WriteCallback callback) override;
+             store::WriteCallback callback) override;
 
  private:
   GatewayPump& pump_;
-  platform::BudgetedStore store_;
+  store::BudgetedStore store_;
 };
 
 }  // namespace verbenaridge::daemon
--- a/verbenaridge/daemon/peer_router.cc
+++ b/verbenaridge/daemon/peer_router.cc
@@ -10,7 +10,7 @@
 class PeerRouter::LocalCall final : public wire::ServerCall,
                                     public std::enable_shared_from_this<LocalCall> {
  public:
-  LocalCall(EventLoop& loop, const Clock& clock, Duration deadline, wire::ReplyCallback done)
+  LocalCall(loop::EventLoop& loop, const Clock& clock, Duration deadline, wire::ReplyCallback done)
       : clock_(clock),
         deadline_(clock.Now() + deadline),
         timer_(loop.io_context(), deadline),
--- a/verbenaridge/daemon/peer_router.h
+++ b/verbenaridge/daemon/peer_router.h
@@ -10,7 +10,7 @@
 #include "verbenaridge/base/clock.h"
 #include "verbenaridge/base/ids.h"
 #include "verbenaridge/daemon/call_dispatcher.h"
-#include "verbenaridge/daemon/event_loop.h"
+#include "verbenaridge/loop/event_loop.h"
 #include "verbenaridge/daemon/snapshot.h"
 #include "verbenaridge/wire/peer_transport.h"
 
@@ -23,7 +23,7 @@
     HostId self;
   };
 
-  PeerRouter(Options options, EventLoop& loop, wire::PeerTransport& transport,
+  PeerRouter(Options options, loop::EventLoop& loop, wire::PeerTransport& transport,
              const CallDispatcher& dispatcher, const Clock& clock)
       : options_(std::move(options)),
         loop_(loop),
@@ -51,7 +51,7 @@
                 wire::ReplyCallback callback);
 
   const Options options_;
-  EventLoop& loop_;
+  loop::EventLoop& loop_;
   wire::PeerTransport& transport_;
   const CallDispatcher& dispatcher_;
   const Clock& clock_;
--- a/verbenaridge/daemon/plan_service.cc
+++ b/verbenaridge/daemon/plan_service.cc
@@ -23,7 +23,7 @@
 }  // namespace
 
 PlanService::PlanService(const Options& options, asio::io_context& io_context, const Clock& clock,
-                         RandomSource& random, platform::KeyValueStore& store, PeerRouter& router,
+                         RandomSource& random, store::KeyValueStore& store, PeerRouter& router,
                          std::function<void()> changed)
     : options_(options),
       clock_(clock),
@@ -70,7 +70,7 @@
 }
 
 void PlanService::ReadStore(plans::SessionNumber session) {
-  store_.Read(plans::kCurrentPlanKey, [this, session](const Result<platform::StoredValue>& value) {
+  store_.Read(plans::kCurrentPlanKey, [this, session](const Result<store::StoredValue>& value) {
     if (value.has_error()) return;  // asked again in the next round
     const bool exists = value.value().version != 0;
     const plans::PlanDocumentPtr document = exists ? Decode(value.value().value) : nullptr;
@@ -82,7 +82,7 @@
 
 void PlanService::ReadConfirmed() {
   store_.Read(plans::ConfirmedPlanKey(options_.data_centre),
-              [this](const Result<platform::StoredValue>& value) {
+              [this](const Result<store::StoredValue>& value) {
                 if (value.has_error()) return;
                 const auto version = plan_codec::DecodeConfirmed(value.value().value);
                 if (version) OnConfirmed(options_.data_centre, *version);
@@ -178,10 +178,10 @@
 void PlanService::Watch() {
   watch_pending_ = true;
   store_.Watch(plans::kCurrentPlanKey, watched_version_, kWatchWait,
-               [this](const Result<platform::StoredValue>& value) { OnWatched(value); });
+               [this](const Result<store::StoredValue>& value) { OnWatched(value); });
 }
 
-void PlanService::OnWatched(const Result<platform::StoredValue>& value) {
+void PlanService::OnWatched(const Result<store::StoredValue>& value) {
   watch_pending_ = false;
   if (!watching_) return;
   if (value.has_error()) {
@@ -204,13 +204,13 @@
 // Confirmed versions only grow: the write is a compare-and-swap on what was read.
 void PlanService::WriteConfirmed(PlanVersion version) {
   store_.Read(plans::ConfirmedPlanKey(options_.data_centre),
-              [this, version](const Result<platform::StoredValue>& value) {
+              [this, version](const Result<store::StoredValue>& value) {
                 if (value.has_error()) return;  // the distributor asks again
                 RaiseConfirmed(version, value.value());
               });
 }
 
-void PlanService::RaiseConfirmed(PlanVersion version, const platform::StoredValue& current) {
+void PlanService::RaiseConfirmed(PlanVersion version, const store::StoredValue& current) {
   const PlanVersion stored = plan_codec::DecodeConfirmed(current.value).value_or(0);
   if (stored >= version) {
     distributor_.OnConfirmedWritten(stored);
@@ -219,7 +219,7 @@
   }
   store_.CompareAndSwap(plans::ConfirmedPlanKey(options_.data_centre), current.version,
                         plan_codec::EncodeConfirmed(version),
-                        [this, version](const Result<platform::KeyVersion>& written) {
+                        [this, version](const Result<store::KeyVersion>& written) {
                           if (written.has_error()) return;
                           distributor_.OnConfirmedWritten(version);
                           OnConfirmed(options_.data_centre, version);
--- a/verbenaridge/daemon/plan_service.h
+++ b/verbenaridge/daemon/plan_service.h
@@ -16,7 +16,7 @@
 #include "verbenaridge/daemon/peer_router.h"
 #include "verbenaridge/plans/plan_distributor.h"
 #include "verbenaridge/plans/plan_replica.h"
-#include "verbenaridge/platform/key_value_store.h"
+#include "verbenaridge/store/key_value_store.h"
 #include "verbenaridge/wire/messages.h"
 
 namespace verbenaridge::daemon {
@@ -31,7 +31,7 @@
 
   // `changed` runs when another document is in force or the daemon starts or stops serving.
   PlanService(const Options& options, asio::io_context& io_context, const Clock& clock,
-              RandomSource& random, platform::KeyValueStore& store, PeerRouter& router,
+              RandomSource& random, store::KeyValueStore& store, PeerRouter& router,
               std::function<void()> changed);
 
   // Run every 100 ms. `peers` are the live daemons, `members` those of this data centre.
@@ -58,14 +58,14 @@
   void Push(const plans::PushPlan& push);
   void SetWatching(bool watching);
   void Watch();
-  void OnWatched(const Result<platform::StoredValue>& value);
+  void OnWatched(const Result<store::StoredValue>& value);
   void WriteConfirmed(PlanVersion version);
-  void RaiseConfirmed(PlanVersion version, const platform::StoredValue& current);
+  void RaiseConfirmed(PlanVersion version, const store::StoredValue& current);
   void ReadConfirmed();
 
   const Options options_;
   const Clock& clock_;
-  platform::KeyValueStore& store_;
+  store::KeyValueStore& store_;
   PeerRouter& router_;
   const std::function<void()> changed_;
   asio::steady_timer watch_timer_;
@@ -73,7 +73,7 @@
   plans::PlanDistributor distributor_;
   std::map<HostId, Incarnation> incarnations_;
   std::map<DataCentreId, PlanVersion> confirmed_;
-  platform::KeyVersion watched_version_ = 0;
+  store::KeyVersion watched_version_ = 0;
   bool watching_ = false;
   bool watch_pending_ = false;
 };
--- a/verbenaridge/daemon/run_context.h
+++ b/verbenaridge/daemon/run_context.h
@@ -13,7 +13,7 @@
 #include "verbenaridge/base/holder.h"
 #include "verbenaridge/base/random.h"
 #include "verbenaridge/cost/cost_model.h"
-#include "verbenaridge/daemon/event_loop.h"
+#include "verbenaridge/loop/event_loop.h"
 #include "verbenaridge/daemon/held_permits.h"
 #include "verbenaridge/daemon/local_admission.h"
 #include "verbenaridge/daemon/peer_router.h"
@@ -27,7 +27,7 @@
 
 // Used on the thread's loop alone; outlives the requests.
 struct RunContext {
-  EventLoop& loop;
+  loop::EventLoop& loop;
   const Clock& clock;
   RandomSource& random;
   PeerRouter& router;
--- a/verbenaridge/daemon/status_report.cc
+++ b/verbenaridge/daemon/status_report.cc
@@ -42,12 +42,12 @@
   return endpoints;
 }
 
-json Store(const platform::StoreGateway& gateway) {
+json Store(const store::StoreGateway& gateway) {
   json calls = json::object();
-  for (std::size_t i = 0; i < platform::kCallKindCount; ++i) {
-    const auto kind = static_cast<platform::CallKind>(i);
-    const platform::CallCounters& counters = gateway.counters(kind);
-    calls[std::string(platform::CallKindName(kind))] = {
+  for (std::size_t i = 0; i < store::kCallKindCount; ++i) {
+    const auto kind = static_cast<store::CallKind>(i);
+    const store::CallCounters& counters = gateway.counters(kind);
+    calls[std::string(store::CallKindName(kind))] = {
         {"started", counters.started},     {"succeeded", counters.succeeded},
         {"conflicts", counters.conflicts}, {"failed", counters.failed},
         {"refused", counters.refused},     {"rejected", counters.rejected}};
--- a/verbenaridge/daemon/status_report.h
+++ b/verbenaridge/daemon/status_report.h
@@ -7,7 +7,7 @@
 #include <string>
 
 #include "verbenaridge/daemon/snapshot.h"
-#include "verbenaridge/platform/store_gateway.h"
+#include "verbenaridge/store/store_gateway.h"
 #include "verbenaridge/poison/suspect_registry.h"
 #include "verbenaridge/settings/settings.h"
 
@@ -17,7 +17,7 @@
   const settings::Settings& settings;
   const Snapshot& snapshot;
   const std::map<DataCentreId, PlanVersion>& confirmed;
-  const platform::StoreGateway& gateway;
+  const store::StoreGateway& gateway;
   const poison::SuspectRegistry& suspects;
   WallTime now{};
   bool draining = false;
--- a/verbenaridge/daemon/traffic_thread.cc
+++ b/verbenaridge/daemon/traffic_thread.cc
@@ -5,7 +5,7 @@
 
 #include "verbenaridge/daemon/account_owner.h"
 #include "verbenaridge/daemon/endpoint_owners.h"
-#include "verbenaridge/daemon/periodic.h"
+#include "verbenaridge/loop/periodic.h"
 #include "verbenaridge/daemon/policies.h"
 #include "verbenaridge/daemon/request_pipeline.h"
 #include "verbenaridge/engine/http_endpoint_client.h"
@@ -61,10 +61,10 @@
   DispatchingService peer_service;
   wire::Nghttp2Server peer_server;
   frontend::CallerServer caller_server;
-  Periodic owner_tick;
-  Periodic load_tick;
-  Periodic renew_tick;
-  Periodic reconcile_tick;
+  loop::Periodic owner_tick;
+  loop::Periodic load_tick;
+  loop::Periodic renew_tick;
+  loop::Periodic reconcile_tick;
 };
 
 TrafficThread::Parts::Parts(TrafficThread& owner)
--- a/verbenaridge/daemon/traffic_thread.h
+++ b/verbenaridge/daemon/traffic_thread.h
@@ -12,7 +12,7 @@
 #include "verbenaridge/base/random.h"
 #include "verbenaridge/base/result.h"
 #include "verbenaridge/daemon/call_dispatcher.h"
-#include "verbenaridge/daemon/event_loop.h"
+#include "verbenaridge/loop/event_loop.h"
 #include "verbenaridge/daemon/request_metrics.h"
 #include "verbenaridge/daemon/snapshot.h"
 #include "verbenaridge/poison/suspect_registry.h"
@@ -46,7 +46,7 @@
                 TrafficReports reports);
   ~TrafficThread();
 
-  EventLoop& loop() { return loop_; }
+  loop::EventLoop& loop() { return loop_; }
 
   // Serves the calls for what is pinned to this thread. Used on its loop.
   wire::PeerService& owner_service();
@@ -74,7 +74,7 @@
   const Clock& clock_;
   RequestMetrics& metrics_;
   const TrafficReports reports_;
-  EventLoop loop_;
+  loop::EventLoop loop_;
   std::atomic<std::size_t> busy_{0};
   std::unique_ptr<Parts> parts_;
 };
--- a/verbenaridge/dispatch/endpoint_chooser_test.cc
+++ b/verbenaridge/dispatch/endpoint_chooser_test.cc
@@ -0,0 +1,166 @@
+#include "verbenaridge/dispatch/endpoint_chooser.h"
+
+#include <doctest/doctest.h>
+
+#include <string>
+#include <vector>
+
+namespace verbenaridge::dispatch {
+namespace {
+
+using std::chrono::milliseconds;
+
+const PassModel& Model() {
+  static const PassModel model({.slots = 16,
+                                .kv_tokens = 232'000,
+                                .stride = 43,
+                                .step = FromSeconds(0.00102),
+                                .step_per_sequence = FromSeconds(0.00000226),
+                                .context_seconds_per_token = 0.00000431 / 1000,
+                                .read_tokens_per_second = 206'000,
+                                .seconds_per_pair = 0.000138 / 1e6,
+                                .chunk_tokens = 2048});
+  return model;
+}
+
+EndpointLoad Idle() { return {}; }
+
+EndpointLoad ShortDecoders(std::size_t count) {
+  return {.works = count,
+          .decoding = {.sequences = count, .context_tokens = static_cast<TokenCount>(5'000 * count)},
+          .kv_tokens = static_cast<TokenCount>(5'000 * count),
+          .tightest_gap = milliseconds(250),
+          .decoders_weight = static_cast<double>(count)};
+}
+
+EndpointLoad LongReader(Duration left) {
+  return {.works = 1,
+          .kv_tokens = 133'000,
+          .reading = left,
+          .readers = {{.finish = left,
+                       .due = milliseconds(5'000),
+                       .target_gap = milliseconds(1'000),
+                       .weight = 2.3}}};
+}
+
+Demand Short() {
+  return {.prompt_tokens = 5'000,
+          .output_tokens = 1'300,
+          .target_latency = milliseconds(250),
+          .target_gap = milliseconds(250),
+          .remaining = std::chrono::seconds(10)};
+}
+
+Demand Long(TokenCount tokens) {
+  return {.prompt_tokens = tokens,
+          .output_tokens = 700,
+          .target_latency = milliseconds(5'000),
+          .target_gap = milliseconds(1'000),
+          .remaining = std::chrono::seconds(15)};
+}
+
+Demand After(Demand demand, Duration waited) {
+  demand.waited = waited;
+  demand.remaining -= waited;
+  return demand;
+}
+
+// Guards against placements that make others late, scatter short prompts over all engines, or miss
+// a target that another engine would keep.
+TEST_CASE("which engine a request goes to") {
+  struct Row {
+    const char* name;
+    Demand demand;
+    std::vector<EndpointLoad> engines;
+    ChoiceKind kind;
+    std::vector<std::size_t> members;  // any order
+  };
+  const Row rows[] = {
+      {"no engine", Short(), {}, ChoiceKind::kNone, {}},
+      {"a short prompt joins others", Short(), {Idle(), ShortDecoders(6), Idle()},
+       ChoiceKind::kDispatch, {1}},
+      {"and not where all slots are taken", Short(), {ShortDecoders(16), Idle()},
+       ChoiceKind::kDispatch, {1}},
+      {"and not behind a long prompt", Short(), {LongReader(milliseconds(1'500)), Idle()},
+       ChoiceKind::kDispatch, {1}},
+      {"a long prompt takes the idle engine", Long(133'000), {ShortDecoders(3), Idle()},
+       ChoiceKind::kDispatch, {1}},
+      {"a long prompt waits while others would suffer", Long(133'000),
+       {ShortDecoders(6), ShortDecoders(8)}, ChoiceKind::kHold, {}},
+      {"and goes before it is late", After(Long(133'000), milliseconds(2'000)),
+       {ShortDecoders(6), ShortDecoders(8)}, ChoiceKind::kDispatch, {0}},
+      {"a late one lets others go first", After(Long(133'000), milliseconds(6'000)),
+       {ShortDecoders(6), ShortDecoders(8)}, ChoiceKind::kHold, {}},
+      {"but not past its deadline", After(Long(133'000), milliseconds(11'000)),
+       {ShortDecoders(6), ShortDecoders(8)}, ChoiceKind::kDispatch, {0}},
+  };
+  for (const Row& row : rows) {
+    CAPTURE(row.name);
+    std::vector<Candidate> candidates;
+    for (const EndpointLoad& load : row.engines) {
+      candidates.push_back(
+          {.key = candidates.size(), .model = &Model(), .slots = 16, .load = load});
+    }
+    SeededRandom random(5);
+    const Choice choice = MakePredictiveChooser({})->Choose(row.demand, candidates, random);
+    CHECK(choice.kind == row.kind);
+    if (row.kind == ChoiceKind::kDispatch) CHECK(choice.members == row.members);
+  }
+}
+
+// Guards against prompts that no engine can read in time or hold, and against groups for prompts
+// that need none.
+TEST_CASE("how many engines read a prompt") {
+  struct Row {
+    const char* name;
+    Demand demand;
+    std::size_t engines;
+    ChoiceKind kind;
+    std::size_t least;
+    std::size_t most;
+    bool reserve;
+  };
+  const Row rows[] = {
+      {"short", Short(), 10, ChoiceKind::kDispatch, 1, 1, false},
+      {"in time on one engine", Long(133'000), 10, ChoiceKind::kDispatch, 1, 1, false},
+      {"too slow on one engine", Long(200'000), 10, ChoiceKind::kDispatch, 2, 3, false},
+      {"too large for one engine", Long(300'000), 10, ChoiceKind::kDispatch, 2, 6, true},
+      {"too large for two engines", Long(600'000), 10, ChoiceKind::kDispatch, 6, 8, true},
+      {"never", Long(600'000), 2, ChoiceKind::kNever, 0, 0, false},
+  };
+  for (const Row& row : rows) {
+    CAPTURE(row.name);
+    std::vector<Candidate> candidates(row.engines, Candidate{.model = &Model(), .slots = 16});
+    SeededRandom random(5);
+    const Choice choice = MakePredictiveChooser({})->Choose(row.demand, candidates, random);
+    CHECK(choice.kind == row.kind);
+    CHECK(choice.members.size() >= row.least);
+    CHECK(choice.members.size() <= row.most);
+    CHECK(choice.reserve == row.reserve);
+  }
+}
+
+// Guards against plain endpoints that get work although they fail or are busy.
+TEST_CASE("which plain endpoint a request goes to") {
+  struct Row {
+    const char* name;
+    std::vector<Candidate> candidates;
+    std::size_t chosen;
+  };
+  const Row rows[] = {
+      {"the less busy", {{.slots = 6, .load = {.works = 4}}, {.slots = 6, .load = {.works = 1}}}, 1},
+      {"by its slots", {{.slots = 12, .load = {.works = 4}}, {.slots = 4, .load = {.works = 3}}}, 0},
+      {"the one that fails less",
+       {{.slots = 6, .error_rate = 0.8}, {.slots = 6, .load = {.works = 1}, .error_rate = 0.1}}, 1},
+  };
+  for (const Row& row : rows) {
+    CAPTURE(row.name);
+    SeededRandom random(5);
+    const Choice choice = MakeLeastBusyChooser()->Choose({}, row.candidates, random);
+    REQUIRE(choice.members.size() == 1);
+    CHECK(choice.members[0] == row.chosen);
+  }
+}
+
+}  // namespace
+}  // namespace verbenaridge::dispatch
--- a/verbenaridge/dispatch/load_board.cc
+++ b/verbenaridge/dispatch/load_board.cc
@@ -56,6 +56,16 @@
   endpoint_of_.erase(endpoint);
 }
 
+std::size_t LoadBoard::EndAllOf(Incarnation host, TimePoint now) {
+  const WorkId first = FirstWorkId(host);
+  std::vector<WorkId> works;
+  for (const auto& [id, endpoint] : endpoint_of_) {
+    if (id >> kWorkSequenceBits == first >> kWorkSequenceBits) works.push_back(id);
+  }
+  for (const WorkId id : works) End(id, now);
+  return works.size();
+}
+
 std::size_t LoadBoard::RemoveExpired(TimePoint now) {
   std::vector<WorkId> expired;
   for (const auto& [endpoint, engine] : engines_) {
--- a/verbenaridge/dispatch/load_board.h
+++ b/verbenaridge/dispatch/load_board.h
@@ -25,8 +25,13 @@
 
 namespace verbenaridge::dispatch {
 
-// Unique in the fleet. A prompt that several engines read has one work item at each.
+// Unique in the fleet. A prompt that several engines read has one work item at each. The upper bits
+// are those of the host's incarnation.
 using WorkId = std::uint64_t;
+inline constexpr int kWorkSequenceBits = 24;
+
+// The first id of a host in this incarnation.
+inline WorkId FirstWorkId(Incarnation incarnation) { return incarnation << kWorkSequenceBits; }
 
 struct Work {
   WorkId id = 0;
@@ -65,6 +70,9 @@
   void OnFirstEvent(WorkId id, TimePoint now);
   void End(WorkId id, TimePoint now);
 
+  // Forgets the work of a host that is gone or has started anew. Returns how many.
+  std::size_t EndAllOf(Incarnation host, TimePoint now);
+
   // Forgets work whose lifetime is over. Returns how many.
   std::size_t RemoveExpired(TimePoint now);
 
--- a/verbenaridge/fakes/platform/fake_platform.cc
+++ b/verbenaridge/fakes/platform/fake_platform.cc
@@ -18,9 +18,6 @@
 using Server = restinio::http_server_t<restinio::default_single_thread_traits_t>;
 
 constexpr std::size_t kMaxValueBytes = 1'000'000;
-// Weight fetches per second, and the size of all weights.
-constexpr double kWeightsPerSecond = 2;
-constexpr std::int64_t kWeightBytes = 14'000'000'000;
 
 struct Answer {
   int status = 200;
@@ -141,8 +138,6 @@
     if (path == "/hosts" && get) {
       ++counters_["hosts"];
       Send(request, {.body = hosts_});
-    } else if (path.starts_with("/weights/") && get) {
-      Send(request, Weights());
     } else if (path.starts_with("/kv/")) {
       const std::string key = UnescapeKey(path.substr(4));
       if (get) {
@@ -214,15 +209,6 @@
     Send(request, {.status = 429});
   }
 
-  Answer Weights() {
-    ++counters_["weights"];
-    if (weights_.Take(kWeightsPerSecond, Now())) {
-      return {.body = Json{{"bytes", kWeightBytes}}.dump()};
-    }
-    ++counters_["refused"];
-    return {.status = 429, .body = Json{{"retry_after_ms", 500}}.dump()};
-  }
-
   Answer Control(const std::string& path, const Request& request) {
     if (path == "/counters") return {.body = Json(counters_).dump()};
     const Json json = Json::parse(request->body(), nullptr, /*allow_exceptions=*/false);
@@ -271,7 +257,6 @@
   std::string hosts_ = R"({"hosts":[]})";
   RateLimit reads_;
   RateLimit writes_;
-  RateLimit weights_;
   std::vector<std::shared_ptr<Watcher>> watchers_;
   // Requests that never get an answer; a request that is dropped would close its connection.
   std::vector<Request> held_;
--- a/verbenaridge/fakes/platform/fake_platform_test.cc
+++ b/verbenaridge/fakes/platform/fake_platform_test.cc
@@ -8,22 +8,21 @@
 #include <string>
 #include <vector>
 
-#include "verbenaridge/platform/host_list.h"
-#include "verbenaridge/platform/http_key_value_store.h"
-#include "verbenaridge/platform/weight_store.h"
+#include "verbenaridge/store/host_list.h"
+#include "verbenaridge/store/http_key_value_store.h"
 
 namespace verbenaridge::fakes {
 namespace {
 
-using platform::KeyVersion;
-using platform::StoredValue;
+using store::KeyVersion;
+using store::StoredValue;
 using std::chrono::milliseconds;
 
 struct Fixture {
   asio::io_context io_context;
   FakePlatform fake{io_context, {}};
   net::CurlHttpClient client{io_context};
-  platform::HttpKeyValueStore store{client, fake.base_url()};
+  store::HttpKeyValueStore store{client, fake.base_url()};
 
   // Runs the loop until the call answered.
   template <class T, class Start>
@@ -112,13 +111,12 @@
   CHECK(f.fake.counters().at("watch") == 3);
 }
 
-// Guards against a host list that does not lag, weights without limit, and controls that are
-// ignored.
-TEST_CASE("host list, weights and control") {
+// Guards against a host list that does not lag, and controls that are ignored.
+TEST_CASE("host list and control") {
   Fixture f;
-  platform::HostListClient hosts(f.client, f.fake.base_url());
+  store::HostListClient hosts(f.client, f.fake.base_url());
   const auto list = [&] {
-    return f.Wait<std::vector<platform::ListedHost>>([&](auto done) { hosts.Fetch(done); });
+    return f.Wait<std::vector<store::ListedHost>>([&](auto done) { hosts.Fetch(done); });
   };
   f.fake.faults().host_list_lag = milliseconds(60);
   f.fake.SetHosts(R"({"hosts": [{"host": "f1", "data_centre": "furano", "ip": "127.0.0.1",
@@ -128,13 +126,6 @@
   REQUIRE(list().value().size() == 1);
   CHECK(list().value()[0].leaving);
 
-  platform::WeightStoreClient weights(f.client, f.fake.base_url());
-  const auto reserve = [&] {
-    return f.Wait<platform::WeightTicket>([&](auto done) { weights.Reserve("m/1", done); });
-  };
-  CHECK(reserve().value().granted);
-  CHECK(reserve().value().retry_after == milliseconds(500));
-
   struct Row {
     std::string body;
     int status;
@@ -171,7 +162,7 @@
                             "state": "gone"}]})"};
   for (const std::string text : rows) {
     CAPTURE(text);
-    CHECK(platform::ParseHostList(text).error() == Errc::kMalformed);
+    CHECK(store::ParseHostList(text).error() == Errc::kMalformed);
   }
 }
 
--- a/verbenaridge/fleet_tests/test_fleet.h
+++ b/verbenaridge/fleet_tests/test_fleet.h
@@ -15,7 +15,7 @@
 
 #include "verbenaridge/base/clock.h"
 #include "verbenaridge/daemon/daemon.h"
-#include "verbenaridge/daemon/event_loop.h"
+#include "verbenaridge/loop/event_loop.h"
 #include "verbenaridge/fakes/fake_endpoint.h"
 #include "verbenaridge/fakes/platform/fake_platform.h"
 #include "verbenaridge/net/http_client.h"
--- a/verbenaridge/forwarding/dispatcher.cc
+++ b/verbenaridge/forwarding/dispatcher.cc
@@ -7,9 +7,6 @@
 namespace verbenaridge::forwarding {
 namespace {
 
-// Work ids of one host share their upper bits, which come from the host's name and its start.
-constexpr int kSequenceBits = 24;
-
 // Held requests that are tried at a time. Each try looks at every endpoint of a service, and a host
 // has a small part of a processor.
 constexpr std::size_t kMaxTries = 24;
@@ -30,7 +27,7 @@
       snapshot_(std::make_shared<const DirectorySnapshot>()),
       predictive_(dispatch::MakePredictiveChooser(options.chooser)),
       least_busy_(dispatch::MakeLeastBusyChooser()),
-      next_work_(CombineDigests(HashOf(options.host.value()), random.Next()) << kSequenceBits) {}
+      next_work_(dispatch::FirstWorkId(options.incarnation)) {}
 
 void Dispatcher::SetSnapshot(SnapshotPtr snapshot) {
   snapshot_ = std::move(snapshot);
--- a/verbenaridge/forwarding/dispatcher.h
+++ b/verbenaridge/forwarding/dispatcher.h
@@ -38,7 +38,7 @@
   std::shared_ptr<const directory::Configuration> configuration;  // null: none is known yet
   std::vector<directory::Endpoint> endpoints;
   TimePoint endpoints_read{};  // when the endpoints were read from the store
-  std::size_t hosts = 1;       // of the system, with this one
+  std::size_t hosts = 1;       // that share the bounds of the system, with this one
 };
 using SnapshotPtr = std::shared_ptr<const DirectorySnapshot>;
 
@@ -86,7 +86,7 @@
 using AssignmentCallback = std::function<void(Assignment)>;
 
 struct DispatcherOptions {
-  HostId host;
+  Incarnation incarnation = 1;
   dispatch::ChooserOptions chooser{};
   // Held requests are tried again this often, and not at each change of the load: in a flood both
   // the changes and the held requests are many.
@@ -127,6 +127,7 @@
   void OnPeerFirstEvent(dispatch::WorkId work);
   void OnPeerEnd(dispatch::WorkId work);
   void OnPeerUnreachable(Digest endpoint);
+  void OnPeerGone(Incarnation host) { board_.EndAllOf(host, clock_.Now()); }
 
   std::size_t held() const { return held_.size(); }
   std::size_t works() const { return board_.size(); }
--- a/verbenaridge/ingress/directory_service.cc
+++ b/verbenaridge/ingress/directory_service.cc
@@ -103,8 +103,9 @@
   NoticePause(now);
   if (configuration_schedule_.Due(now)) ReadConfiguration();
   if (endpoints_schedule_.Due(now)) ReadEndpoints();
-  for (const HostId& host : peers_.RemoveSilent(now)) {
+  for (const auto& [host, incarnation] : peers_.RemoveSilent(now)) {
     Log(Level::kInfo, "peer_silent", {{"peer", host.value()}, {"hosts", peers_.live()}});
+    outputs_.peer_gone(incarnation);
   }
   if (now - last_notice_ >= options_.notice_interval) SendNotice(false, false, nullptr);
   std::vector<std::string> live = peers_.LiveAddresses();
@@ -234,15 +235,16 @@
 void DirectoryService::OnNotice(const wire::DirectoryNotice& notice, const std::string& ip) {
   const TimePoint now = clock_.Now();
   if (notice.leaving) {
-    peers_.OnLeaving(notice.sender);
+    if (const auto gone = peers_.OnLeaving(notice.sender)) outputs_.peer_gone(*gone);
     return;
   }
   const PeerList::Heard heard = peers_.OnHeard(notice.sender, ip, notice.incarnation, now);
   for (const wire::PeerEntry& peer : notice.peers) peers_.OnNamed(peer.host, peer.ip, now);
-  if (heard != PeerList::Heard::kKnown) {
+  if (heard.news == PeerList::News::kRestarted) outputs_.peer_gone(heard.before);
+  if (heard.news != PeerList::News::kNone) {
     Log(Level::kInfo, "peer_heard",
         {{"peer", notice.sender.value()},
-         {"restarted", heard == PeerList::Heard::kRestarted},
+         {"restarted", heard.news == PeerList::News::kRestarted},
          {"hosts", peers_.live()}});
     SendNotice(false, false, &ip);
   }
@@ -383,7 +385,7 @@
   snapshot->configuration = configuration_.configuration;
   snapshot->endpoints = table_.endpoints();
   snapshot->endpoints_read = endpoints_schedule_.fresh();
-  snapshot->hosts = peers_.live();
+  snapshot->hosts = peers_.MostLately(clock_.Now());
   outputs_.snapshot(std::move(snapshot));
 }
 
--- a/verbenaridge/ingress/directory_service.h
+++ b/verbenaridge/ingress/directory_service.h
@@ -48,6 +48,7 @@
 struct DirectoryOutputs {
   std::function<void(forwarding::SnapshotPtr)> snapshot;
   std::function<void(std::vector<std::string>)> peers;  // live addresses
+  std::function<void(Incarnation)> peer_gone;           // dead, or started anew
 };
 
 class DirectoryService final : private DirectoryContent {
--- a/verbenaridge/ingress/ingress.cc
+++ b/verbenaridge/ingress/ingress.cc
@@ -59,7 +59,11 @@
 class Ingress::Parts {
  public:
   Parts(settings::IngressSettings settings, const Clock& clock)
-      : settings_(std::move(settings)), clock_(clock), random_(RandomSeed()), control_("control") {}
+      : settings_(std::move(settings)),
+        clock_(clock),
+        random_(RandomSeed()),
+        incarnation_(random_.Next()),
+        control_("control") {}
 
   ~Parts() { StopLoops(); }
 
@@ -80,7 +84,8 @@
 
   const settings::IngressSettings settings_;
   const Clock& clock_;
-  SeededRandom random_;
+  SeededRandom random_;  // control loop
+  const Incarnation incarnation_;
   telemetry::MetricsRegistry registry_;
   platform::HttpAdapter adapter_;
   loop::EventLoop control_;
@@ -102,7 +107,8 @@
 Status Ingress::Parts::Open() {
   Result<wire::FleetKeys> keys = wire::FleetKeys::Create(settings_.fleet_keys);
   if (keys.has_error()) return keys.error();
-  traffic_ = std::make_unique<Traffic>(settings_, keys.value(), clock_, adapter_, registry_);
+  traffic_ = std::make_unique<Traffic>(settings_, keys.value(), incarnation_, clock_, adapter_,
+                                       registry_);
   BOOST_OUTCOME_TRYV(traffic_->Open());
   OpenDirectory(keys.value());
   BOOST_OUTCOME_TRYV(directory_->Open());
@@ -136,7 +142,7 @@
           .port = static_cast<std::uint16_t>(settings_.first_internal_port + 1),
           .keys = keys,
           .seeds = std::move(seeds),
-          .incarnation = static_cast<Incarnation>(random_.Next()),
+          .incarnation = incarnation_,
           .endpoint_heartbeat = settings_.endpoint_heartbeat},
       *store_, clock_, random_,
       DirectoryOutputs{
@@ -147,7 +153,8 @@
           .peers =
               [this](std::vector<std::string> addresses) {
                 traffic_->PublishPeers(std::move(addresses));
-              }});
+              },
+          .peer_gone = [this](Incarnation peer) { traffic_->ForgetPeer(peer); }});
 }
 
 void Ingress::Parts::Run() {
@@ -188,7 +195,6 @@
   if (std::exchange(draining_, true)) return;
   drain_began_ = clock_.Now();
   Log(Level::kInfo, "draining", {{"requests_running", traffic_->busy()}});
-  directory_->AnnounceLeaving();
   traffic_->BeginDrain();
   ArmDrainCheck();
 }
@@ -210,6 +216,7 @@
     return;
   }
   Log(Level::kInfo, "drained", {{"requests_running", traffic_->busy()}});
+  directory_->AnnounceLeaving();
   if (!std::exchange(stop_told_, true)) stopped_.set_value();
 }
 
--- a/verbenaridge/ingress/peer_list.cc
+++ b/verbenaridge/ingress/peer_list.cc
@@ -10,15 +10,23 @@
 
 PeerList::Heard PeerList::OnHeard(const HostId& host, std::string_view ip, Incarnation incarnation,
                                   TimePoint now) {
-  if (host == self_) return Heard::kKnown;
+  if (host == self_) return {};
   Peer& peer = peers_[host];
   const bool was_heard = std::exchange(peer.heard, true);
-  const bool restarted = was_heard && peer.incarnation != incarnation;
+  const Incarnation before = std::exchange(peer.incarnation, incarnation);
   peer.ip = ip;
-  peer.incarnation = incarnation;
   peer.last = now;
-  if (restarted) return Heard::kRestarted;
-  return was_heard ? Heard::kKnown : Heard::kNew;
+  if (!was_heard) return {.news = News::kNew};
+  if (before != incarnation) return {.news = News::kRestarted, .before = before};
+  return {};
+}
+
+std::optional<Incarnation> PeerList::OnLeaving(const HostId& host) {
+  const auto found = peers_.find(host);
+  if (found == peers_.end()) return {};
+  const Peer peer = found->second;
+  peers_.erase(found);
+  return peer.heard ? std::optional<Incarnation>(peer.incarnation) : std::nullopt;
 }
 
 void PeerList::OnNamed(const HostId& host, std::string_view ip, TimePoint now) {
@@ -26,13 +34,17 @@
   peers_[host] = {.ip = std::string(ip), .last = now};
 }
 
-std::vector<HostId> PeerList::RemoveSilent(TimePoint now) {
-  std::vector<HostId> silent;
-  for (const auto& [host, peer] : peers_) {
-    if (now - peer.last <= (peer.heard ? options_.silence : options_.introduction)) continue;
-    silent.push_back(host);
+std::vector<std::pair<HostId, Incarnation>> PeerList::RemoveSilent(TimePoint now) {
+  std::vector<std::pair<HostId, Incarnation>> silent;
+  for (auto peer = peers_.begin(); peer != peers_.end();) {
+    const Duration limit = peer->second.heard ? options_.silence : options_.introduction;
+    if (now - peer->second.last <= limit) {
+      ++peer;
+      continue;
+    }
+    if (peer->second.heard) silent.emplace_back(peer->first, peer->second.incarnation);
+    peer = peers_.erase(peer);
   }
-  for (const HostId& host : silent) peers_.erase(host);
   return silent;
 }
 
@@ -74,4 +86,14 @@
                  peers_.begin(), peers_.end(), [](const auto& entry) { return entry.second.heard; }));
 }
 
+std::size_t PeerList::MostLately(TimePoint now) {
+  if (!started_) started_ = now;
+  const std::size_t count = live();
+  while (!counts_.empty() && counts_.back().second <= count) counts_.pop_back();
+  counts_.emplace_back(now, count);
+  while (now - counts_.front().first > options_.lately) counts_.pop_front();
+  const std::size_t most = counts_.front().second;
+  return now - *started_ < options_.hearing_time ? std::max(most, options_.assumed_hosts) : most;
+}
+
 }  // namespace verbenaridge::ingress
--- a/verbenaridge/ingress/peer_list.h
+++ b/verbenaridge/ingress/peer_list.h
@@ -11,7 +11,9 @@
 #define VERBENARIDGE_INGRESS_PEER_LIST_H_
 
 #include <cstddef>
+#include <deque>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -29,6 +31,10 @@
   // A host that was only named by another is asked for so long.
   Duration introduction = std::chrono::seconds(3);
   std::size_t sample = 8;  // hosts named in a notice
+  Duration lately = std::chrono::seconds(30);
+  // Assumed until the peers had time to be heard.
+  std::size_t assumed_hosts = 20;
+  Duration hearing_time = std::chrono::seconds(5);
 };
 
 class PeerList {
@@ -38,16 +44,21 @@
 
   void AddSeed(std::string_view ip);
 
-  enum class Heard : std::uint8_t { kKnown, kNew, kRestarted };
+  enum class News : std::uint8_t { kNone, kNew, kRestarted };
+  struct Heard {
+    News news = News::kNone;
+    Incarnation before = 0;  // of a host that has started anew
+  };
   Heard OnHeard(const HostId& host, std::string_view ip, Incarnation incarnation, TimePoint now);
 
   // Another host named this one.
   void OnNamed(const HostId& host, std::string_view ip, TimePoint now);
 
-  void OnLeaving(const HostId& host) { peers_.erase(host); }
+  // The host's last incarnation, if it was heard of. It is forgotten.
+  std::optional<Incarnation> OnLeaving(const HostId& host);
 
-  // Hosts that fell silent since the last call; they are forgotten.
-  std::vector<HostId> RemoveSilent(TimePoint now);
+  // Hosts that were heard of and fell silent since the last call; they are forgotten.
+  std::vector<std::pair<HostId, Incarnation>> RemoveSilent(TimePoint now);
 
   // Where notices go: hosts heard of lately, hosts just named, and the seeds.
   std::vector<std::string> Addresses(TimePoint now) const;
@@ -59,6 +70,10 @@
   // Hosts of the system that live, with this one.
   std::size_t live() const;
 
+  // The most hosts that lived at once lately: a bound that all hosts share must not be spent anew
+  // by those that are cut off from the others.
+  std::size_t MostLately(TimePoint now);
+
  private:
   struct Peer {
     std::string ip;
@@ -72,6 +87,8 @@
   const PeerListOptions options_;
   std::map<HostId, Peer> peers_;
   std::vector<std::string> seeds_;
+  std::optional<TimePoint> started_;
+  std::deque<std::pair<TimePoint, std::size_t>> counts_;  // descending
 };
 
 }  // namespace verbenaridge::ingress
--- a/verbenaridge/ingress/traffic.cc
+++ b/verbenaridge/ingress/traffic.cc
@@ -23,8 +23,8 @@
 }  // namespace
 
 Traffic::Traffic(const settings::IngressSettings& settings, const wire::FleetKeys& keys,
-                 const Clock& clock, const forwarding::MessageAdapter& adapter,
-                 telemetry::MetricsRegistry& registry)
+                 Incarnation incarnation, const Clock& clock,
+                 const forwarding::MessageAdapter& adapter, telemetry::MetricsRegistry& registry)
     : settings_(settings),
       clock_(clock),
       run_options_(MakeRunOptions(settings)),
@@ -43,7 +43,8 @@
                  .port = settings.first_internal_port,
                  .keys = keys},
                 *this),
-      dispatcher_(loop_.io_context(), clock, random_, exchange_, {.host = settings.host}),
+      dispatcher_(loop_.io_context(), clock, random_, exchange_,
+                  {.incarnation = incarnation}),
       pool_(loop_.io_context(), adapter, clock, {}),
       context_{.io_context = loop_.io_context(),
                .clock = clock,
@@ -97,6 +98,10 @@
   });
 }
 
+void Traffic::ForgetPeer(Incarnation peer) {
+  loop_.Post([this, peer] { dispatcher_.OnPeerGone(peer); });
+}
+
 void Traffic::BeginDrain() {
   loop_.Post([this] { server_.BeginDrain(); });
 }
--- a/verbenaridge/ingress/traffic.h
+++ b/verbenaridge/ingress/traffic.h
@@ -31,7 +31,7 @@
 class Traffic final : private forwarding::RequestHandler, private LoadReceiver {
  public:
   Traffic(const settings::IngressSettings& settings, const wire::FleetKeys& keys,
-          const Clock& clock, const forwarding::MessageAdapter& adapter,
+          Incarnation incarnation, const Clock& clock, const forwarding::MessageAdapter& adapter,
           telemetry::MetricsRegistry& registry);
   ~Traffic() override;
 
@@ -42,6 +42,7 @@
 
   void PublishSnapshot(forwarding::SnapshotPtr snapshot);
   void PublishPeers(std::vector<std::string> addresses);
+  void ForgetPeer(Incarnation peer);
 
   void BeginDrain();
   void StopAccepting();
--- a/verbenaridge/replay/decision_includes_test.cc
+++ b/verbenaridge/replay/decision_includes_test.cc
@@ -12,7 +12,7 @@
 // Packages of decisions, and what their files may not include. `base` is here because the others
 // build on it.
 const char* const kPackages[] = {"base",    "cost",       "admission", "queueing", "permits",
-                                 "routing", "groups",     "placement", "attempts", "claims",
+                                 "routing", "groups",     "directory", "dispatch", "attempts", "claims",
                                  "poison",  "membership", "plans"};
 const char* const kForbidden[] = {"asio",
                                   "curl",
@@ -32,7 +32,10 @@
                                   "verbenaridge/wire/",
                                   "verbenaridge/net/",
                                   "verbenaridge/engine/",
-                                  "verbenaridge/platform/",
+                                  "verbenaridge/store/",
+                                  "verbenaridge/http1/",
+                                  "verbenaridge/forwarding/",
+                                  "platform/",
                                   "verbenaridge/frontend/",
                                   "verbenaridge/plan_codec/",
                                   "verbenaridge/calls/",
--- a/verbenaridge/settings/settings.cc
+++ b/verbenaridge/settings/settings.cc
@@ -46,7 +46,6 @@
   reader.Object("platform", [&](ObjectReader& object) {
     object.Url("key_value_store", platform.key_value_store_url);
     object.Url("host_list", platform.host_list_url);
-    object.Url("weight_store", platform.weight_store_url);
   });
 }
 
--- a/verbenaridge/settings/settings.h
+++ b/verbenaridge/settings/settings.h
@@ -85,7 +85,6 @@
 struct PlatformSettings {
   std::string key_value_store_url;
   std::string host_list_url;
-  std::string weight_store_url;
 };
 
 struct LogSettings {
--- a/verbenaridge/platform/host_list.cc
+++ b/verbenaridge/store/host_list.cc
@@ -1,9 +1,9 @@
-#include "verbenaridge/platform/host_list.h"
+#include "verbenaridge/store/host_list.h"
 
 #include <nlohmann/json.hpp>
 #include <utility>
 
-namespace verbenaridge::platform {
+namespace verbenaridge::store {
 namespace {
 
 using Json = nlohmann::json;
@@ -68,4 +68,4 @@
   net::FetchWhole(client_, std::move(request), kMaxListBytes, done);
 }
 
-}  // namespace verbenaridge::platform
+}  // namespace verbenaridge::store
--- a/verbenaridge/platform/host_list.h
+++ b/verbenaridge/store/host_list.h
@@ -1,10 +1,10 @@
 // The platform's list of hosts. It lags: a dead host may be listed live and a new one may be
 // missing.
 //
-//   platform::HostListClient hosts(http_client, "http://127.0.0.1:9000");
-//   hosts.Fetch([](Result<std::vector<platform::ListedHost>> list) { ... });
-#ifndef VERBENARIDGE_PLATFORM_HOST_LIST_H_
-#define VERBENARIDGE_PLATFORM_HOST_LIST_H_
+//   store::HostListClient hosts(http_client, "http://127.0.0.1:9000");
+//   hosts.Fetch([](Result<std::vector<store::ListedHost>> list) { ... });
+#ifndef VERBENARIDGE_STORE_HOST_LIST_H_
+#define VERBENARIDGE_STORE_HOST_LIST_H_
 
 #include <cstdint>
 #include <functional>
@@ -16,7 +16,7 @@
 #include "verbenaridge/base/result.h"
 #include "verbenaridge/net/http_client.h"
 
-namespace verbenaridge::platform {
+namespace verbenaridge::store {
 
 struct ListedHost {
   HostId host;
@@ -47,6 +47,6 @@
   const std::string base_url_;
 };
 
-}  // namespace verbenaridge::platform
+}  // namespace verbenaridge::store
 
-#endif  // VERBENARIDGE_PLATFORM_HOST_LIST_H_
+#endif  // VERBENARIDGE_STORE_HOST_LIST_H_
--- a/verbenaridge/platform/http_key_value_store.cc
+++ b/verbenaridge/store/http_key_value_store.cc
@@ -1,11 +1,11 @@
-#include "verbenaridge/platform/http_key_value_store.h"
+#include "verbenaridge/store/http_key_value_store.h"
 
 #include <algorithm>
 #include <charconv>
 #include <optional>
 #include <utility>
 
-namespace verbenaridge::platform {
+namespace verbenaridge::store {
 namespace {
 
 constexpr std::string_view kVersionHeader = "x-key-version";
@@ -127,4 +127,4 @@
   net::FetchWhole(client_, std::move(request), kMaxValueBytes, done);
 }
 
-}  // namespace verbenaridge::platform
+}  // namespace verbenaridge::store
--- a/verbenaridge/platform/http_key_value_store.h
+++ b/verbenaridge/store/http_key_value_store.h
@@ -1,17 +1,17 @@
 // Client of the platform's key-value store over HTTP. docs/plans.md describes the protocol.
 //
-//   platform::HttpKeyValueStore store(http_client, "http://127.0.0.1:9000");
-//   store.Read("plans/current", [](Result<platform::StoredValue> value) { ... });
-#ifndef VERBENARIDGE_PLATFORM_HTTP_KEY_VALUE_STORE_H_
-#define VERBENARIDGE_PLATFORM_HTTP_KEY_VALUE_STORE_H_
+//   store::HttpKeyValueStore store(http_client, "http://127.0.0.1:9000");
+//   store.Read("plans/current", [](Result<store::StoredValue> value) { ... });
+#ifndef VERBENARIDGE_STORE_HTTP_KEY_VALUE_STORE_H_
+#define VERBENARIDGE_STORE_HTTP_KEY_VALUE_STORE_H_
 
 #include <string>
 #include <string_view>
 
 #include "verbenaridge/net/http_client.h"
-#include "verbenaridge/platform/key_value_store.h"
+#include "verbenaridge/store/key_value_store.h"
 
-namespace verbenaridge::platform {
+namespace verbenaridge::store {
 
 // Keys and names in URLs: all but unreserved characters and '/' become %XX.
 std::string EscapeKey(std::string_view key);
@@ -44,6 +44,6 @@
   const Options options_;
 };
 
-}  // namespace verbenaridge::platform
+}  // namespace verbenaridge::store
 
-#endif  // VERBENARIDGE_PLATFORM_HTTP_KEY_VALUE_STORE_H_
+#endif  // VERBENARIDGE_STORE_HTTP_KEY_VALUE_STORE_H_
--- a/verbenaridge/platform/key_value_store.h
+++ b/verbenaridge/store/key_value_store.h
@@ -1,8 +1,8 @@
 // The platform's key-value store: compare-and-swap, leases and watches.
 //
-//   store.Read("plans/current", [](Result<platform::StoredValue> value) { ... });
-#ifndef VERBENARIDGE_PLATFORM_KEY_VALUE_STORE_H_
-#define VERBENARIDGE_PLATFORM_KEY_VALUE_STORE_H_
+//   store.Read("plans/current", [](Result<store::StoredValue> value) { ... });
+#ifndef VERBENARIDGE_STORE_KEY_VALUE_STORE_H_
+#define VERBENARIDGE_STORE_KEY_VALUE_STORE_H_
 
 #include <cstddef>
 #include <cstdint>
@@ -13,7 +13,7 @@
 #include "verbenaridge/base/clock.h"
 #include "verbenaridge/base/result.h"
 
-namespace verbenaridge::platform {
+namespace verbenaridge::store {
 
 // Version of one key: 0 means that the key does not exist.
 using KeyVersion = std::uint64_t;
@@ -52,6 +52,6 @@
                      WriteCallback callback) = 0;
 };
 
-}  // namespace verbenaridge::platform
+}  // namespace verbenaridge::store
 
-#endif  // VERBENARIDGE_PLATFORM_KEY_VALUE_STORE_H_
+#endif  // VERBENARIDGE_STORE_KEY_VALUE_STORE_H_
--- a/verbenaridge/platform/store_calls_benchmark.cc
+++ b/verbenaridge/store/store_calls_benchmark.cc
@@ -9,9 +9,9 @@
 #include <vector>
 
 #include "verbenaridge/membership/owner_ranking.h"
-#include "verbenaridge/platform/store_gateway.h"
+#include "verbenaridge/store/store_gateway.h"
 
-namespace verbenaridge::platform {
+namespace verbenaridge::store {
 namespace {
 
 constexpr Duration kStep = std::chrono::milliseconds(20);
@@ -162,12 +162,12 @@
 };
 
 }  // namespace
-}  // namespace verbenaridge::platform
+}  // namespace verbenaridge::store
 
 int main() {
   std::puts("daemons,mechanism,fleet_calls_per_second,mean_per_daemon,busiest_daemon,rejected");
   for (const std::size_t daemons : {15, 380, 1000}) {
-    verbenaridge::platform::Fleet fleet(daemons);
+    verbenaridge::store::Fleet fleet(daemons);
     fleet.Run();
     fleet.Print();
   }
--- a/verbenaridge/platform/store_gateway.cc
+++ b/verbenaridge/store/store_gateway.cc
@@ -1,9 +1,9 @@
-#include "verbenaridge/platform/store_gateway.h"
+#include "verbenaridge/store/store_gateway.h"
 
 #include <algorithm>
 #include <cmath>
 
-namespace verbenaridge::platform {
+namespace verbenaridge::store {
 namespace {
 
 std::size_t IndexOf(CallKind kind) { return static_cast<std::size_t>(kind); }
@@ -303,4 +303,4 @@
   gateway_.Lease(kinds_.write, key, value, time_to_live, std::move(callback));
 }
 
-}  // namespace verbenaridge::platform
+}  // namespace verbenaridge::store
--- a/verbenaridge/platform/store_gateway.h
+++ b/verbenaridge/store/store_gateway.h
@@ -2,11 +2,11 @@
 // and a circuit breaker. An outage costs a caller at most one time limit, and after it the daemons
 // come back one trial call at a time.
 //
-//   platform::StoreGateway gateway(store, clock, random);
-//   gateway.CompareAndSwap(platform::CallKind::kClaim, key, version, value, callback);
+//   store::StoreGateway gateway(store, clock, random);
+//   gateway.CompareAndSwap(store::CallKind::kClaim, key, version, value, callback);
 //   gateway.Tick();  // from a timer, at NextWake() or every 20 ms
-#ifndef VERBENARIDGE_PLATFORM_STORE_GATEWAY_H_
-#define VERBENARIDGE_PLATFORM_STORE_GATEWAY_H_
+#ifndef VERBENARIDGE_STORE_STORE_GATEWAY_H_
+#define VERBENARIDGE_STORE_STORE_GATEWAY_H_
 
 #include <array>
 #include <cstdint>
@@ -22,9 +22,9 @@
 
 #include "verbenaridge/base/clock.h"
 #include "verbenaridge/base/random.h"
-#include "verbenaridge/platform/key_value_store.h"
+#include "verbenaridge/store/key_value_store.h"
 
-namespace verbenaridge::platform {
+namespace verbenaridge::store {
 
 // In the order of service: a waiting claim goes before any other call.
 enum class CallKind : std::uint8_t { kClaim, kPlanRead, kPlanWatch, kPlanConfirm, kOther };
@@ -163,6 +163,6 @@
   const Kinds kinds_;
 };
 
-}  // namespace verbenaridge::platform
+}  // namespace verbenaridge::store
 
-#endif  // VERBENARIDGE_PLATFORM_STORE_GATEWAY_H_
+#endif  // VERBENARIDGE_STORE_STORE_GATEWAY_H_
--- a/verbenaridge/platform/store_gateway_test.cc
+++ b/verbenaridge/store/store_gateway_test.cc
@@ -1,4 +1,4 @@
-#include "verbenaridge/platform/store_gateway.h"
+#include "verbenaridge/store/store_gateway.h"
 
 #include <doctest/doctest.h>
 
@@ -9,7 +9,7 @@
 #include <utility>
 #include <vector>
 
-namespace verbenaridge::platform {
+namespace verbenaridge::store {
 namespace {
 
 using std::chrono::milliseconds;
@@ -202,4 +202,4 @@
 }
 
 }  // namespace
-}  // namespace verbenaridge::platform
+}  // namespace verbenaridge::store
