--- a/verbenaridge/ctl/apply_fuzz_test.cc
+++ b/verbenaridge/ctl/apply_fuzz_test.cc
@@ -38,7 +38,7 @@
   }
 
   Result<store::KeyVersion> CompareAndSwap(std::string_view, store::KeyVersion expected,
-                                              std::string_view value) override {
+                                           std::string_view value) override {
     BeforeCall();
     const Fate fate = Next();
     if (fate == Fate::kLimited) return Errc::kResourceExhausted;
--- a/verbenaridge/ctl/blocking_store.cc
+++ b/verbenaridge/ctl/blocking_store.cc
@@ -29,8 +29,8 @@
 }
 
 Result<store::KeyVersion> LoopStore::CompareAndSwap(std::string_view key,
-                                                       store::KeyVersion expected,
-                                                       std::string_view value) {
+                                                    store::KeyVersion expected,
+                                                    std::string_view value) {
   auto slot = std::make_shared<std::optional<Result<store::KeyVersion>>>();
   store_.CompareAndSwap(key, expected, value,
                         [slot](Result<store::KeyVersion> version) { slot->emplace(version); });
--- a/verbenaridge/ctl/blocking_store.h
+++ b/verbenaridge/ctl/blocking_store.h
@@ -19,9 +19,8 @@
 
   // Errors as for store::KeyValueStore.
   virtual Result<store::StoredValue> Read(std::string_view key) = 0;
-  virtual Result<store::KeyVersion> CompareAndSwap(std::string_view key,
-                                                      store::KeyVersion expected,
-                                                      std::string_view value) = 0;
+  virtual Result<store::KeyVersion> CompareAndSwap(std::string_view key, store::KeyVersion expected,
+                                                   std::string_view value) = 0;
 
   virtual void Wait(Duration time) = 0;
 };
@@ -34,7 +33,7 @@
 
   Result<store::StoredValue> Read(std::string_view key) override;
   Result<store::KeyVersion> CompareAndSwap(std::string_view key, store::KeyVersion expected,
-                                              std::string_view value) override;
+                                           std::string_view value) override;
   void Wait(Duration time) override;
 
  private:
--- a/verbenaridge/daemon/claim_service.cc
+++ b/verbenaridge/daemon/claim_service.cc
@@ -49,30 +49,29 @@
 }
 
 void ClaimService::Perform(const claims::ReadBucket& read) {
-  store_.Read(claim_codec::StoreKey(read.bucket),
-              [this, read](Result<store::StoredValue> reply) {
-                if (reply.has_error()) {
-                  Execute(book_.OnRead(read.bucket, read.operation, reply.error()));
-                  return;
-                }
-                auto decoded = claim_codec::DecodeBucket(reply.value().value);
-                if (decoded.has_error()) {
-                  Execute(book_.OnRead(read.bucket, read.operation, decoded.error()));
-                  return;
-                }
-                Execute(book_.OnRead(read.bucket, read.operation,
-                                     claims::VersionedBucket{.version = reply.value().version,
-                                                             .value = std::move(decoded.value())}));
-              });
+  store_.Read(claim_codec::StoreKey(read.bucket), [this, read](Result<store::StoredValue> reply) {
+    if (reply.has_error()) {
+      Execute(book_.OnRead(read.bucket, read.operation, reply.error()));
+      return;
+    }
+    auto decoded = claim_codec::DecodeBucket(reply.value().value);
+    if (decoded.has_error()) {
+      Execute(book_.OnRead(read.bucket, read.operation, decoded.error()));
+      return;
+    }
+    Execute(book_.OnRead(read.bucket, read.operation,
+                         claims::VersionedBucket{.version = reply.value().version,
+                                                 .value = std::move(decoded.value())}));
+  });
 }
 
 void ClaimService::Perform(const claims::WriteBucket& write) {
-  store_.CompareAndSwap(claim_codec::StoreKey(write.bucket), write.expected_version,
-                        claim_codec::EncodeBucket(write.value),
-                        [this, bucket = write.bucket,
-                         operation = write.operation](Result<store::KeyVersion> reply) {
-                          Execute(book_.OnWrite(bucket, operation, reply));
-                        });
+  store_.CompareAndSwap(
+      claim_codec::StoreKey(write.bucket), write.expected_version,
+      claim_codec::EncodeBucket(write.value),
+      [this, bucket = write.bucket, operation = write.operation](Result<store::KeyVersion> reply) {
+        Execute(book_.OnWrite(bucket, operation, reply));
+      });
 }
 
 void ClaimService::Perform(const claims::AnswerCall& answer) {
--- a/verbenaridge/daemon/control_plane.h
+++ b/verbenaridge/daemon/control_plane.h
@@ -11,9 +11,9 @@
 #include "verbenaridge/base/clock.h"
 #include "verbenaridge/base/result.h"
 #include "verbenaridge/daemon/call_dispatcher.h"
-#include "verbenaridge/loop/event_loop.h"
 #include "verbenaridge/daemon/snapshot.h"
 #include "verbenaridge/daemon/traffic_thread.h"
+#include "verbenaridge/loop/event_loop.h"
 #include "verbenaridge/settings/settings.h"
 #include "verbenaridge/wire/handshake.h"
 
--- a/verbenaridge/daemon/cross_thread_call.cc
+++ b/verbenaridge/daemon/cross_thread_call.cc
@@ -10,7 +10,8 @@
 // loop.
 class CrossThreadCall final : public wire::ServerCall {
  public:
-  CrossThreadCall(loop::EventLoop& origin, std::shared_ptr<wire::ServerCall> inner, const Clock& clock)
+  CrossThreadCall(loop::EventLoop& origin, std::shared_ptr<wire::ServerCall> inner,
+                  const Clock& clock)
       : origin_(origin),
         inner_(std::move(inner)),
         clock_(clock),
--- a/verbenaridge/daemon/daemon.cc
+++ b/verbenaridge/daemon/daemon.cc
@@ -12,9 +12,9 @@
 #include "verbenaridge/daemon/call_dispatcher.h"
 #include "verbenaridge/daemon/control_plane.h"
 #include "verbenaridge/daemon/conversions.h"
-#include "verbenaridge/loop/periodic.h"
 #include "verbenaridge/daemon/telemetry_metrics.h"
 #include "verbenaridge/daemon/traffic_thread.h"
+#include "verbenaridge/loop/periodic.h"
 #include "verbenaridge/telemetry/log.h"
 #include "verbenaridge/wire/handshake.h"
 
--- a/verbenaridge/daemon/fleet_view.h
+++ b/verbenaridge/daemon/fleet_view.h
@@ -16,8 +16,8 @@
 #include "verbenaridge/membership/membership_table.h"
 #include "verbenaridge/plans/plan_distributor.h"
 #include "verbenaridge/plans/plan_replica.h"
-#include "verbenaridge/store/host_list.h"
 #include "verbenaridge/settings/settings.h"
+#include "verbenaridge/store/host_list.h"
 #include "verbenaridge/wire/datagram_socket.h"
 
 namespace verbenaridge::daemon {
--- a/verbenaridge/daemon/peer_router.h
+++ b/verbenaridge/daemon/peer_router.h
@@ -10,8 +10,8 @@
 #include "verbenaridge/base/clock.h"
 #include "verbenaridge/base/ids.h"
 #include "verbenaridge/daemon/call_dispatcher.h"
-#include "verbenaridge/loop/event_loop.h"
 #include "verbenaridge/daemon/snapshot.h"
+#include "verbenaridge/loop/event_loop.h"
 #include "verbenaridge/wire/peer_transport.h"
 
 namespace verbenaridge::daemon {
--- a/verbenaridge/daemon/status_report.h
+++ b/verbenaridge/daemon/status_report.h
@@ -7,9 +7,9 @@
 #include <string>
 
 #include "verbenaridge/daemon/snapshot.h"
-#include "verbenaridge/store/store_gateway.h"
 #include "verbenaridge/poison/suspect_registry.h"
 #include "verbenaridge/settings/settings.h"
+#include "verbenaridge/store/store_gateway.h"
 
 namespace verbenaridge::daemon {
 
--- a/verbenaridge/daemon/traffic_thread.cc
+++ b/verbenaridge/daemon/traffic_thread.cc
@@ -5,11 +5,11 @@
 
 #include "verbenaridge/daemon/account_owner.h"
 #include "verbenaridge/daemon/endpoint_owners.h"
-#include "verbenaridge/loop/periodic.h"
 #include "verbenaridge/daemon/policies.h"
 #include "verbenaridge/daemon/request_pipeline.h"
 #include "verbenaridge/engine/http_endpoint_client.h"
 #include "verbenaridge/frontend/caller_server.h"
+#include "verbenaridge/loop/periodic.h"
 #include "verbenaridge/net/http_client.h"
 #include "verbenaridge/wire/nghttp2_transport.h"
 
--- a/verbenaridge/directory/configuration_test.cc
+++ b/verbenaridge/directory/configuration_test.cc
@@ -27,10 +27,10 @@
     const char* route;
   };
   const Row rows[] = {
-      {"a.example", "/x/1", "short"},    {"a.example", "/x/y/1", "long"},
-      {"a.example", "/x/y", "short"},    {"a.example:8080", "/x/y/", "long"},
-      {"A.EXAMPLE", "/x/1", "short"},    {"b.example", "/x/y/1", "other"},
-      {"a.example", "/z/1", ""},         {"c.example", "/x/1", ""},
+      {"a.example", "/x/1", "short"}, {"a.example", "/x/y/1", "long"},
+      {"a.example", "/x/y", "short"}, {"a.example:8080", "/x/y/", "long"},
+      {"A.EXAMPLE", "/x/1", "short"}, {"b.example", "/x/y/1", "other"},
+      {"a.example", "/z/1", ""},      {"c.example", "/x/1", ""},
       {"a.example", "/x", ""},
   };
   for (const Row& row : rows) {
--- a/verbenaridge/directory/directory_store.h
+++ b/verbenaridge/directory/directory_store.h
@@ -1,7 +1,8 @@
 // Where configuration and endpoints are read from. Implemented by the adapter of a platform.
 //
 //   store.ReadConfiguration([](Result<ConfigurationReading> reading) { ... });
-//   store.PollConfiguration(revision, [](Result<std::optional<ConfigurationReading>> news) { ... });
+//   store.PollConfiguration(revision, [](Result<std::optional<ConfigurationReading>> news) { ...
+//   });
 //
 // Used by one thread. Callbacks run once, on its event loop, never from within the call. Calls that
 // get no answer end with kTimeout.
--- a/verbenaridge/directory/refresh_schedule.cc
+++ b/verbenaridge/directory/refresh_schedule.cc
@@ -4,8 +4,7 @@
 
 namespace verbenaridge::directory {
 
-RefreshSchedule::RefreshSchedule(const RefreshOptions& options, RandomSource& random,
-                                 TimePoint now)
+RefreshSchedule::RefreshSchedule(const RefreshOptions& options, RandomSource& random, TimePoint now)
     : options_(options), random_(random), due_(now) {}
 
 void RefreshSchedule::PutOff(TimePoint now) {
--- a/verbenaridge/directory/refresh_schedule_test.cc
+++ b/verbenaridge/directory/refresh_schedule_test.cc
@@ -29,8 +29,8 @@
     CAPTURE(row.name);
     ManualClock clock;
     SeededRandom random(7);
-    std::vector<RefreshSchedule> hosts(row.hosts, RefreshSchedule({.interval = milliseconds(400)},
-                                                                  random, clock.Now()));
+    std::vector<RefreshSchedule> hosts(
+        row.hosts, RefreshSchedule({.interval = milliseconds(400)}, random, clock.Now()));
     constexpr int kSeconds = 20;
     int readings = 0;
     for (int i = 0; i < kSeconds * 1000; ++i) {
--- a/verbenaridge/dispatch/endpoint_chooser.cc
+++ b/verbenaridge/dispatch/endpoint_chooser.cc
@@ -134,8 +134,7 @@
   }
   const std::size_t count = std::min(parts, places.size());
   std::partial_sort(places.begin(), places.begin() + static_cast<std::ptrdiff_t>(count),
-                    places.end(),
-                    [](const Place& a, const Place& b) { return a.cost < b.cost; });
+                    places.end(), [](const Place& a, const Place& b) { return a.cost < b.cost; });
   Choice choice{.kind = ChoiceKind::kDispatch, .reserve = reserve};
   Duration slowest{};
   double memory = 0;
@@ -202,8 +201,8 @@
     for (std::size_t i = 0; i < candidates.size(); ++i) {
       const Candidate& candidate = candidates[i];
       const double slots = static_cast<double>(std::max<std::size_t>(candidate.slots, 1));
-      const double cost = static_cast<double>(candidate.load.works) / slots +
-                          candidate.error_rate + kSpread * random.Uniform();
+      const double cost = static_cast<double>(candidate.load.works) / slots + candidate.error_rate +
+                          kSpread * random.Uniform();
       if (best.kind == ChoiceKind::kDispatch && cost >= best.cost) continue;
       best = {.kind = ChoiceKind::kDispatch, .members = {i}, .cost = cost};
     }
--- a/verbenaridge/dispatch/endpoint_chooser_test.cc
+++ b/verbenaridge/dispatch/endpoint_chooser_test.cc
@@ -26,11 +26,12 @@
 EndpointLoad Idle() { return {}; }
 
 EndpointLoad ShortDecoders(std::size_t count) {
-  return {.works = count,
-          .decoding = {.sequences = count, .context_tokens = static_cast<TokenCount>(5'000 * count)},
-          .kv_tokens = static_cast<TokenCount>(5'000 * count),
-          .tightest_gap = milliseconds(250),
-          .decoders_weight = static_cast<double>(count)};
+  return {
+      .works = count,
+      .decoding = {.sequences = count, .context_tokens = static_cast<TokenCount>(5'000 * count)},
+      .kv_tokens = static_cast<TokenCount>(5'000 * count),
+      .tightest_gap = milliseconds(250),
+      .decoders_weight = static_cast<double>(count)};
 }
 
 EndpointLoad LongReader(Duration left) {
@@ -77,22 +78,46 @@
   };
   const Row rows[] = {
       {"no engine", Short(), {}, ChoiceKind::kNone, {}},
-      {"a short prompt joins others", Short(), {Idle(), ShortDecoders(6), Idle()},
-       ChoiceKind::kDispatch, {1}},
-      {"and not where all slots are taken", Short(), {ShortDecoders(16), Idle()},
-       ChoiceKind::kDispatch, {1}},
-      {"and not behind a long prompt", Short(), {LongReader(milliseconds(1'500)), Idle()},
-       ChoiceKind::kDispatch, {1}},
-      {"a long prompt takes the idle engine", Long(133'000), {ShortDecoders(3), Idle()},
-       ChoiceKind::kDispatch, {1}},
-      {"a long prompt waits while others would suffer", Long(133'000),
-       {ShortDecoders(6), ShortDecoders(8)}, ChoiceKind::kHold, {}},
-      {"and goes before it is late", After(Long(133'000), milliseconds(2'000)),
-       {ShortDecoders(6), ShortDecoders(8)}, ChoiceKind::kDispatch, {0}},
-      {"a late one lets others go first", After(Long(133'000), milliseconds(6'000)),
-       {ShortDecoders(6), ShortDecoders(8)}, ChoiceKind::kHold, {}},
-      {"but not past its deadline", After(Long(133'000), milliseconds(11'000)),
-       {ShortDecoders(6), ShortDecoders(8)}, ChoiceKind::kDispatch, {0}},
+      {"a short prompt joins others",
+       Short(),
+       {Idle(), ShortDecoders(6), Idle()},
+       ChoiceKind::kDispatch,
+       {1}},
+      {"and not where all slots are taken",
+       Short(),
+       {ShortDecoders(16), Idle()},
+       ChoiceKind::kDispatch,
+       {1}},
+      {"and not behind a long prompt",
+       Short(),
+       {LongReader(milliseconds(1'500)), Idle()},
+       ChoiceKind::kDispatch,
+       {1}},
+      {"a long prompt takes the idle engine",
+       Long(133'000),
+       {ShortDecoders(3), Idle()},
+       ChoiceKind::kDispatch,
+       {1}},
+      {"a long prompt waits while others would suffer",
+       Long(133'000),
+       {ShortDecoders(6), ShortDecoders(8)},
+       ChoiceKind::kHold,
+       {}},
+      {"and goes before it is late",
+       After(Long(133'000), milliseconds(2'000)),
+       {ShortDecoders(6), ShortDecoders(8)},
+       ChoiceKind::kDispatch,
+       {0}},
+      {"a late one lets others go first",
+       After(Long(133'000), milliseconds(6'000)),
+       {ShortDecoders(6), ShortDecoders(8)},
+       ChoiceKind::kHold,
+       {}},
+      {"but not past its deadline",
+       After(Long(133'000), milliseconds(11'000)),
+       {ShortDecoders(6), ShortDecoders(8)},
+       ChoiceKind::kDispatch,
+       {0}},
   };
   for (const Row& row : rows) {
     CAPTURE(row.name);
@@ -148,10 +173,15 @@
     std::size_t chosen;
   };
   const Row rows[] = {
-      {"the less busy", {{.slots = 6, .load = {.works = 4}}, {.slots = 6, .load = {.works = 1}}}, 1},
-      {"by its slots", {{.slots = 12, .load = {.works = 4}}, {.slots = 4, .load = {.works = 3}}}, 0},
+      {"the less busy",
+       {{.slots = 6, .load = {.works = 4}}, {.slots = 6, .load = {.works = 1}}},
+       1},
+      {"by its slots",
+       {{.slots = 12, .load = {.works = 4}}, {.slots = 4, .load = {.works = 3}}},
+       0},
       {"the one that fails less",
-       {{.slots = 6, .error_rate = 0.8}, {.slots = 6, .load = {.works = 1}, .error_rate = 0.1}}, 1},
+       {{.slots = 6, .error_rate = 0.8}, {.slots = 6, .load = {.works = 1}, .error_rate = 0.1}},
+       1},
   };
   for (const Row& row : rows) {
     CAPTURE(row.name);
--- a/verbenaridge/dispatch/load_board.cc
+++ b/verbenaridge/dispatch/load_board.cc
@@ -27,10 +27,7 @@
   if (!endpoint_of_.emplace(work.id, work.endpoint).second) return;
   Engine& engine = engines_[work.endpoint];
   Advance(engine, now);
-  Item item{.work = work,
-            .begun = now,
-            .expiry = now + work.lifetime,
-            .remaining = work.read_time};
+  Item item{.work = work, .begun = now, .expiry = now + work.lifetime, .remaining = work.read_time};
   engine.items.insert(work.part ? engine.items.begin() : engine.items.end(), std::move(item));
 }
 
--- a/verbenaridge/dispatch/load_board.h
+++ b/verbenaridge/dispatch/load_board.h
@@ -36,14 +36,14 @@
 struct Work {
   WorkId id = 0;
   Digest endpoint = 0;
-  Duration read_time{};   // of this endpoint's part of the prompt
+  Duration read_time{};      // of this endpoint's part of the prompt
   TokenCount kv_tokens = 0;  // memory that it holds here when it decodes
-  Duration due{};         // from its begin until its first event is late
-  Duration target_gap{};  // zero: no pause matters
-  Duration lifetime{};    // forgotten this long after its begin if nobody says that it ended
-  double weight = 1;      // what it counts for when it is late
-  bool decodes = true;    // false: reads a part for another engine, or is no generation
-  bool part = false;      // one of several engines that read the prompt
+  Duration due{};            // from its begin until its first event is late
+  Duration target_gap{};     // zero: no pause matters
+  Duration lifetime{};       // forgotten this long after its begin if nobody says that it ended
+  double weight = 1;         // what it counts for when it is late
+  bool decodes = true;       // false: reads a part for another engine, or is no generation
+  bool part = false;         // one of several engines that read the prompt
 };
 
 // A request whose prompt, or whose part here, is not read yet.
@@ -58,8 +58,8 @@
   std::size_t works = 0;
   Decoding decoding;
   TokenCount kv_tokens = 0;
-  Duration reading{};       // read time of all readers together
-  Duration tightest_gap{};  // of the requests that decode here; zero: none
+  Duration reading{};          // read time of all readers together
+  Duration tightest_gap{};     // of the requests that decode here; zero: none
   double decoders_weight = 0;  // of those with a target
   std::vector<Reader> readers{};
 };
--- a/verbenaridge/dispatch/load_board_test.cc
+++ b/verbenaridge/dispatch/load_board_test.cc
@@ -30,17 +30,22 @@
 TEST_CASE("when each prompt will be read") {
   struct Row {
     const char* name;
-    std::vector<Work> works;      // begun 100 ms after each other
+    std::vector<Work> works;     // begun 100 ms after each other
     std::vector<double> finish;  // from the last begin, in the order of reading
   };
   const Row rows[] = {
       {"one", {WorkOf(1, milliseconds(300))}, {300}},
-      {"two whole prompts", {WorkOf(1, milliseconds(300)), WorkOf(2, milliseconds(50))}, {200, 250}},
-      {"a part goes ahead", {WorkOf(1, milliseconds(300)), WorkOf(2, milliseconds(50), true)},
+      {"two whole prompts",
+       {WorkOf(1, milliseconds(300)), WorkOf(2, milliseconds(50))},
+       {200, 250}},
+      {"a part goes ahead",
+       {WorkOf(1, milliseconds(300)), WorkOf(2, milliseconds(50), true)},
        {50, 250}},
       {"the newest part goes first",
-       {WorkOf(1, milliseconds(300), true), WorkOf(2, milliseconds(400), true)}, {400, 600}},
-      {"a read that should be over", {WorkOf(1, milliseconds(20)), WorkOf(2, milliseconds(50))},
+       {WorkOf(1, milliseconds(300), true), WorkOf(2, milliseconds(400), true)},
+       {400, 600}},
+      {"a read that should be over",
+       {WorkOf(1, milliseconds(20)), WorkOf(2, milliseconds(50))},
        {10, 60}},
   };
   for (const Row& row : rows) {
--- a/verbenaridge/dispatch/pass_model.h
+++ b/verbenaridge/dispatch/pass_model.h
@@ -31,8 +31,8 @@
   // A pass that reads nothing; zero if nothing decodes.
   Duration PassTime(const Decoding& decoding) const;
 
-  // The longest time that one pass spends on such a prompt while others decode: a pass reads at most
-  // one chunk in each of its steps.
+  // The longest time that one pass spends on such a prompt while others decode: a pass reads at
+  // most one chunk in each of its steps.
   Duration LongestReadInPass(TokenCount prompt_tokens, std::size_t parts) const;
 
   const directory::EngineTiming& timing() const { return timing_; }
--- a/verbenaridge/fakes/platform/fake_platform_test.cc
+++ b/verbenaridge/fakes/platform/fake_platform_test.cc
@@ -14,9 +14,9 @@
 namespace verbenaridge::fakes {
 namespace {
 
+using std::chrono::milliseconds;
 using store::KeyVersion;
 using store::StoredValue;
-using std::chrono::milliseconds;
 
 struct Fixture {
   asio::io_context io_context;
--- a/verbenaridge/fleet_tests/test_fleet.h
+++ b/verbenaridge/fleet_tests/test_fleet.h
@@ -15,9 +15,9 @@
 
 #include "verbenaridge/base/clock.h"
 #include "verbenaridge/daemon/daemon.h"
-#include "verbenaridge/loop/event_loop.h"
 #include "verbenaridge/fakes/fake_endpoint.h"
 #include "verbenaridge/fakes/platform/fake_platform.h"
+#include "verbenaridge/loop/event_loop.h"
 #include "verbenaridge/net/http_client.h"
 
 namespace verbenaridge::fleet_tests {
--- a/verbenaridge/forwarding/client_server.cc
+++ b/verbenaridge/forwarding/client_server.cc
@@ -166,16 +166,16 @@
   void Read() {
     if (reading_ || closed_) return;
     reading_ = true;
-    socket_.async_read_some(
-        asio::buffer(buffer_), [self = shared_from_this()](std::error_code code, std::size_t size) {
-          self->reading_ = false;
-          if (self->closed_) return;
-          if (code) {
-            self->Close();
-          } else {
-            self->OnRead({self->buffer_.data(), size});
-          }
-        });
+    socket_.async_read_some(asio::buffer(buffer_),
+                            [self = shared_from_this()](std::error_code code, std::size_t size) {
+                              self->reading_ = false;
+                              if (self->closed_) return;
+                              if (code) {
+                                self->Close();
+                              } else {
+                                self->OnRead({self->buffer_.data(), size});
+                              }
+                            });
   }
 
   void OnRead(std::string_view data) {
@@ -314,8 +314,8 @@
   bool body_too_large_ = false;
   bool reading_ = false;
   bool write_in_progress_ = false;
-  bool answering_ = false;    // a request waits for its answer
-  bool answered_ = false;     // the answer is queued, not yet written
+  bool answering_ = false;  // a request waits for its answer
+  bool answered_ = false;   // the answer is queued, not yet written
   bool close_after_ = false;
   bool lingering_ = false;
   bool closed_ = false;
@@ -336,23 +336,23 @@
 }
 
 void ClientServer::Impl::Accept() {
-  acceptor_.async_accept([self = shared_from_this()](std::error_code error,
-                                                     asio::ip::tcp::socket socket) {
-    if (self->closed_ || error == asio::error::operation_aborted) return;
-    if (error) {
-      self->accept_timer_.expires_after(kAcceptPause);
-      self->accept_timer_.async_wait([self](std::error_code code) {
-        if (!code && !self->closed_) self->Accept();
+  acceptor_.async_accept(
+      [self = shared_from_this()](std::error_code error, asio::ip::tcp::socket socket) {
+        if (self->closed_ || error == asio::error::operation_aborted) return;
+        if (error) {
+          self->accept_timer_.expires_after(kAcceptPause);
+          self->accept_timer_.async_wait([self](std::error_code code) {
+            if (!code && !self->closed_) self->Accept();
+          });
+          return;
+        }
+        if (self->connections_.size() < self->options_.max_connections) {
+          const auto connection = std::make_shared<Connection>(self, std::move(socket));
+          self->connections_.insert(connection);
+          connection->Start();
+        }
+        self->Accept();
       });
-      return;
-    }
-    if (self->connections_.size() < self->options_.max_connections) {
-      const auto connection = std::make_shared<Connection>(self, std::move(socket));
-      self->connections_.insert(connection);
-      connection->Start();
-    }
-    self->Accept();
-  });
 }
 
 void ClientServer::Impl::BeginDrain() {
--- a/verbenaridge/forwarding/dispatcher.cc
+++ b/verbenaridge/forwarding/dispatcher.cc
@@ -157,7 +157,8 @@
           static_cast<double>(group.model->timing().kv_tokens) * options_.chooser.kv_fill);
       assignment.free_kv.push_back(memory - candidates[index].load.kv_tokens);
       if (choice.reserve) {
-        work.kv_tokens = request.demand.kv_tokens() / static_cast<TokenCount>(choice.members.size());
+        work.kv_tokens =
+            request.demand.kv_tokens() / static_cast<TokenCount>(choice.members.size());
       } else if (i == 0) {
         work.kv_tokens = request.demand.kv_tokens();
       }
--- a/verbenaridge/forwarding/dispatcher.h
+++ b/verbenaridge/forwarding/dispatcher.h
@@ -6,7 +6,8 @@
 //   dispatcher.Cancel(id);
 //
 // Requests that no endpoint can take without harm are held here and are tried again every few
-// milliseconds: first those that can still be in time, the most urgent and then the oldest first. Used by the thread of its event loop.
+// milliseconds: first those that can still be in time, the most urgent and then the oldest first.
+// Used by the thread of its event loop.
 #ifndef VERBENARIDGE_FORWARDING_DISPATCHER_H_
 #define VERBENARIDGE_FORWARDING_DISPATCHER_H_
 
--- a/verbenaridge/forwarding/endpoint_pool.cc
+++ b/verbenaridge/forwarding/endpoint_pool.cc
@@ -157,11 +157,11 @@
 
   void Read() {
     reading_ = true;
-    socket_.async_read_some(
-        asio::buffer(buffer_), [self = shared_from_this()](std::error_code code, std::size_t size) {
-          self->reading_ = false;
-          if (!self->closed_) self->OnRead(code, {self->buffer_.data(), size});
-        });
+    socket_.async_read_some(asio::buffer(buffer_),
+                            [self = shared_from_this()](std::error_code code, std::size_t size) {
+                              self->reading_ = false;
+                              if (!self->closed_) self->OnRead(code, {self->buffer_.data(), size});
+                            });
   }
 
   void OnRead(std::error_code code, std::string_view data) {
@@ -265,8 +265,7 @@
 }
 
 std::shared_ptr<Exchange> EndpointPool::Start(const directory::Endpoint& endpoint,
-                                              OutgoingRequest request,
-                                              ExchangeObserver& observer) {
+                                              OutgoingRequest request, ExchangeObserver& observer) {
   if (!request.new_connection) {
     if (std::shared_ptr<Connection> kept = TakeIdle(endpoint)) {
       kept->Reuse(std::move(request), observer);
--- a/verbenaridge/forwarding/endpoint_pool.h
+++ b/verbenaridge/forwarding/endpoint_pool.h
@@ -1,8 +1,8 @@
 // Connections to endpoints, one request at a time on each.
 //
 //   EndpointPool pool(io_context, adapter, {});
-//   std::shared_ptr<Exchange> exchange = pool.Start(endpoint, {.head = ..., .body = ...}, observer);
-//   exchange->Abandon();  // closes the connection; the observer hears nothing more
+//   std::shared_ptr<Exchange> exchange = pool.Start(endpoint, {.head = ..., .body = ...},
+//   observer); exchange->Abandon();  // closes the connection; the observer hears nothing more
 //
 // A request is written to one connection, once: the pool never sends it again by itself, also not
 // when a kept connection turns out to be dead. A connection is kept only after a whole answer with
--- a/verbenaridge/forwarding/message_adapter.h
+++ b/verbenaridge/forwarding/message_adapter.h
@@ -58,7 +58,7 @@
   std::string attempt_id;  // echoed; empty: none
   bool sealed = false;     // carries the endpoint's signature
   bool not_executed = false;
-  bool encoded = false;    // a content encoding, which no client asked for
+  bool encoded = false;                // a content encoding, which no client asked for
   std::optional<Duration> idle_limit;  // of the connection
   EndpointId endpoint_at_fault;        // named by the answer; empty: none
 };
--- a/verbenaridge/forwarding/request_metrics.h
+++ b/verbenaridge/forwarding/request_metrics.h
@@ -9,12 +9,12 @@
 struct RequestMetrics {
   explicit RequestMetrics(telemetry::MetricsRegistry& registry);
 
-  telemetry::Family<telemetry::Counter>& requests;    // route, outcome
-  telemetry::Family<telemetry::Counter>& refusals;    // reason
-  telemetry::Family<telemetry::Counter>& attempts;    // end
-  telemetry::Family<telemetry::Histogram>& latency;   // priority; to the first event or the answer
-  telemetry::Family<telemetry::Histogram>& predicted; // priority
-  telemetry::Family<telemetry::Histogram>& held;      // priority
+  telemetry::Family<telemetry::Counter>& requests;     // route, outcome
+  telemetry::Family<telemetry::Counter>& refusals;     // reason
+  telemetry::Family<telemetry::Counter>& attempts;     // end
+  telemetry::Family<telemetry::Histogram>& latency;    // priority; to the first event or the answer
+  telemetry::Family<telemetry::Histogram>& predicted;  // priority
+  telemetry::Family<telemetry::Histogram>& held;       // priority
 };
 
 }  // namespace verbenaridge::forwarding
--- a/verbenaridge/forwarding/request_run.cc
+++ b/verbenaridge/forwarding/request_run.cc
@@ -124,20 +124,20 @@
   dispatch_id_ = 0;
   const TokenCount prompt = facts_.prompt_tokens;
   // Set before Submit returns if the answer comes at once.
-  const DispatchId id = context_.dispatcher.Submit(
-      {.service = service_,
-       .demand = {.prompt_tokens = prompt,
-                  .output_tokens = facts_.max_output_tokens,
-                  .target_latency = route_->target_latency,
-                  .target_gap = route_->target_gap},
-       .arrived = request_.arrived,
-       .deadline = deadline_,
-       .urgency = priority_,
-       .excluded = excluded_},
-      [self = shared_from_this()](Assignment assignment) {
-        self->dispatch_id_ = 0;
-        self->OnAssigned(std::move(assignment));
-      });
+  const DispatchId id =
+      context_.dispatcher.Submit({.service = service_,
+                                  .demand = {.prompt_tokens = prompt,
+                                             .output_tokens = facts_.max_output_tokens,
+                                             .target_latency = route_->target_latency,
+                                             .target_gap = route_->target_gap},
+                                  .arrived = request_.arrived,
+                                  .deadline = deadline_,
+                                  .urgency = priority_,
+                                  .excluded = excluded_},
+                                 [self = shared_from_this()](Assignment assignment) {
+                                   self->dispatch_id_ = 0;
+                                   self->OnAssigned(std::move(assignment));
+                                 });
   if (!finished_ && exchange_ == nullptr && tickets_ == nullptr) dispatch_id_ = id;
 }
 
@@ -190,22 +190,21 @@
   tickets_ = TicketSet::Create(context_.io_context, context_.pool, context_.adapter,
                                context_.ticket_prefix + std::to_string(++context_.tickets_made),
                                context_.options.tickets);
-  tickets_->Reserve(assignment_.members, std::move(tokens),
-                    [self = shared_from_this()](bool reserved) {
-                      if (self->finished_) return;
-                      if (!reserved) {
-                        self->tickets_ = nullptr;
-                        self->RetryReservation();
-                        return;
-                      }
-                      std::vector<Helper> helpers;
-                      for (const directory::Endpoint& member : self->assignment_.members) {
-                        helpers.push_back({.ip = member.ip,
-                                           .port = member.port,
-                                           .ticket = self->tickets_->name()});
-                      }
-                      self->Launch(std::move(helpers));
-                    });
+  tickets_->Reserve(
+      assignment_.members, std::move(tokens), [self = shared_from_this()](bool reserved) {
+        if (self->finished_) return;
+        if (!reserved) {
+          self->tickets_ = nullptr;
+          self->RetryReservation();
+          return;
+        }
+        std::vector<Helper> helpers;
+        for (const directory::Endpoint& member : self->assignment_.members) {
+          helpers.push_back(
+              {.ip = member.ip, .port = member.port, .ticket = self->tickets_->name()});
+        }
+        self->Launch(std::move(helpers));
+      });
 }
 
 // Nothing was sent, so the request waits for memory as it would wait for an endpoint.
@@ -233,14 +232,13 @@
   if (offers_ == 1) context_.metrics.held.With({priority}).Observe(ToSeconds(Elapsed()));
   context_.metrics.predicted.With({priority}).Observe(ToSeconds(assignment_.predicted));
   const http1::RequestHead head = context_.adapter.WriteRequest(
-      request_.head,
-      {.remaining = deadline_ - now,
-       .endpoint = endpoint.id,
-       .client_account = account_,
-       .urgency = std::clamp(priority_, 0, kLowestUrgency),
-       .helpers = helpers,
-       .resume_after = last_event_ ? last_event_ : facts_.last_event_id,
-       .body_bytes = request_.body ? request_.body->size() : 0});
+      request_.head, {.remaining = deadline_ - now,
+                      .endpoint = endpoint.id,
+                      .client_account = account_,
+                      .urgency = std::clamp(priority_, 0, kLowestUrgency),
+                      .helpers = helpers,
+                      .resume_after = last_event_ ? last_event_ : facts_.last_event_id,
+                      .body_bytes = request_.body ? request_.body->size() : 0});
   exchange_ = context_.pool.Start(endpoint,
                                   {.head = http1::Serialize(head),
                                    .body = request_.body,
@@ -402,8 +400,8 @@
   const bool ok = status >= 200 && status < 300;
   const bool other_id =
       !answer_facts_.attempt_id.empty() && answer_facts_.attempt_id != facts_.attempt_id;
-  const bool unproved = ok && (answer_facts_.attempt_id.empty() || !answer_facts_.sealed ||
-                               answer_facts_.encoded);
+  const bool unproved =
+      ok && (answer_facts_.attempt_id.empty() || !answer_facts_.sealed || answer_facts_.encoded);
   if (other_id || unproved || begun_) {
     AttemptFailed(AttemptEnd::kBroken, "answer_not_of_this_request");
     return;
@@ -431,9 +429,9 @@
   const std::shared_ptr<RequestRun> self = shared_from_this();
   exchange_ = nullptr;
   if (finished_) return;
-  AttemptFailed(failure == ExchangeFailure::kNotConnected ? AttemptEnd::kNotConnected
-                                                          : AttemptEnd::kBroken,
-                ToText(failure));
+  AttemptFailed(
+      failure == ExchangeFailure::kNotConnected ? AttemptEnd::kNotConnected : AttemptEnd::kBroken,
+      ToText(failure));
 }
 
 void RequestRun::NoteHealth(AttemptEnd end) {
@@ -473,8 +471,8 @@
 
 void RequestRun::AttemptFailed(AttemptEnd end, std::string_view detail) {
   // A silent endpoint and a server error are given up only after the budget was drawn on.
-  const bool again = end == AttemptEnd::kSilent || end == AttemptEnd::kServerError ||
-                     MayTryAgain(end);
+  const bool again =
+      end == AttemptEnd::kSilent || end == AttemptEnd::kServerError || MayTryAgain(end);
   const bool may_have_run = end != AttemptEnd::kNotConnected && end != AttemptEnd::kRefused;
   if (may_have_run) ++runs_;
   LogAttempt(end, detail);
--- a/verbenaridge/forwarding/request_run.h
+++ b/verbenaridge/forwarding/request_run.h
@@ -157,9 +157,9 @@
 
   std::optional<http1::ResponseHead> answer_;
   AnswerFacts answer_facts_;
-  bool events_ = false;     // the answer of this attempt is a stream of events
-  bool begun_ = false;      // a part of the answer is at the client
-  bool first_seen_ = false; // of this attempt
+  bool events_ = false;      // the answer of this attempt is a stream of events
+  bool begun_ = false;       // a part of the answer is at the client
+  bool first_seen_ = false;  // of this attempt
   bool finished_ = false;
   std::string body_;
   EventSplitter splitter_;
--- a/verbenaridge/forwarding/ticket_set.cc
+++ b/verbenaridge/forwarding/ticket_set.cc
@@ -72,8 +72,8 @@
   waiting_ = members_.size();
   for (std::size_t i = 0; i < members_.size(); ++i) {
     Send(members_[i],
-         adapter_.WriteReservation(
-             members_[i], {.ticket = name_, .tokens = tokens_[i], .hold = options_.hold}),
+         adapter_.WriteReservation(members_[i],
+                                   {.ticket = name_, .tokens = tokens_[i], .hold = options_.hold}),
          [self = shared_from_this()](bool accepted) { self->OnReserved(accepted); });
   }
 }
@@ -118,9 +118,9 @@
     Send(member, adapter_.WriteRelease(member, name_),
          [name = name_, id = member.id.value()](bool accepted) {
            if (accepted) return;
-           telemetry::Log(telemetry::Level::kWarning, "ticket_not_released",
-                          {{"ticket", name}, {"endpoint", id},
-                           {"reason", "the reservation ends by itself"}});
+           telemetry::Log(
+               telemetry::Level::kWarning, "ticket_not_released",
+               {{"ticket", name}, {"endpoint", id}, {"reason", "the reservation ends by itself"}});
          });
   }
 }
--- a/verbenaridge/http1/message.cc
+++ b/verbenaridge/http1/message.cc
@@ -7,10 +7,15 @@
 namespace verbenaridge::http1 {
 namespace {
 
-constexpr std::array<std::string_view, 9> kHopByHop = {
-    "connection",          "keep-alive", "proxy-authenticate", "proxy-authorization",
-    "proxy-connection",    "te",         "trailer",            "transfer-encoding",
-    "upgrade"};
+constexpr std::array<std::string_view, 9> kHopByHop = {"connection",
+                                                       "keep-alive",
+                                                       "proxy-authenticate",
+                                                       "proxy-authorization",
+                                                       "proxy-connection",
+                                                       "te",
+                                                       "trailer",
+                                                       "transfer-encoding",
+                                                       "upgrade"};
 
 char Lower(char c) { return c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c; }
 
@@ -24,9 +29,8 @@
 }  // namespace
 
 bool EqualsIgnoringCase(std::string_view a, std::string_view b) {
-  return a.size() == b.size() && std::equal(a.begin(), a.end(), b.begin(), [](char x, char y) {
-           return Lower(x) == Lower(y);
-         });
+  return a.size() == b.size() && std::equal(a.begin(), a.end(), b.begin(),
+                                            [](char x, char y) { return Lower(x) == Lower(y); });
 }
 
 std::string_view FindHeader(std::span<const Header> headers, std::string_view name) {
--- a/verbenaridge/http1/message_parser.cc
+++ b/verbenaridge/http1/message_parser.cc
@@ -113,10 +113,11 @@
     const bool keep_alive = http_should_keep_alive(&parser_) != 0;
     if (type_ == HTTP_REQUEST) {
       head_done_ = true;
-      request_observer_->OnHead({.method = http_method_str(static_cast<http_method>(parser_.method)),
-                                 .target = std::move(target_),
-                                 .headers = std::move(headers_),
-                                 .keep_alive = keep_alive});
+      request_observer_->OnHead(
+          {.method = http_method_str(static_cast<http_method>(parser_.method)),
+           .target = std::move(target_),
+           .headers = std::move(headers_),
+           .keep_alive = keep_alive});
       return 0;
     }
     const int status = static_cast<int>(parser_.status_code);
--- a/verbenaridge/http1/message_parser.h
+++ b/verbenaridge/http1/message_parser.h
@@ -50,7 +50,7 @@
 
   void Reset();
 
-  bool started() const;     // at least one byte of a message was read
+  bool started() const;  // at least one byte of a message was read
   bool head_done() const;
   bool complete() const;
 
--- a/verbenaridge/http1/message_parser_test.cc
+++ b/verbenaridge/http1/message_parser_test.cc
@@ -30,11 +30,14 @@
   const Row rows[] = {
       {"no body", "GET /a/ HTTP/1.1\r\nHost: h\r\n\r\n", true, "", 0},
       {"length", "POST /a/ HTTP/1.1\r\nContent-Length: 3\r\n\r\nabc", true, "abc", 0},
-      {"length, one byte missing", "POST / HTTP/1.1\r\nContent-Length: 3\r\n\r\nab", false, "ab", 0},
-      {"chunks", "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n1\r\nc\r\n0\r\n\r\n",
-       true, "abc", 0},
+      {"length, one byte missing", "POST / HTTP/1.1\r\nContent-Length: 3\r\n\r\nab", false, "ab",
+       0},
+      {"chunks",
+       "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n1\r\nc\r\n0\r\n\r\n", true,
+       "abc", 0},
       {"next request follows", "GET /a HTTP/1.1\r\n\r\nGET /b HTTP/1.1\r\n\r\n", true, "", 19},
-      {"next request after a body", "POST / HTTP/1.1\r\nContent-Length: 1\r\n\r\naGET /", true, "a", 5},
+      {"next request after a body", "POST / HTTP/1.1\r\nContent-Length: 1\r\n\r\naGET /", true, "a",
+       5},
   };
   for (const Row& row : rows) {
     CAPTURE(row.name);
@@ -50,7 +53,8 @@
 
 // Guards against a parse that depends on where a read ends.
 TEST_CASE("bytes may come one at a time") {
-  const std::string bytes = "POST /x?q=1 HTTP/1.1\r\nHost: a.example\r\nContent-Length: 4\r\n\r\nwxyz";
+  const std::string bytes =
+      "POST /x?q=1 HTTP/1.1\r\nHost: a.example\r\nContent-Length: 4\r\n\r\nwxyz";
   Recorder recorder;
   RequestParser parser({}, recorder);
   for (const char c : bytes) REQUIRE(parser.Feed({&c, 1}).has_value());
@@ -71,7 +75,8 @@
   const Row rows[] = {
       {"no HTTP", "hello\r\n\r\n", Errc::kMalformed},
       {"length and chunks",
-       "POST / HTTP/1.1\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n", Errc::kMalformed},
+       "POST / HTTP/1.1\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n",
+       Errc::kMalformed},
       {"two lengths", "POST / HTTP/1.1\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\n",
        Errc::kMalformed},
       {"head over the limit", "GET / HTTP/1.1\r\nX: " + std::string(200, 'x') + "\r\n\r\n",
--- a/verbenaridge/ingress/directory_service.cc
+++ b/verbenaridge/ingress/directory_service.cc
@@ -70,10 +70,10 @@
                   OnNotice(*notice, from.ip);
                 }
               }),
-      peer_directory_(io_context,
-                      {.self = options.self, .ip = options.ip, .port = options.port,
-                       .keys = options.keys},
-                      *this),
+      peer_directory_(
+          io_context,
+          {.self = options.self, .ip = options.ip, .port = options.port, .keys = options.keys},
+          *this),
       tick_(io_context, kTick, [this] { Tick(); }),
       configuration_schedule_(options.configuration, random, clock.Now()),
       endpoints_schedule_(options.endpoints, random, clock.Now()),
@@ -198,9 +198,8 @@
 
 void DirectoryService::ReadEndpoints() {
   endpoints_schedule_.OnStarted(clock_.Now());
-  store_.ReadEndpoints([this](Result<directory::EndpointsReading> reading) {
-    OnEndpointsRead(std::move(reading));
-  });
+  store_.ReadEndpoints(
+      [this](Result<directory::EndpointsReading> reading) { OnEndpointsRead(std::move(reading)); });
 }
 
 void DirectoryService::OnEndpointsRead(Result<directory::EndpointsReading> reading) {
--- a/verbenaridge/ingress/ingress.cc
+++ b/verbenaridge/ingress/ingress.cc
@@ -107,12 +107,13 @@
 Status Ingress::Parts::Open() {
   Result<wire::FleetKeys> keys = wire::FleetKeys::Create(settings_.fleet_keys);
   if (keys.has_error()) return keys.error();
-  traffic_ = std::make_unique<Traffic>(settings_, keys.value(), incarnation_, clock_, adapter_,
-                                       registry_);
+  traffic_ =
+      std::make_unique<Traffic>(settings_, keys.value(), incarnation_, clock_, adapter_, registry_);
   BOOST_OUTCOME_TRYV(traffic_->Open());
   OpenDirectory(keys.value());
   BOOST_OUTCOME_TRYV(directory_->Open());
-  pages_ = std::make_unique<Pages>([this] { return NotReadyReason(); }, [this] { return Metrics(); });
+  pages_ =
+      std::make_unique<Pages>([this] { return NotReadyReason(); }, [this] { return Metrics(); });
   readiness_server_ = std::make_unique<frontend::HttpServer>(
       control_.io_context(),
       frontend::HttpServer::Options{.address = settings_.readiness.ip,
@@ -130,31 +131,28 @@
 void Ingress::Parts::OpenDirectory(const wire::FleetKeys& keys) {
   http_ = std::make_unique<net::CurlHttpClient>(control_.io_context());
   store_ = std::make_unique<platform::StoreClient>(
-      *http_,
-      platform::StoreClientOptions{.ip = settings_.store.ip, .port = settings_.store.port});
+      *http_, platform::StoreClientOptions{.ip = settings_.store.ip, .port = settings_.store.port});
   std::vector<std::string> seeds;
   for (const settings::SocketAddress& seed : settings_.seeds) seeds.push_back(seed.ip);
   directory_ = std::make_unique<DirectoryService>(
       control_.io_context(),
-      DirectoryOptions{
-          .self = settings_.host,
-          .ip = settings_.ip,
-          .port = static_cast<std::uint16_t>(settings_.first_internal_port + 1),
-          .keys = keys,
-          .seeds = std::move(seeds),
-          .incarnation = incarnation_,
-          .endpoint_heartbeat = settings_.endpoint_heartbeat},
+      DirectoryOptions{.self = settings_.host,
+                       .ip = settings_.ip,
+                       .port = static_cast<std::uint16_t>(settings_.first_internal_port + 1),
+                       .keys = keys,
+                       .seeds = std::move(seeds),
+                       .incarnation = incarnation_,
+                       .endpoint_heartbeat = settings_.endpoint_heartbeat},
       *store_, clock_, random_,
-      DirectoryOutputs{
-          .snapshot =
-              [this](forwarding::SnapshotPtr snapshot) {
-                traffic_->PublishSnapshot(std::move(snapshot));
-              },
-          .peers =
-              [this](std::vector<std::string> addresses) {
-                traffic_->PublishPeers(std::move(addresses));
-              },
-          .peer_gone = [this](Incarnation peer) { traffic_->ForgetPeer(peer); }});
+      DirectoryOutputs{.snapshot =
+                           [this](forwarding::SnapshotPtr snapshot) {
+                             traffic_->PublishSnapshot(std::move(snapshot));
+                           },
+                       .peers =
+                           [this](std::vector<std::string> addresses) {
+                             traffic_->PublishPeers(std::move(addresses));
+                           },
+                       .peer_gone = [this](Incarnation peer) { traffic_->ForgetPeer(peer); }});
 }
 
 void Ingress::Parts::Run() {
--- a/verbenaridge/ingress/load_exchange.cc
+++ b/verbenaridge/ingress/load_exchange.cc
@@ -62,10 +62,10 @@
 }
 
 void LoadExchange::Arm() {
-  if (update_.begun.size() >= kMaxWorks ||
-      update_.first_events.size() + update_.ended.size() + update_.unreachable.size() +
-              2 * update_.crashes.size() >=
-          kMaxIds) {
+  if (update_.begun.size() >= kMaxWorks || update_.first_events.size() + update_.ended.size() +
+                                                   update_.unreachable.size() +
+                                                   2 * update_.crashes.size() >=
+                                               kMaxIds) {
     Send();
     return;
   }
--- a/verbenaridge/ingress/main.cc
+++ b/verbenaridge/ingress/main.cc
@@ -83,8 +83,7 @@
 int Main(int argc, char** argv) {
   const CommandLine command_line = ParseCommandLine(argc, argv);
   if (command_line.exit_code >= 0) return command_line.exit_code;
-  const settings::LoadedIngressSettings loaded =
-      settings::LoadIngressSettings(command_line.config);
+  const settings::LoadedIngressSettings loaded = settings::LoadIngressSettings(command_line.config);
   for (const settings::SettingError& error : loaded.errors) std::cerr << error.Text() << '\n';
   if (!loaded.errors.empty()) return kExitUsage;
   if (command_line.check) {
--- a/verbenaridge/ingress/peer_list.cc
+++ b/verbenaridge/ingress/peer_list.cc
@@ -82,8 +82,9 @@
 }
 
 std::size_t PeerList::live() const {
-  return 1 + static_cast<std::size_t>(std::count_if(
-                 peers_.begin(), peers_.end(), [](const auto& entry) { return entry.second.heard; }));
+  return 1 +
+         static_cast<std::size_t>(std::count_if(
+             peers_.begin(), peers_.end(), [](const auto& entry) { return entry.second.heard; }));
 }
 
 std::size_t PeerList::MostLately(TimePoint now) {
--- a/verbenaridge/ingress/traffic.cc
+++ b/verbenaridge/ingress/traffic.cc
@@ -43,8 +43,7 @@
                  .port = settings.first_internal_port,
                  .keys = keys},
                 *this),
-      dispatcher_(loop_.io_context(), clock, random_, exchange_,
-                  {.incarnation = incarnation}),
+      dispatcher_(loop_.io_context(), clock, random_, exchange_, {.incarnation = incarnation}),
       pool_(loop_.io_context(), adapter, clock, {}),
       context_{.io_context = loop_.io_context(),
                .clock = clock,
@@ -54,7 +53,8 @@
                .dispatcher = dispatcher_,
                .metrics = metrics_,
                .options = run_options_,
-               .ticket_prefix = settings.host.value() + "-" + std::to_string(random_.Next() % 100'000) + "-"},
+               .ticket_prefix =
+                   settings.host.value() + "-" + std::to_string(random_.Next() % 100'000) + "-"},
       server_(loop_.io_context(),
               {.ip = settings.clients.ip,
                .port = settings.clients.port,
@@ -112,8 +112,8 @@
 
 std::shared_ptr<forwarding::RequestInWork> Traffic::Start(
     forwarding::IncomingRequest request, std::shared_ptr<forwarding::ClientPort> port) {
-  auto run = std::make_shared<forwarding::RequestRun>(context_, std::move(request),
-                                                      std::move(port));
+  auto run =
+      std::make_shared<forwarding::RequestRun>(context_, std::move(request), std::move(port));
   busy_.fetch_add(1, std::memory_order_relaxed);
   run->Start();
   return run;
--- a/verbenaridge/replay/decision_includes_test.cc
+++ b/verbenaridge/replay/decision_includes_test.cc
@@ -11,9 +11,9 @@
 
 // Packages of decisions, and what their files may not include. `base` is here because the others
 // build on it.
-const char* const kPackages[] = {"base",    "cost",       "admission", "queueing", "permits",
-                                 "routing", "groups",     "directory", "dispatch", "attempts", "claims",
-                                 "poison",  "membership", "plans"};
+const char* const kPackages[] = {"base",    "cost",   "admission",  "queueing", "permits",
+                                 "routing", "groups", "directory",  "dispatch", "attempts",
+                                 "claims",  "poison", "membership", "plans"};
 const char* const kForbidden[] = {"asio",
                                   "curl",
                                   "nghttp2",
--- a/verbenaridge/settings/ingress_settings.cc
+++ b/verbenaridge/settings/ingress_settings.cc
@@ -22,8 +22,8 @@
 
 void ReadRetryBudget(ObjectReader& reader, IngressSettings& settings) {
   settings.retry_budget_ratio = reader.Number("ratio", {.minimum = 0, .maximum = 10}, 0.2);
-  settings.retry_budget_window =
-      reader.Milliseconds("window_ms", {.minimum = 100, .maximum = 600'000}, std::chrono::seconds(10));
+  settings.retry_budget_window = reader.Milliseconds(
+      "window_ms", {.minimum = 100, .maximum = 600'000}, std::chrono::seconds(10));
   settings.retry_budget_slack = reader.Number("slack", {.minimum = 0, .maximum = 1e6}, 0);
 }
 
@@ -67,8 +67,9 @@
       Presence::kOptional);
   settings.grace_period = reader.Milliseconds(
       "grace_period_ms", {.minimum = 1'000, .maximum = 600'000}, std::chrono::seconds(8));
-  settings.endpoint_heartbeat = reader.Milliseconds(
-      "endpoint_heartbeat_ms", {.minimum = 10, .maximum = 60'000}, std::chrono::milliseconds(1'200));
+  settings.endpoint_heartbeat =
+      reader.Milliseconds("endpoint_heartbeat_ms", {.minimum = 10, .maximum = 60'000},
+                          std::chrono::milliseconds(1'200));
   reader.RefuseUnknownKeys();
 }
 
