Build the fleet tests with the loop package and without the weight store

Cause: test_fleet named the event loop by its old package and set the removed setting. Change: both follow the move; the tool scripts no longer write weight_store.

--- a/tools/demo.sh
+++ b/tools/demo.sh
@@ -116,7 +116,7 @@
   "addresses": {"callers": "127.0.0.1:1808$1", "operators": "127.0.0.1:1818$1", "inner": "127.0.0.1:1828$1"},
   "fleet_keys": ["demo-fleet-key-for-loopback"],
   "operator_keys": ["demo-operator-key"],
-  "platform": {"key_value_store": "$platform", "host_list": "$platform", "weight_store": "$platform"},
+  "platform": {"key_value_store": "$platform", "host_list": "$platform"},
   "data_centres": [
     {"id": "furano", "region": "hokkaido"},
     {"id": "nakafurano", "region": "hokkaido"},
--- a/tools/fleet.sh
+++ b/tools/fleet.sh
@@ -56,8 +56,7 @@
      addresses: {callers: address(10 + $i), operators: address(20 + $i), inner: address(30 + $i)},
      traffic_threads: 2, fleet_keys: ["fleet-key-for-tests-only"],
      operator_keys: ["operator-key-for-tests-only"],
-     platform: {key_value_store: "http://\(address(0))", host_list: "http://\(address(0))",
-                weight_store: "http://\(address(0))"},
+     platform: {key_value_store: "http://\(address(0))", host_list: "http://\(address(0))"},
      data_centres: ($centres | unique | map({id: ., region: "r"})),
      peers: [range(4) | select(. != $i) |
              {host: "h\(.)", data_centre: $centres[.], inner: address(30 + .)}],
--- a/tools/measure_fleet.sh
+++ b/tools/measure_fleet.sh
@@ -54,7 +54,7 @@
 {"host":"h$i","data_centre":"${centres[i % 3]}","addresses":{"callers":"127.0.0.1:$((port + 100 + i))",
 "operators":"127.0.0.1:$((port + 300 + i))","inner":"127.0.0.1:$((port + 500 + i))"},
 "fleet_keys":["measure-fleet-key-0001"],"operator_keys":["measure-operator-key-01"],
-"platform":{"key_value_store":"$store","host_list":"$store","weight_store":"$store"},
+"platform":{"key_value_store":"$store","host_list":"$store"},
 "data_centres":[{"id":"furano","region":"r"},{"id":"nakafurano","region":"r"},{"id":"biei","region":"r"}],
 "peers":[$(join "${daemon_peers[@]}")],"endpoints":[$(join "${endpoints[@]}")],"log":{"level":"warn"}}
 JSON
--- a/verbenaridge/fleet_tests/test_fleet.cc
+++ b/verbenaridge/fleet_tests/test_fleet.cc
@@ -80,7 +80,7 @@
   settings.fleet_keys = {"fleet-test-fleet-key"};
   settings.operator_keys = {std::string(kOperatorKey)};
   const std::string platform = platform_->base_url();
-  settings.platform = {platform, platform, platform};
+  settings.platform = {platform, platform};
   settings.policy.routing = options_.routing;
   for (std::string_view data_centre : kDataCentres) {
     settings.data_centres.push_back({DataCentreId(std::string(data_centre)), RegionId("hokkaido")});
--- a/verbenaridge/fleet_tests/test_fleet.h
+++ b/verbenaridge/fleet_tests/test_fleet.h
@@ -103,7 +103,7 @@
   const Options options_;
   SystemClock clock_;
   std::vector<std::uint16_t> ports_;  // three for each daemon
-  daemon::EventLoop fakes_loop_;
+  loop::EventLoop fakes_loop_;
   std::unique_ptr<fakes::FakePlatform> platform_;
   std::vector<std::unique_ptr<fakes::FakeEndpoint>> endpoints_;
   std::unique_ptr<fakes::FakeEndpoint> service_;
