Write logs on a thread of their own, log each offer and hold, explain a request from logs

Cause: a stalled reader of standard output would have held up the serving thread; the log told only how a request ended.

Change: a bounded queue with a writer thread, dropped lines are counted in the log; lines offered, held and endpoint_left_out; verbenaridgectl explain and check-settings.

--- a/verbenaridge/ctl/command_line.cc
+++ b/verbenaridge/ctl/command_line.cc
@@ -36,6 +36,15 @@
       {"show",
        {"show --store URL", "Prints the stored document, which can be edited and applied.", 0}},
       {"status", {"status --daemon URL [--json]", "Prints the state of one daemon.", 0}},
+      {"explain",
+       {"explain ID --log FILE [--log FILE ...] [--json]",
+        "Tells what the logs of one or more hosts say of a request, and what these hosts noticed\n"
+        "around it. ID may be the beginning of an id. Exits with 8 if no line is about it.",
+        1}},
+      {"check-settings",
+       {"check-settings FILE",
+        "Checks a settings file of verbenaridge-ingress and reports every fault with its path.",
+        1}},
       {"drain",
        {"drain TARGET --daemon URL --key-file FILE [--kind host|endpoint] [--undo] [--json]",
         "Takes a host (default) or an endpoint out of service without cutting off requests, or "
@@ -87,6 +96,9 @@
     case 'k':
       line.key_file = value;
       return true;
+    case 'l':
+      line.log_files.push_back(value);
+      return true;
     case 'n':
       line.data_centres = Split(value);
       return true;
@@ -117,6 +129,7 @@
   const std::string& command = line.command;
   const bool store = command == "diff" || command == "apply" || command == "show";
   if (store && line.store_url.empty()) return "--store";
+  if (command == "explain" && line.log_files.empty()) return "--log";
   if (command == "apply" && line.data_centres.empty()) return "--data-centres";
   if (command == "apply" && line.author.empty()) return "--author";
   const bool daemon = command == "status" || command == "drain";
@@ -147,6 +160,7 @@
                                         {"author", required_argument, nullptr, 'a'},
                                         {"key-file", required_argument, nullptr, 'k'},
                                         {"data-centres", required_argument, nullptr, 'n'},
+                                        {"log", required_argument, nullptr, 'l'},
                                         {"wait", required_argument, nullptr, 'w'},
                                         {"kind", required_argument, nullptr, 't'},
                                         {"undo", no_argument, nullptr, 'u'},
--- a/verbenaridge/ctl/command_line.h
+++ b/verbenaridge/ctl/command_line.h
@@ -20,6 +20,7 @@
   std::string catalogue_file;
   std::string author;
   std::string key_file;
+  std::vector<std::string> log_files;
   std::vector<DataCentreId> data_centres;
   Duration wait = std::chrono::seconds(10);
   std::string kind = "host";
--- a/verbenaridge/ctl/main.cc
+++ b/verbenaridge/ctl/main.cc
@@ -10,10 +10,12 @@
 
 #include "verbenaridge/base/random.h"
 #include "verbenaridge/ctl/command_line.h"
+#include "verbenaridge/ctl/explain.h"
 #include "verbenaridge/ctl/operator_commands.h"
 #include "verbenaridge/ctl/plan_commands.h"
 #include "verbenaridge/net/http_client.h"
 #include "verbenaridge/plan_codec/plan_codec.h"
+#include "verbenaridge/settings/ingress_settings.h"
 #include "verbenaridge/store/http_key_value_store.h"
 
 namespace {
@@ -69,6 +71,31 @@
                                 .catalogue = names});
 }
 
+ExitCode RunExplain(const CommandLine& line) {
+  std::vector<verbenaridge::ctl::LogLine> lines;
+  for (const std::string& name : line.log_files) {
+    std::ifstream file(name, std::ios::binary);
+    if (!file) {
+      std::cerr << name << ": cannot be read\n";
+      return ExitCode::kUsage;
+    }
+    for (auto& log_line : verbenaridge::ctl::ReadLog(name, file)) {
+      lines.push_back(std::move(log_line));
+    }
+  }
+  const verbenaridge::ctl::Story story = verbenaridge::ctl::Explain(lines, line.arguments[0]);
+  verbenaridge::ctl::PrintStory(story, line.json, std::cout);
+  return story.request.empty() ? ExitCode::kDifferent : ExitCode::kSuccess;
+}
+
+ExitCode RunCheckSettings(const std::string& file) {
+  const auto loaded = verbenaridge::settings::LoadIngressSettings(file);
+  for (const auto& error : loaded.errors) std::cerr << error.Text() << '\n';
+  if (!loaded.errors.empty()) return ExitCode::kUsage;
+  std::cout << file << ": valid\n";
+  return ExitCode::kSuccess;
+}
+
 ExitCode Run(int argc, char** argv) {
   const auto line = verbenaridge::ctl::ParseCommandLine(argc, argv, std::cerr);
   if (!line) return ExitCode::kUsage;
@@ -76,6 +103,8 @@
     std::cout << verbenaridge::ctl::HelpText(line->command);
     return ExitCode::kSuccess;
   }
+  if (line->command == "explain") return RunExplain(*line);
+  if (line->command == "check-settings") return RunCheckSettings(line->arguments[0]);
   asio::io_context io_context;
   verbenaridge::net::CurlHttpClient client(io_context);
   const verbenaridge::ctl::Reporter reporter{std::cout, std::cerr, line->json};
--- a/verbenaridge/ctl/plan_commands.h
+++ b/verbenaridge/ctl/plan_commands.h
@@ -30,7 +30,7 @@
   kUnavailable = 5,  // the store or the daemon did not answer; certainly not written
   kUnknown = 6,      // the write may or may not have taken effect
   kRefused = 7,      // the daemon refused the operator's key or the target
-  kDifferent = 8,    // diff: the file differs from the store
+  kDifferent = 8,    // diff: the file differs from the store; explain: no line is about it
 };
 
 // Where output goes. With `json`, exactly one JSON object per command goes to `out`.
--- a/verbenaridge/daemon/main.cc
+++ b/verbenaridge/daemon/main.cc
@@ -12,6 +12,9 @@
 namespace verbenaridge::daemon {
 namespace {
 
+// Some 2 MB of lines.
+constexpr std::size_t kMaxWaitingLogLines = 4'000;
+
 constexpr int kExitOk = 0;
 constexpr int kExitFailure = 1;
 constexpr int kExitUsage = 2;  // also for a faulty settings file
@@ -89,7 +92,9 @@
     return kExitOk;
   }
   const Status log = telemetry::StartLog(
-      {.level = LevelOf(loaded.settings.log.level), .file = loaded.settings.log.file});
+      {.level = LevelOf(loaded.settings.log.level),
+       .file = loaded.settings.log.file,
+       .max_waiting_lines = kMaxWaitingLogLines});
   if (log.has_error()) {
     std::cerr << "cannot open the log: " << log.error().message() << '\n';
     return kExitFailure;
--- a/verbenaridge/dispatch/endpoint_health.cc
+++ b/verbenaridge/dispatch/endpoint_health.cc
@@ -4,6 +4,20 @@
 
 namespace verbenaridge::dispatch {
 
+std::string_view ToText(FailureKind kind) {
+  switch (kind) {
+    case FailureKind::kUnreachable:
+      return "unreachable";
+    case FailureKind::kBroken:
+      return "broken";
+    case FailureKind::kError:
+      return "error";
+    case FailureKind::kFull:
+      return "full";
+  }
+  return "unknown";
+}
+
 void EndpointHealth::OnSuccess(Digest endpoint) {
   const auto found = states_.find(endpoint);
   if (found == states_.end()) return;
--- a/verbenaridge/dispatch/endpoint_health.h
+++ b/verbenaridge/dispatch/endpoint_health.h
@@ -12,6 +12,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <string_view>
 #include <unordered_map>
 
 #include "verbenaridge/base/clock.h"
@@ -26,6 +27,8 @@
   kFull,         // it refused before it ran anything
 };
 
+std::string_view ToText(FailureKind kind);
+
 struct HealthOptions {
   Duration first_pause = std::chrono::milliseconds(500);
   Duration longest_pause = std::chrono::seconds(4);
--- a/verbenaridge/forwarding/dispatcher.cc
+++ b/verbenaridge/forwarding/dispatcher.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "verbenaridge/base/hash.h"
+#include "verbenaridge/telemetry/log.h"
 
 namespace verbenaridge::forwarding {
 namespace {
@@ -224,6 +225,12 @@
 void Dispatcher::OnFailure(const directory::Endpoint& endpoint, dispatch::FailureKind kind) {
   const Digest key = EndpointKey(endpoint);
   const bool newly_unusable = health_.OnFailure(key, kind, clock_.Now());
+  if (newly_unusable) {
+    telemetry::Log(telemetry::Level::kInfo, "endpoint_left_out",
+                   {{"endpoint", endpoint.id.value()},
+                    {"reason", dispatch::ToText(kind)},
+                    {"error_rate", health_.ErrorRate(key)}});
+  }
   if (newly_unusable && kind == dispatch::FailureKind::kUnreachable) {
     announcements_.OnUnreachable(key);
   }
--- a/verbenaridge/forwarding/request_run.cc
+++ b/verbenaridge/forwarding/request_run.cc
@@ -138,7 +138,13 @@
                                    self->dispatch_id_ = 0;
                                    self->OnAssigned(std::move(assignment));
                                  });
-  if (!finished_ && exchange_ == nullptr && tickets_ == nullptr) dispatch_id_ = id;
+  if (finished_ || exchange_ != nullptr || tickets_ != nullptr) return;
+  dispatch_id_ = id;
+  telemetry::Log(Level::kInfo, "held",
+                 {{"id", facts_.attempt_id},
+                  {"waited_ms", Milliseconds(Elapsed())},
+                  {"held_requests", context_.dispatcher.held()},
+                  {"works_known", context_.dispatcher.works()}});
 }
 
 void RequestRun::OnAssigned(Assignment assignment) {
@@ -231,6 +237,18 @@
   const std::string priority = std::to_string(priority_);
   if (offers_ == 1) context_.metrics.held.With({priority}).Observe(ToSeconds(Elapsed()));
   context_.metrics.predicted.With({priority}).Observe(ToSeconds(assignment_.predicted));
+  telemetry::Log(Level::kInfo, "offered",
+                 {{"id", facts_.attempt_id},
+                  {"endpoints", Endpoints()},
+                  {"offer", offers_},
+                  {"tickets", tickets_ ? std::string_view(tickets_->name()) : std::string_view()},
+                  {"resume_after", last_event_.value_or(0)},
+                  {"held_ms", Milliseconds(Elapsed())},
+                  {"left_ms", Milliseconds(deadline_ - now)},
+                  {"predicted_ms", Milliseconds(assignment_.predicted)},
+                  {"cost", assignment_.cost},
+                  {"candidates", assignment_.candidates},
+                  {"works_known", context_.dispatcher.works()}});
   const http1::RequestHead head = context_.adapter.WriteRequest(
       request_.head, {.remaining = deadline_ - now,
                       .endpoint = endpoint.id,
@@ -522,11 +540,7 @@
   finished_ = true;
   deadline_timer_.cancel();
   if (dispatch_id_ != 0) context_.dispatcher.Cancel(dispatch_id_);
-  std::string endpoints;
-  for (const directory::Endpoint& member : assignment_.members) {
-    if (!endpoints.empty()) endpoints.push_back(',');
-    endpoints.append(member.id.value());
-  }
+  const std::string endpoints = Endpoints();
   StopAttempt();
   const std::string_view route = route_ == nullptr ? std::string_view() : route_->name;
   context_.metrics.requests.With({route, outcome}).Add();
@@ -556,6 +570,15 @@
        {"endpoints_age_ms", Milliseconds(request_.arrived - snapshot_->endpoints_read)}});
 }
 
+std::string RequestRun::Endpoints() const {
+  std::string endpoints;
+  for (const directory::Endpoint& member : assignment_.members) {
+    if (!endpoints.empty()) endpoints.push_back(',');
+    endpoints.append(member.id.value());
+  }
+  return endpoints;
+}
+
 void RequestRun::LogAttempt(AttemptEnd end, std::string_view detail) const {
   constexpr std::string_view kNames[] = {"not_connected", "refused", "silent", "broken",
                                          "server_error"};
--- a/verbenaridge/forwarding/request_run.h
+++ b/verbenaridge/forwarding/request_run.h
@@ -129,6 +129,7 @@
 
   void Refuse(int status, std::string_view reason);
   void Finish(std::string_view outcome, int status);
+  std::string Endpoints() const;  // of the assignment, for the log
   void LogAttempt(AttemptEnd end, std::string_view detail) const;
 
   RunContext& context_;
--- a/verbenaridge/ingress/main.cc
+++ b/verbenaridge/ingress/main.cc
@@ -13,6 +13,9 @@
 namespace verbenaridge::ingress {
 namespace {
 
+// Some 2 MB of lines, or minutes of an ordinary host's.
+constexpr std::size_t kMaxWaitingLogLines = 4'000;
+
 constexpr int kExitOk = 0;
 constexpr int kExitFailure = 1;
 constexpr int kExitUsage = 2;  // also for a faulty settings file
@@ -90,7 +93,9 @@
     std::cout << command_line.config << ": valid\n";
     return kExitOk;
   }
-  if (telemetry::StartLog({.level = LevelOf(loaded.settings.log_level)}).has_error()) {
+  const telemetry::LogOptions log{.level = LevelOf(loaded.settings.log_level),
+                                  .max_waiting_lines = kMaxWaitingLogLines};
+  if (telemetry::StartLog(log).has_error()) {
     std::cerr << "cannot open the log\n";
     return kExitFailure;
   }
--- /dev/null
+++ b/verbenaridge/telemetry/line_writer_test.cc
@@ -0,0 +1,60 @@
+#include <doctest/doctest.h>
+
+#include <chrono>
+#include <future>
+#include <string>
+#include <vector>
+
+#include "verbenaridge/telemetry/internal/line_writer.h"
+
+namespace verbenaridge::telemetry::internal {
+namespace {
+
+// Guards against serving threads that wait for a stalled reader of the log, and against dropped
+// lines that nobody hears of.
+TEST_CASE("a stalled output holds up nobody") {
+  struct Row {
+    const char* name;
+    std::size_t capacity;
+    int lines;
+    bool stalled;
+    std::size_t written;
+    std::size_t dropped;
+  };
+  const Row rows[] = {
+      {"nothing stalls", 100, 50, false, 50, 0},
+      {"stalled, all fit", 100, 50, true, 50, 0},
+      {"stalled, more than fit", 10, 50, true, 11, 39},
+  };
+  for (const Row& row : rows) {
+    CAPTURE(row.name);
+    std::promise<void> first_line;
+    std::promise<void> go_on;
+    std::vector<std::string> written;
+    std::size_t dropped = 0;
+    {
+      LineWriter writer(
+          row.capacity,
+          [&](const std::string& line) {
+            if (written.empty() && row.stalled) {
+              first_line.set_value();
+              go_on.get_future().wait();
+            }
+            written.push_back(line);
+          },
+          [&](std::size_t count) { dropped += count; });
+      const auto begun = std::chrono::steady_clock::now();
+      writer.Push("0");
+      if (row.stalled) first_line.get_future().wait();
+      for (int i = 1; i < row.lines; ++i) writer.Push(std::to_string(i));
+      CHECK(std::chrono::steady_clock::now() - begun < std::chrono::seconds(1));
+      if (row.stalled) go_on.set_value();
+    }
+    CHECK(written.size() == row.written);
+    CHECK(written.front() == "0");
+    CHECK(dropped == row.dropped);
+  }
+}
+
+}  // namespace
+}  // namespace verbenaridge::telemetry::internal
--- a/verbenaridge/telemetry/log.cc
+++ b/verbenaridge/telemetry/log.cc
@@ -16,6 +16,8 @@
 #include <memory>
 #include <nlohmann/json.hpp>
 
+#include "verbenaridge/telemetry/internal/line_writer.h"
+
 namespace verbenaridge::telemetry {
 namespace {
 
@@ -25,6 +27,12 @@
 
 std::atomic<Level> lowest_level{Level::kOff};
 
+// Set while no other thread logs.
+std::unique_ptr<internal::LineWriter>& Writer() {
+  static auto* const writer = new std::unique_ptr<internal::LineWriter>();
+  return *writer;
+}
+
 // Kept for the whole process: threads may still log while static objects are destroyed.
 const log4cxx::LoggerPtr& Output() {
   static const auto* const logger =
@@ -88,6 +96,10 @@
   return text.data();
 }
 
+void Write(const log4cxx::LevelPtr& level, const std::string& line) {
+  Output()->forcedLog(level, line, log4cxx::spi::LocationInfo::getLocationUnavailable());
+}
+
 }  // namespace
 
 Status StartLog(const LogOptions& options) {
@@ -102,16 +114,26 @@
     if (!std::ofstream(options.file, std::ios::app)) return Errc::kUnavailable;
     appender = std::make_shared<log4cxx::FileAppender>(layout, options.file, true);
   }
+  Writer() = nullptr;
   Output()->setAdditivity(false);
   Output()->removeAllAppenders();
   Output()->addAppender(appender);
   Output()->setLevel(ToLog4cxx(options.level));
+  if (options.max_waiting_lines > 0) {
+    Writer() = std::make_unique<internal::LineWriter>(
+        options.max_waiting_lines,
+        [](const std::string& line) { Write(log4cxx::Level::getInfo(), line); },
+        [](std::size_t count) {
+          Log(Level::kWarning, "log_lines_dropped", {{"lines", count}});
+        });
+  }
   lowest_level.store(options.level, std::memory_order_relaxed);
   return Ok();
 }
 
 void StopLog() {
   lowest_level.store(Level::kOff, std::memory_order_relaxed);
+  Writer() = nullptr;
   Output()->removeAllAppenders();
 }
 
@@ -130,9 +152,13 @@
     if (!line.contains(key)) line[key] = ToJson(field);
   }
   // ASCII output passes log4cxx's conversion between character sets unchanged.
-  const std::string text =
+  std::string text =
       line.dump(-1, ' ', true, nlohmann::ordered_json::error_handler_t::replace);
-  Output()->forcedLog(ToLog4cxx(level), text, log4cxx::spi::LocationInfo::getLocationUnavailable());
+  if (Writer() != nullptr) {
+    Writer()->Push(std::move(text));
+  } else {
+    Write(ToLog4cxx(level), text);
+  }
 }
 
 }  // namespace verbenaridge::telemetry
--- a/verbenaridge/telemetry/log.h
+++ b/verbenaridge/telemetry/log.h
@@ -63,6 +63,9 @@
 struct LogOptions {
   Level level = Level::kInfo;
   std::string file{};  // empty: standard output; otherwise lines are appended
+  // Lines that wait for the output, which a thread of its own writes; further ones are dropped and
+  // counted in a line `log_lines_dropped`. Zero: the calling thread writes.
+  std::size_t max_waiting_lines = 0;
 };
 
 // Before the first call nothing is logged. A further call replaces output and level.
