In a large system a few hosts keep the load board and answer for the others

Change: up to 24 hosts all keep the board as before. Above, two hosts of each data centre keep it, those with the most processor first, found without an agreement (PeerList). Hosts that do not keep the board tell only those that do that they live, and get the directory from them.

--- a/verbenaridge/directory/refresh_schedule.h
+++ b/verbenaridge/directory/refresh_schedule.h
@@ -34,6 +34,9 @@
   TimePoint due() const { return due_; }
   bool running() const { return running_; }
 
+  // From the next reading on.
+  void SetInterval(Duration interval) { options_.interval = interval; }
+
   void OnStarted(TimePoint now);
   void OnRead(TimePoint now);
   void OnFailed(TimePoint now);
--- a/verbenaridge/forwarding/dispatcher.cc
+++ b/verbenaridge/forwarding/dispatcher.cc
@@ -1,6 +1,7 @@
 #include "verbenaridge/forwarding/dispatcher.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "verbenaridge/base/hash.h"
 #include "verbenaridge/telemetry/log.h"
@@ -138,38 +139,91 @@
                         std::span<const dispatch::Candidate> candidates,
                         std::span<const directory::Endpoint* const> endpoints,
                         Assignment& assignment) {
-  const TimePoint now = clock_.Now();
   assignment.reserve = choice.reserve;
   assignment.predicted = choice.first_event;
   assignment.cost = choice.cost;
   for (std::size_t i = 0; i < choice.members.size(); ++i) {
     const std::size_t index = choice.members[i];
-    dispatch::Work work{.id = next_work_++,
-                        .endpoint = candidates[index].key,
-                        .due = request.arrived + request.demand.target_latency - now,
-                        .lifetime = std::min(request.deadline - now, options_.longest_work),
-                        .weight = request.demand.weight(),
-                        .decodes = i == 0,
-                        .part = choice.members.size() > 1};
     if (group.model != nullptr) {
-      work.read_time = group.model->ReadTime(request.demand.prompt_tokens, choice.members.size());
-      work.target_gap = i == 0 ? request.demand.target_gap : Duration{};
       const auto memory = static_cast<TokenCount>(
           static_cast<double>(group.model->timing().kv_tokens) * options_.chooser.kv_fill);
       assignment.free_kv.push_back(memory - candidates[index].load.kv_tokens);
-      if (choice.reserve) {
-        work.kv_tokens =
-            request.demand.kv_tokens() / static_cast<TokenCount>(choice.members.size());
-      } else if (i == 0) {
-        work.kv_tokens = request.demand.kv_tokens();
-      }
     }
-    health_.OnDispatched(work.endpoint, now);
-    board_.Begin(work, now);
-    announcements_.OnBegin(work);
     assignment.members.push_back(*endpoints[index]);
-    assignment.works.push_back(work.id);
+    Begin(request, group, candidates[index].key, i, choice.members.size(), assignment);
+  }
+}
+
+void Dispatcher::Begin(const DispatchRequest& request, const Group& group, Digest endpoint,
+                       std::size_t member, std::size_t members, Assignment& assignment) {
+  const TimePoint now = clock_.Now();
+  const bool foreign = request.first_work != 0;
+  dispatch::Work work{.id = foreign ? request.first_work + member : ReserveWorkIds(1),
+                      .endpoint = endpoint,
+                      .due = request.arrived + request.demand.target_latency - now,
+                      .lifetime = std::min(request.deadline - now, options_.longest_work),
+                      .weight = request.demand.weight(),
+                      .decodes = member == 0,
+                      .part = members > 1};
+  if (group.model != nullptr) {
+    work.read_time = group.model->ReadTime(request.demand.prompt_tokens, members);
+    if (member == 0) work.target_gap = request.demand.target_gap;
+    if (assignment.reserve) {
+      work.kv_tokens = request.demand.kv_tokens() / static_cast<TokenCount>(members);
+    } else if (member == 0) {
+      work.kv_tokens = request.demand.kv_tokens();
+    }
+  }
+  health_.OnDispatched(endpoint, now);
+  board_.Begin(work, now);
+  assignment.works.push_back(work.id);
+  if (foreign) return;
+  own_[work.id] = {.work = work, .begun = now};
+  announcements_.OnBegin(work);
+}
+
+bool Dispatcher::Adopt(const DispatchRequest& request, std::span<const EndpointId> members,
+                       Assignment& assignment) {
+  const auto group = groups_.find(request.service);
+  if (group == groups_.end()) return false;
+  for (const EndpointId& id : members) {
+    for (const directory::Endpoint* endpoint : group->second.endpoints) {
+      if (endpoint->id == id) assignment.members.push_back(*endpoint);
+    }
   }
+  if (assignment.members.size() != members.size()) return false;
+  DispatchRequest own = request;
+  const dispatch::WorkId first = std::exchange(own.first_work, 0);
+  const dispatch::WorkId next = std::exchange(next_work_, first);
+  for (std::size_t i = 0; i < members.size(); ++i) {
+    Begin(own, group->second, EndpointKey(assignment.members[i]), i, members.size(), assignment);
+  }
+  next_work_ = next;
+  return true;
+}
+
+dispatch::WorkId Dispatcher::ReserveWorkIds(std::size_t count) {
+  return std::exchange(next_work_, next_work_ + count);
+}
+
+void Dispatcher::EndForeign(dispatch::WorkId first_work, std::size_t count) {
+  for (std::size_t i = 0; i < count; ++i) board_.End(first_work + i, clock_.Now());
+}
+
+void Dispatcher::AnnounceAll() {
+  const TimePoint now = clock_.Now();
+  for (const auto& [id, own] : own_) {
+    dispatch::Work work = own.work;
+    work.due -= now - own.begun;
+    work.lifetime -= now - own.begun;
+    announcements_.OnBegin(work);
+    if (own.decoding) announcements_.OnFirstEvent(id);
+  }
+}
+
+bool Dispatcher::HasModel(const ServiceId& service) const {
+  const auto group = groups_.find(service);
+  return group != groups_.end() && group->second.model != nullptr;
 }
 
 void Dispatcher::TryHeld() {
@@ -210,11 +264,14 @@
 
 void Dispatcher::OnFirstEvent(dispatch::WorkId work) {
   board_.OnFirstEvent(work, clock_.Now());
+  const auto own = own_.find(work);
+  if (own != own_.end()) own->second.decoding = true;
   announcements_.OnFirstEvent(work);
 }
 
 void Dispatcher::OnEnd(dispatch::WorkId work) {
   board_.End(work, clock_.Now());
+  own_.erase(work);
   announcements_.OnEnd(work);
 }
 
--- a/verbenaridge/forwarding/dispatcher.h
+++ b/verbenaridge/forwarding/dispatcher.h
@@ -18,6 +18,7 @@
 #include <map>
 #include <memory>
 #include <set>
+#include <span>
 #include <string>
 #include <unordered_map>
 #include <utility>
@@ -64,6 +65,8 @@
   TimePoint deadline{};
   int urgency = 0;                 // the lowest goes first
   std::vector<Digest> excluded{};  // endpoints that failed this request
+  // Of a request of another host: its works get these ids, and that host announces them.
+  dispatch::WorkId first_work = 0;
 };
 
 struct Assignment {
@@ -86,6 +89,16 @@
 using DispatchId = std::uint64_t;
 using AssignmentCallback = std::function<void(Assignment)>;
 
+// Finds endpoints for requests.
+class Placement {
+ public:
+  virtual ~Placement() = default;
+
+  // The callback runs once, at once or later, unless the request is cancelled first.
+  virtual DispatchId Submit(DispatchRequest request, AssignmentCallback callback) = 0;
+  virtual void Cancel(DispatchId id) = 0;
+};
+
 struct DispatcherOptions {
   Incarnation incarnation = 1;
   dispatch::ChooserOptions chooser{};
@@ -99,7 +112,7 @@
   Duration longest_work = std::chrono::seconds(20);
 };
 
-class Dispatcher {
+class Dispatcher final : public Placement {
  public:
   Dispatcher(asio::io_context& io_context, const Clock& clock, RandomSource& random,
              LoadAnnouncements& announcements, const DispatcherOptions& options);
@@ -107,9 +120,25 @@
   void SetSnapshot(SnapshotPtr snapshot);
   const SnapshotPtr& snapshot() const { return snapshot_; }
 
-  // The callback runs once, at once or later, unless the request is cancelled first.
-  DispatchId Submit(DispatchRequest request, AssignmentCallback callback);
-  void Cancel(DispatchId id);
+  DispatchId Submit(DispatchRequest request, AssignmentCallback callback) override;
+  void Cancel(DispatchId id) override;
+
+  // Takes over what another host has chosen: puts the works on the board and announces them. False
+  // if this host does not know one of the endpoints.
+  bool Adopt(const DispatchRequest& request, std::span<const EndpointId> members,
+             Assignment& assignment);
+
+  // Ids for the works of one request.
+  dispatch::WorkId ReserveWorkIds(std::size_t count);
+
+  // Ends the works of a request of another host, which did not get the answer.
+  void EndForeign(dispatch::WorkId first_work, std::size_t count);
+
+  // Announces again what this host has at endpoints, for hosts that did not hear it.
+  void AnnounceAll();
+
+  // Whether requests for the service are generations of a model engine.
+  bool HasModel(const ServiceId& service) const;
 
   // Of assigned work.
   void OnFirstEvent(dispatch::WorkId work);
@@ -153,6 +182,9 @@
   void Assign(const DispatchRequest& request, const Group& group, const dispatch::Choice& choice,
               std::span<const dispatch::Candidate> candidates,
               std::span<const directory::Endpoint* const> endpoints, Assignment& assignment);
+  // One member's work, on the board and announced if it is this host's.
+  void Begin(const DispatchRequest& request, const Group& group, Digest endpoint,
+             std::size_t member, std::size_t members, Assignment& assignment);
   void TryHeld();
   void ArmTimer();
 
@@ -168,6 +200,12 @@
   std::unique_ptr<dispatch::EndpointChooser> least_busy_;
   dispatch::LoadBoard board_;
   dispatch::EndpointHealth health_;
+  struct Own {
+    dispatch::Work work;
+    TimePoint begun{};
+    bool decoding = false;
+  };
+  std::unordered_map<dispatch::WorkId, Own> own_;
   std::map<DispatchId, Held> held_;
   std::set<Place> order_;
   DispatchId next_id_ = 1;
--- a/verbenaridge/forwarding/request_run.cc
+++ b/verbenaridge/forwarding/request_run.cc
@@ -125,19 +125,19 @@
   const TokenCount prompt = facts_.prompt_tokens;
   // Set before Submit returns if the answer comes at once.
   const DispatchId id =
-      context_.dispatcher.Submit({.service = service_,
-                                  .demand = {.prompt_tokens = prompt,
-                                             .output_tokens = facts_.max_output_tokens,
-                                             .target_latency = route_->target_latency,
-                                             .target_gap = route_->target_gap},
-                                  .arrived = request_.arrived,
-                                  .deadline = deadline_,
-                                  .urgency = priority_,
-                                  .excluded = excluded_},
-                                 [self = shared_from_this()](Assignment assignment) {
-                                   self->dispatch_id_ = 0;
-                                   self->OnAssigned(std::move(assignment));
-                                 });
+      context_.placement.Submit({.service = service_,
+                                 .demand = {.prompt_tokens = prompt,
+                                            .output_tokens = facts_.max_output_tokens,
+                                            .target_latency = route_->target_latency,
+                                            .target_gap = route_->target_gap},
+                                 .arrived = request_.arrived,
+                                 .deadline = deadline_,
+                                 .urgency = priority_,
+                                 .excluded = excluded_},
+                                [self = shared_from_this()](Assignment assignment) {
+                                  self->dispatch_id_ = 0;
+                                  self->OnAssigned(std::move(assignment));
+                                });
   if (finished_ || exchange_ != nullptr || tickets_ != nullptr) return;
   dispatch_id_ = id;
   telemetry::Log(Level::kInfo, "held",
@@ -539,7 +539,7 @@
 void RequestRun::Finish(std::string_view outcome, int status) {
   finished_ = true;
   deadline_timer_.cancel();
-  if (dispatch_id_ != 0) context_.dispatcher.Cancel(dispatch_id_);
+  if (dispatch_id_ != 0) context_.placement.Cancel(dispatch_id_);
   const std::string endpoints = Endpoints();
   StopAttempt();
   const std::string_view route = route_ == nullptr ? std::string_view() : route_->name;
--- a/verbenaridge/forwarding/request_run.h
+++ b/verbenaridge/forwarding/request_run.h
@@ -65,6 +65,7 @@
   const MessageAdapter& adapter;
   EndpointPool& pool;
   Dispatcher& dispatcher;
+  Placement& placement;
   RequestMetrics& metrics;
   const RunOptions& options;
   std::unordered_map<ServiceId, dispatch::RetryBudget> budgets{};
--- a/verbenaridge/ingress/directory_service.cc
+++ b/verbenaridge/ingress/directory_service.cc
@@ -61,7 +61,11 @@
       clock_(clock),
       random_(random),
       outputs_(std::move(outputs)),
-      peers_(options.self, options.ip),
+      peers_({.host = options.self,
+              .ip = options.ip,
+              .data_centre = options.data_centre,
+              .capacity = options.capacity,
+              .incarnation = options.incarnation}),
       socket_(io_context,
               {.listen = {options.ip, options.port}, .self = options.self, .keys = options.keys},
               clock,
@@ -108,11 +112,17 @@
     outputs_.peer_gone(incarnation);
   }
   if (now - last_notice_ >= options_.notice_interval) SendNotice(false, false, nullptr);
-  std::vector<std::string> live = peers_.LiveAddresses();
-  if (live != published_peers_) {
-    published_peers_ = live;
-    outputs_.peers(std::move(live));
-  }
+  std::pair<bool, std::vector<std::string>> keepers{peers_.Keeps(), peers_.Keepers()};
+  if (keepers == published_keepers_) return;
+  Log(Level::kInfo, "keepers_changed",
+      {{"self", keepers.first}, {"others", keepers.second.size()}, {"hosts", peers_.live()}});
+  published_keepers_ = keepers;
+  const auto interval = [&](Duration own) {
+    return keepers.first ? own : options_.listening_interval;
+  };
+  configuration_schedule_.SetInterval(interval(options_.configuration.interval));
+  endpoints_schedule_.SetInterval(interval(options_.endpoints.interval));
+  outputs_.keepers(keepers.first, std::move(keepers.second));
 }
 
 void DirectoryService::NoticePause(TimePoint now) {
@@ -237,7 +247,14 @@
     if (const auto gone = peers_.OnLeaving(notice.sender)) outputs_.peer_gone(*gone);
     return;
   }
-  const PeerList::Heard heard = peers_.OnHeard(notice.sender, ip, notice.incarnation, now);
+  const PeerList::Heard heard = peers_.OnHeard({.host = notice.sender,
+                                                .ip = ip,
+                                                .data_centre = notice.data_centre,
+                                                .capacity = notice.capacity,
+                                                .incarnation = notice.incarnation,
+                                                .keeps = notice.keeps,
+                                                .hosts = notice.hosts},
+                                               now);
   for (const wire::PeerEntry& peer : notice.peers) peers_.OnNamed(peer.host, peer.ip, now);
   if (heard.news == PeerList::News::kRestarted) outputs_.peer_gone(heard.before);
   if (heard.news != PeerList::News::kNone) {
@@ -248,9 +265,7 @@
     SendNotice(false, false, &ip);
   }
   if (notice.configuration_version > version()) {
-    informed_peer_ = ip;
-    configuration_schedule_.OnPeerDiffers(now);
-    if (configuration_schedule_.failures() > 0) AskPeer();
+    OnDifference(notice, ip, configuration_schedule_);
   } else if (notice.configuration_read && notice.configuration_version == version()) {
     configuration_schedule_.OnPeerRead(now);
   }
@@ -259,12 +274,24 @@
     endpoints_schedule_.OnPeerRead(now);
     ApplyEndpoints(last_entries_, "peer");
   } else {
-    informed_peer_ = ip;
-    endpoints_schedule_.OnPeerDiffers(now);
-    if (endpoints_schedule_.failures() > 0) AskPeer();
+    OnDifference(notice, ip, endpoints_schedule_);
   }
 }
 
+void DirectoryService::OnDifference(const wire::DirectoryNotice& notice, const std::string& ip,
+                                    directory::RefreshSchedule& schedule) {
+  informed_peer_ = ip;
+  if (peers_.Keeps()) {
+    schedule.OnPeerDiffers(clock_.Now());
+    if (schedule.failures() > 0) AskPeer();
+    return;
+  }
+  // The many hosts that do not keep the board spare the store: they ask one that does, and that is
+  // near, since a keeper of each data centre tells them.
+  const bool near = notice.data_centre == options_.data_centre;
+  if (near || !peers_.KnowsNearKeeper()) AskPeer();
+}
+
 void DirectoryService::SendNotice(bool configuration_read, bool endpoints_read,
                                   const std::string* to) {
   wire::DirectoryNotice notice{.sender = options_.self,
@@ -273,7 +300,11 @@
                                .configuration_version = version(),
                                .configuration_read = configuration_read,
                                .endpoints = last_digest_,
-                               .endpoints_read = endpoints_read};
+                               .endpoints_read = endpoints_read,
+                               .data_centre = options_.data_centre,
+                               .capacity = options_.capacity,
+                               .keeps = peers_.Keeps(),
+                               .hosts = peers_.live()};
   for (auto& [host, ip] : peers_.Sample(random_)) notice.peers.push_back({host, ip});
   const wire::Datagram datagram = std::move(notice);
   const auto send = [&](const std::string& ip) {
@@ -287,7 +318,7 @@
     return;
   }
   last_notice_ = clock_.Now();
-  for (const std::string& ip : peers_.Addresses(last_notice_)) send(ip);
+  for (const std::string& ip : peers_.NoticeTargets()) send(ip);
 }
 
 void DirectoryService::AnnounceLeaving() {
@@ -295,7 +326,7 @@
                                                         .ip = options_.ip,
                                                         .incarnation = options_.incarnation,
                                                         .leaving = true};
-  for (const std::string& ip : peers_.LiveAddresses()) {
+  for (const std::string& ip : peers_.NoticeTargets()) {
     // The peers notice the silence otherwise.
     (void)socket_.Send({ip, options_.port}, datagram);
   }
@@ -320,6 +351,8 @@
                                      const std::string& ip) {
   if (reply.has_error()) {
     Log(Level::kInfo, "peer_not_answering", {{"peer", ip}, {"error", reply.error().message()}});
+    configuration_schedule_.OnPeerDiffers(clock_.Now());
+    endpoints_schedule_.OnPeerDiffers(clock_.Now());
     return;
   }
   wire::FetchDirectoryReply content = std::move(reply).value();
--- a/verbenaridge/ingress/directory_service.h
+++ b/verbenaridge/ingress/directory_service.h
@@ -33,6 +33,8 @@
 struct DirectoryOptions {
   HostId self;
   std::string ip;
+  DataCentreId data_centre;
+  double capacity = 0;     // share of a processor
   std::uint16_t port = 0;  // TCP and UDP, the same on all hosts
   wire::FleetKeys keys;
   std::vector<std::string> seeds;
@@ -41,14 +43,18 @@
   // Versions must be in force within 2 s, and a leaving endpoint gets no work after 2 s.
   directory::RefreshOptions configuration{.interval = std::chrono::milliseconds(450)};
   directory::RefreshOptions endpoints{.interval = std::chrono::milliseconds(450)};
+  // Of a host that does not keep the load board: it hears of the readings of those that do, and
+  // reads only when it does not.
+  Duration listening_interval = std::chrono::milliseconds(1'100);
   // A host that has read nothing for so long says that it lives.
   Duration notice_interval = std::chrono::seconds(1);
 };
 
 struct DirectoryOutputs {
   std::function<void(forwarding::SnapshotPtr)> snapshot;
-  std::function<void(std::vector<std::string>)> peers;  // live addresses
-  std::function<void(Incarnation)> peer_gone;           // dead, or started anew
+  // Whether this host keeps the load board, and the other hosts that do, the nearest first.
+  std::function<void(bool, std::vector<std::string>)> keepers;
+  std::function<void(Incarnation)> peer_gone;  // dead, or started anew
 };
 
 class DirectoryService final : private DirectoryContent {
@@ -89,6 +95,9 @@
 
   void OnNotice(const wire::DirectoryNotice& notice, const std::string& ip);
   void SendNotice(bool configuration_read, bool endpoints_read, const std::string* to);
+  // The peer has something else than this host.
+  void OnDifference(const wire::DirectoryNotice& notice, const std::string& ip,
+                    directory::RefreshSchedule& schedule);
   void AskPeer();
   void OnPeerContent(Result<wire::FetchDirectoryReply> reply, const std::string& ip);
 
@@ -118,7 +127,7 @@
   bool store_works_ = true;
   TimePoint last_notice_{};
   TimePoint last_tick_{};
-  std::vector<std::string> published_peers_;
+  std::pair<bool, std::vector<std::string>> published_keepers_;
 };
 
 }  // namespace verbenaridge::ingress
--- a/verbenaridge/ingress/ingress.cc
+++ b/verbenaridge/ingress/ingress.cc
@@ -138,6 +138,8 @@
       control_.io_context(),
       DirectoryOptions{.self = settings_.host,
                        .ip = settings_.ip,
+                       .data_centre = settings_.data_centre,
+                       .capacity = settings_.processor_share,
                        .port = static_cast<std::uint16_t>(settings_.first_internal_port + 1),
                        .keys = keys,
                        .seeds = std::move(seeds),
@@ -148,9 +150,9 @@
                            [this](forwarding::SnapshotPtr snapshot) {
                              traffic_->PublishSnapshot(std::move(snapshot));
                            },
-                       .peers =
-                           [this](std::vector<std::string> addresses) {
-                             traffic_->PublishPeers(std::move(addresses));
+                       .keepers =
+                           [this](bool self, std::vector<std::string> others) {
+                             traffic_->PublishKeepers(self, std::move(others));
                            },
                        .peer_gone = [this](Incarnation peer) { traffic_->ForgetPeer(peer); }});
 }
--- a/verbenaridge/ingress/load_exchange.cc
+++ b/verbenaridge/ingress/load_exchange.cc
@@ -1,7 +1,6 @@
 #include "verbenaridge/ingress/load_exchange.h"
 
 #include <utility>
-#include <variant>
 
 #include "verbenaridge/telemetry/log.h"
 
@@ -20,10 +19,8 @@
       socket_(io_context,
               {.listen = {options.ip, options.port}, .self = options.self, .keys = options.keys},
               clock,
-              [&receiver](const wire::Datagram& datagram, const wire::PeerAddress& /*from*/) {
-                if (const auto* update = std::get_if<wire::LoadUpdate>(&datagram)) {
-                  receiver.OnLoadUpdate(*update);
-                }
+              [&receiver](const wire::Datagram& datagram, const wire::PeerAddress& from) {
+                receiver.OnDatagram(datagram, from.ip);
               }),
       timer_(io_context) {}
 
@@ -66,7 +63,7 @@
                                                    update_.unreachable.size() +
                                                    2 * update_.crashes.size() >=
                                                kMaxIds) {
-    Send();
+    SendUpdate();
     return;
   }
   if (std::exchange(armed_, true)) return;
@@ -81,19 +78,21 @@
   const bool empty = update_.begun.empty() && update_.first_events.empty() &&
                      update_.ended.empty() && update_.unreachable.empty() &&
                      update_.crashes.empty();
-  if (!empty) Send();
+  if (!empty) SendUpdate();
 }
 
-void LoadExchange::Send() {
+void LoadExchange::SendUpdate() {
   wire::LoadUpdate update = std::exchange(update_, {});
   update.sender = options_.self;
   const wire::Datagram datagram = std::move(update);
-  for (const std::string& ip : peers_) {
-    const Status sent = socket_.Send({ip, options_.port}, datagram);
-    if (sent.has_error()) {
-      telemetry::Log(telemetry::Level::kDebug, "load_update_dropped",
-                     {{"peer", ip}, {"error", sent.error().message()}});
-    }
+  for (const std::string& ip : peers_) Send(ip, datagram);
+}
+
+void LoadExchange::Send(const std::string& ip, const wire::Datagram& datagram) {
+  const Status sent = socket_.Send({ip, options_.port}, datagram);
+  if (sent.has_error()) {
+    telemetry::Log(telemetry::Level::kDebug, "datagram_dropped",
+                   {{"peer", ip}, {"error", sent.error().message()}});
   }
 }
 
--- a/verbenaridge/ingress/load_exchange.h
+++ b/verbenaridge/ingress/load_exchange.h
@@ -28,7 +28,7 @@
  public:
   virtual ~LoadReceiver() = default;
 
-  virtual void OnLoadUpdate(const wire::LoadUpdate& update) = 0;
+  virtual void OnDatagram(const wire::Datagram& datagram, const std::string& ip) = 0;
 };
 
 struct LoadExchangeOptions {
@@ -47,8 +47,11 @@
                LoadReceiver& receiver);
 
   Status Open() { return socket_.Open(); }
+  // Those that keep the load board.
   void SetPeers(std::vector<std::string> addresses) { peers_ = std::move(addresses); }
 
+  void Send(const std::string& ip, const wire::Datagram& datagram);
+
   // forwarding::LoadAnnouncements
   void OnBegin(const dispatch::Work& work) override;
   void OnFirstEvent(dispatch::WorkId work) override;
@@ -61,7 +64,7 @@
  private:
   void Arm();
   void Flush();
-  void Send();
+  void SendUpdate();
 
   const LoadExchangeOptions options_;
   wire::DatagramSocket socket_;
--- a/verbenaridge/ingress/peer_list.h
+++ b/verbenaridge/ingress/peer_list.h
@@ -1,12 +1,16 @@
-// The other hosts of the system, as far as this one has heard of them.
+// The other hosts of the system, as far as this one has heard of them, and which of them keep the
+// load board.
 //
-//   PeerList peers(own_id, own_ip, {});
+//   PeerList peers({.host = own_id, .ip = own_ip, .data_centre = centre, .capacity = 0.17}, {});
 //   peers.AddSeed("10.1.0.40");
-//   peers.OnHeard(host, ip, incarnation, now);
-//   for (const std::string& ip : peers.Addresses(now)) Send(ip, notice);
+//   peers.OnHeard(facts, now);
+//   for (const std::string& ip : peers.NoticeTargets(now)) Send(ip, notice);
 //
-// Hosts learn of each other from the seeds and from the samples that every notice carries. A host
-// that has been silent too long is left out. Used by one thread.
+// Hosts learn of each other from the seeds and from the samples that every notice carries. In a
+// small system every host keeps the load board and hears every other one. In a larger one a few
+// hosts of each data centre do, those with the most processor first: these tell all hosts that
+// they live, the others tell only them. A host keeps the board unless it hears enough others of
+// its data centre that come before it, so that no agreement is needed. Used by one thread.
 #ifndef VERBENARIDGE_INGRESS_PEER_LIST_H_
 #define VERBENARIDGE_INGRESS_PEER_LIST_H_
 
@@ -28,19 +32,34 @@
 struct PeerListOptions {
   // Notices come every second; a frozen or cut-off host is missed within this time.
   Duration silence = std::chrono::milliseconds(3'500);
-  // A host that was only named by another is asked for so long.
-  Duration introduction = std::chrono::seconds(3);
+  // Addresses of hosts that were named or have fallen silent are remembered for so long.
+  Duration contact = std::chrono::seconds(40);
   std::size_t sample = 8;  // hosts named in a notice
+  // Up to so many hosts all keep the board: a request costs a datagram to each of them.
+  std::size_t small_system = 24;
+  // In a larger system; two, so that one may die.
+  std::size_t keepers_per_data_centre = 2;
   Duration lately = std::chrono::seconds(30);
   // Assumed until the peers had time to be heard.
   std::size_t assumed_hosts = 20;
   Duration hearing_time = std::chrono::seconds(5);
 };
 
+// What a host says of itself.
+struct PeerFacts {
+  HostId host;
+  std::string ip;
+  DataCentreId data_centre;
+  double capacity = 0;  // share of a processor
+  Incarnation incarnation = 0;
+  bool keeps = false;     // the load board
+  std::size_t hosts = 0;  // of the system, as it believes
+};
+
 class PeerList {
  public:
-  PeerList(HostId self, std::string own_ip, const PeerListOptions& options = {})
-      : self_(std::move(self)), own_ip_(std::move(own_ip)), options_(options) {}
+  explicit PeerList(PeerFacts self, const PeerListOptions& options = {})
+      : self_(std::move(self)), options_(options) {}
 
   void AddSeed(std::string_view ip);
 
@@ -49,7 +68,7 @@
     News news = News::kNone;
     Incarnation before = 0;  // of a host that has started anew
   };
-  Heard OnHeard(const HostId& host, std::string_view ip, Incarnation incarnation, TimePoint now);
+  Heard OnHeard(const PeerFacts& facts, TimePoint now);
 
   // Another host named this one.
   void OnNamed(const HostId& host, std::string_view ip, TimePoint now);
@@ -57,14 +76,22 @@
   // The host's last incarnation, if it was heard of. It is forgotten.
   std::optional<Incarnation> OnLeaving(const HostId& host);
 
-  // Hosts that were heard of and fell silent since the last call; they are forgotten.
+  // Hosts that were heard of and fell silent since the last call.
   std::vector<std::pair<HostId, Incarnation>> RemoveSilent(TimePoint now);
 
-  // Where notices go: hosts heard of lately, hosts just named, and the seeds.
-  std::vector<std::string> Addresses(TimePoint now) const;
-  // Hosts heard of lately.
-  std::vector<std::string> LiveAddresses() const;
+  // Whether this host keeps the load board.
+  bool Keeps() const;
+
+  // Other hosts that keep it, those of the own data centre first.
+  std::vector<std::string> Keepers() const;
 
+  // Whether a host of the own data centre that keeps the board is heard.
+  bool KnowsNearKeeper() const;
+
+  // Where notices go.
+  std::vector<std::string> NoticeTargets() const;
+
+  // Those that keep the board come first.
   std::vector<std::pair<HostId, std::string>> Sample(RandomSource& random) const;
 
   // Hosts of the system that live, with this one.
@@ -76,14 +103,17 @@
 
  private:
   struct Peer {
-    std::string ip;
-    Incarnation incarnation = 0;
-    bool heard = false;  // false: only named
-    TimePoint last{};
+    PeerFacts facts;
+    bool live = false;  // heard of lately
+    TimePoint last{};   // heard or named
   };
+  // Larger comes first.
+  using Rank = std::pair<double, double>;
+
+  static Rank RankOf(const PeerFacts& facts);
+  std::size_t heard() const;
 
-  const HostId self_;
-  const std::string own_ip_;
+  PeerFacts self_;
   const PeerListOptions options_;
   std::map<HostId, Peer> peers_;
   std::vector<std::string> seeds_;
--- a/verbenaridge/ingress/peer_list_test.cc
+++ b/verbenaridge/ingress/peer_list_test.cc
@@ -3,6 +3,7 @@
 #include <doctest/doctest.h>
 
 #include <memory>
+#include <set>
 
 namespace verbenaridge::ingress {
 namespace {
@@ -12,35 +13,120 @@
 HostId Host(int i) { return HostId(std::string("h").append(std::to_string(i))); }
 std::string Ip(int i) { return std::string("10.0.0.").append(std::to_string(i)); }
 
-// Guards against hosts that never find each other, with one seed that may be down.
-TEST_CASE("all hosts learn of all others from one seed") {
+PeerFacts Facts(int i) {
+  return {.host = Host(i),
+          .ip = Ip(i),
+          .data_centre = DataCentreId(i % 3 == 0   ? "a"
+                                      : i % 3 == 1 ? "b"
+                                                   : "c"),
+          .capacity = i % 20 == 0 ? 0.5 : 0.1,
+          .incarnation = 1};
+}
+
+// Hosts that exchange notices in rounds of one second.
+class Fleet {
+ public:
+  explicit Fleet(int size) : dead_(static_cast<std::size_t>(size), false) {
+    for (int i = 0; i < size; ++i) {
+      hosts.push_back(std::make_unique<PeerList>(Facts(i)));
+      hosts.back()->AddSeed(Ip(0));
+    }
+  }
+
+  // Returns the notices of one round.
+  std::size_t Round() {
+    std::size_t notices = 0;
+    for (std::size_t from = 0; from < hosts.size(); ++from) {
+      if (dead_[from]) continue;
+      hosts[from]->RemoveSilent(clock_.Now());
+      PeerFacts facts = Facts(static_cast<int>(from));
+      facts.keeps = hosts[from]->Keeps();
+      facts.hosts = hosts[from]->live();
+      const auto sample = hosts[from]->Sample(random_);
+      for (const std::string& ip : hosts[from]->NoticeTargets()) {
+        ++notices;
+        const auto to = static_cast<std::size_t>(std::stoi(ip.substr(ip.rfind('.') + 1)));
+        if (dead_[to]) continue;
+        hosts[to]->OnHeard(facts, clock_.Now());
+        for (const auto& [host, address] : sample) {
+          hosts[to]->OnNamed(host, address, clock_.Now());
+        }
+      }
+    }
+    clock_.Advance(seconds(1));
+    return notices;
+  }
+
+  void Kill(std::size_t host) { dead_[host] = true; }
+  bool dead(std::size_t host) const { return dead_[host]; }
+
+  std::vector<std::unique_ptr<PeerList>> hosts;
+
+ private:
+  std::vector<bool> dead_;
+  ManualClock clock_;
+  SeededRandom random_{11};
+};
+
+// Guards against hosts that never find each other, against too many or too few that keep the load
+// board, and against notices that grow with the square of the hosts.
+TEST_CASE("hosts find each other and agree on who keeps the board") {
   struct Row {
     const char* name;
     int hosts;
     int rounds;
+    std::size_t least_keepers;
+    std::size_t most_keepers;
+    std::size_t most_notices;  // in a round at the end
   };
-  const Row rows[] = {{"three", 3, 4}, {"18", 18, 6}, {"128", 128, 14}};
+  const Row rows[] = {{"three", 3, 6, 3, 3, 6},
+                      {"18", 18, 8, 18, 18, 18 * 17},
+                      {"128", 128, 25, 6, 6, 128 * 13},
+                      {"250", 250, 40, 6, 6, 250 * 13}};
   for (const Row& row : rows) {
     CAPTURE(row.name);
-    ManualClock clock;
-    SeededRandom random(11);
-    std::vector<std::unique_ptr<PeerList>> hosts;
-    for (int i = 0; i < row.hosts; ++i) {
-      hosts.push_back(std::make_unique<PeerList>(Host(i), Ip(i)));
-      hosts.back()->AddSeed(Ip(0));
+    Fleet fleet(row.hosts);
+    std::size_t notices = 0;
+    for (int round = 0; round < row.rounds; ++round) notices = fleet.Round();
+    std::size_t keepers = 0;
+    for (const auto& host : fleet.hosts) {
+      CHECK(host->live() == static_cast<std::size_t>(row.hosts));
+      CHECK(host->Keepers().size() >=
+            (row.hosts > 24 ? 5 : static_cast<std::size_t>(row.hosts) - 1));
+      keepers += host->Keeps() ? 1 : 0;
     }
-    for (int round = 0; round < row.rounds; ++round) {
-      for (int from = 0; from < row.hosts; ++from) {
-        const auto sample = hosts[from]->Sample(random);
-        for (const std::string& ip : hosts[from]->Addresses(clock.Now())) {
-          PeerList& to = *hosts[std::stoi(ip.substr(ip.rfind('.') + 1))];
-          to.OnHeard(Host(from), Ip(from), 1, clock.Now());
-          for (const auto& [host, address] : sample) to.OnNamed(host, address, clock.Now());
-        }
-      }
-      clock.Advance(seconds(1));
+    CHECK(keepers >= row.least_keepers);
+    CHECK(keepers <= row.most_keepers);
+    CHECK(notices <= row.most_notices);
+  }
+}
+
+// Guards against a system in which nobody keeps the board after those who did have died.
+TEST_CASE("others keep the board after a death") {
+  struct Row {
+    const char* name;
+    std::size_t killed;  // of those that keep it
+  };
+  const Row rows[] = {{"one", 1}, {"all", 6}};
+  for (const Row& row : rows) {
+    CAPTURE(row.name);
+    Fleet fleet(128);
+    for (int round = 0; round < 25; ++round) fleet.Round();
+    std::size_t killed = 0;
+    for (std::size_t i = 0; i < fleet.hosts.size() && killed < row.killed; ++i) {
+      if (!fleet.hosts[i]->Keeps()) continue;
+      fleet.Kill(i);
+      ++killed;
+    }
+    for (int round = 0; round < 20; ++round) fleet.Round();
+    std::size_t keepers = 0;
+    for (std::size_t i = 0; i < fleet.hosts.size(); ++i) {
+      if (fleet.dead(i)) continue;
+      keepers += fleet.hosts[i]->Keeps() ? 1 : 0;
+      CHECK(fleet.hosts[i]->Keepers().size() >= 5);
     }
-    for (const auto& host : hosts) CHECK(host->live() == static_cast<std::size_t>(row.hosts));
+    CHECK(keepers >= 6);
+    CHECK(keepers <= 8);
   }
 }
 
@@ -61,11 +147,13 @@
   for (const Row& row : rows) {
     CAPTURE(row.name);
     ManualClock clock;
-    PeerList peers(Host(0), Ip(0));
-    CHECK(peers.OnHeard(Host(1), Ip(1), 1, clock.Now()).news == PeerList::News::kNew);
+    PeerList peers(Facts(0));
+    PeerFacts other = Facts(1);
+    CHECK(peers.OnHeard(other, clock.Now()).news == PeerList::News::kNew);
     clock.Advance(row.pause);
     CHECK(peers.RemoveSilent(clock.Now()).size() == row.silent);
-    CHECK(peers.OnHeard(Host(1), Ip(1), row.second, clock.Now()).news == row.expected);
+    other.incarnation = row.second;
+    CHECK(peers.OnHeard(other, clock.Now()).news == row.expected);
   }
 }
 
@@ -86,10 +174,10 @@
   for (const Row& row : rows) {
     CAPTURE(row.name);
     ManualClock clock;
-    PeerList peers(Host(0), Ip(0));
+    PeerList peers(Facts(0));
     const auto pass = [&](Duration time, bool hear) {
       for (Duration done{}; done < time; done += seconds(1)) {
-        for (int i = 1; hear && i < 10; ++i) peers.OnHeard(Host(i), Ip(i), 1, clock.Now());
+        for (int i = 1; hear && i < 10; ++i) peers.OnHeard(Facts(i), clock.Now());
         peers.RemoveSilent(clock.Now());
         peers.MostLately(clock.Now());
         clock.Advance(seconds(1));
--- a/verbenaridge/ingress/traffic.cc
+++ b/verbenaridge/ingress/traffic.cc
@@ -1,6 +1,7 @@
 #include "verbenaridge/ingress/traffic.h"
 
 #include <utility>
+#include <variant>
 
 #include "verbenaridge/telemetry/log.h"
 
@@ -44,6 +45,7 @@
                  .keys = keys},
                 *this),
       dispatcher_(loop_.io_context(), clock, random_, exchange_, {.incarnation = incarnation}),
+      placement_(loop_.io_context(), clock, settings.host, exchange_, dispatcher_),
       pool_(loop_.io_context(), adapter, clock, {}),
       context_{.io_context = loop_.io_context(),
                .clock = clock,
@@ -51,6 +53,7 @@
                .adapter = adapter,
                .pool = pool_,
                .dispatcher = dispatcher_,
+               .placement = placement_,
                .metrics = metrics_,
                .options = run_options_,
                .ticket_prefix =
@@ -92,9 +95,9 @@
   }
 }
 
-void Traffic::PublishPeers(std::vector<std::string> addresses) {
-  loop_.Post([this, addresses = std::move(addresses)]() mutable {
-    exchange_.SetPeers(std::move(addresses));
+void Traffic::PublishKeepers(bool self, std::vector<std::string> others) {
+  loop_.Post([this, self, others = std::move(others)]() mutable {
+    placement_.SetKeepers(self, std::move(others));
   });
 }
 
@@ -129,6 +132,11 @@
   telemetry::Log(telemetry::Level::kInfo, "request_unreadable", {{"status", status}});
 }
 
+void Traffic::OnDatagram(const wire::Datagram& datagram, const std::string& ip) {
+  if (placement_.OnDatagram(datagram, ip)) return;
+  if (const auto* update = std::get_if<wire::LoadUpdate>(&datagram)) OnLoadUpdate(*update);
+}
+
 void Traffic::OnLoadUpdate(const wire::LoadUpdate& update) {
   for (const wire::WorkEntry& work : update.begun) {
     dispatcher_.OnPeerBegin({.id = work.id,
--- a/verbenaridge/ingress/traffic.h
+++ b/verbenaridge/ingress/traffic.h
@@ -19,6 +19,7 @@
 #include "verbenaridge/forwarding/message_adapter.h"
 #include "verbenaridge/forwarding/request_run.h"
 #include "verbenaridge/ingress/load_exchange.h"
+#include "verbenaridge/ingress/placement_exchange.h"
 #include "verbenaridge/loop/event_loop.h"
 #include "verbenaridge/loop/periodic.h"
 #include "verbenaridge/settings/ingress_settings.h"
@@ -41,7 +42,7 @@
   void Stop();
 
   void PublishSnapshot(forwarding::SnapshotPtr snapshot);
-  void PublishPeers(std::vector<std::string> addresses);
+  void PublishKeepers(bool self, std::vector<std::string> others);
   void ForgetPeer(Incarnation peer);
 
   void BeginDrain();
@@ -57,7 +58,9 @@
   directory::ClientLimits limits() const override;
   void OnRejected(int status) override;
   // LoadReceiver
-  void OnLoadUpdate(const wire::LoadUpdate& update) override;
+  void OnDatagram(const wire::Datagram& datagram, const std::string& ip) override;
+
+  void OnLoadUpdate(const wire::LoadUpdate& update);
 
   void ForgetLostEndpoints(const forwarding::DirectorySnapshot& before,
                            const forwarding::DirectorySnapshot& after);
@@ -75,6 +78,7 @@
   loop::EventLoop loop_;
   LoadExchange exchange_;
   forwarding::Dispatcher dispatcher_;
+  PlacementExchange placement_;
   forwarding::EndpointPool pool_;
   forwarding::RunContext context_;
   forwarding::ClientServer server_;
--- a/verbenaridge/settings/ingress_settings.cc
+++ b/verbenaridge/settings/ingress_settings.cc
@@ -57,6 +57,8 @@
       reader.Integer("metrics_port", {.minimum = 0, .maximum = kMaxPort}, 0));
   reader.Texts("fleet_keys", settings.fleet_keys);
   ReadSeeds(reader, settings);
+  settings.processor_share =
+      reader.Number("processor_share", {.minimum = 0.001, .maximum = 1'000}, 1);
   const std::int64_t descriptors =
       reader.Integer("file_descriptors", {.minimum = 300, .maximum = 1 << 20}, 2'200);
   settings.max_connections =
--- a/verbenaridge/settings/ingress_settings.h
+++ b/verbenaridge/settings/ingress_settings.h
@@ -28,6 +28,7 @@
   std::uint16_t metrics_port = 0;  // 0: none
   std::vector<std::string> fleet_keys;
   std::vector<SocketAddress> seeds;
+  double processor_share = 1;  // of one core
   std::size_t max_connections = 1'000;
   std::string log_level = "info";
 
--- a/verbenaridge/wire/internal/message_fields.h
+++ b/verbenaridge/wire/internal/message_fields.h
@@ -226,7 +226,30 @@
 template <Like<DirectoryNotice> Self>
 auto Fields(Self& m) {
   return std::tie(m.sender, m.ip, m.incarnation, m.configuration_version, m.configuration_read,
-                  m.endpoints, m.endpoints_read, m.leaving, m.peers);
+                  m.endpoints, m.endpoints_read, m.leaving, m.data_centre, m.capacity, m.keeps,
+                  m.hosts, m.peers);
+}
+
+template <Like<PlacementAsk> Self>
+auto Fields(Self& m) {
+  return std::tie(m.sender, m.ask, m.first_work, m.service, m.prompt_tokens, m.output_tokens,
+                  m.target_latency, m.target_gap, m.waited, m.remaining, m.urgency, m.excluded);
+}
+
+template <Like<PlacementHeld> Self>
+auto Fields(Self& m) {
+  return std::tie(m.sender, m.ask);
+}
+
+template <Like<PlacementAnswer> Self>
+auto Fields(Self& m) {
+  return std::tie(m.sender, m.ask, m.outcome, m.members, m.free_kv, m.reserve, m.predicted, m.cost,
+                  m.candidates);
+}
+
+template <Like<PlacementCancel> Self>
+auto Fields(Self& m) {
+  return std::tie(m.sender, m.ask);
 }
 
 template <Like<FetchDirectoryRequest> Self>
--- a/verbenaridge/wire/messages.h
+++ b/verbenaridge/wire/messages.h
@@ -351,6 +351,46 @@
   std::vector<CrashEntry> crashes;
 };
 
+// Asks a host that keeps the load board for endpoints for one request.
+struct PlacementAsk {
+  HostId sender;
+  std::uint64_t ask = 0;
+  std::uint64_t first_work = 0;  // ids of the works begin here
+  ServiceId service;
+  TokenCount prompt_tokens = 0;
+  TokenCount output_tokens = 0;
+  Duration target_latency{};
+  Duration target_gap{};
+  Duration waited{};
+  Duration remaining{};
+  std::int32_t urgency = 0;
+  std::vector<Digest> excluded;
+};
+
+// The request is held there; an answer follows.
+struct PlacementHeld {
+  HostId sender;
+  std::uint64_t ask = 0;
+};
+
+struct PlacementAnswer {
+  HostId sender;
+  std::uint64_t ask = 0;
+  std::uint64_t outcome = 0;        // 0: assigned
+  std::vector<EndpointId> members;  // the first one receives the request
+  std::vector<TokenCount> free_kv;
+  bool reserve = false;
+  Duration predicted{};
+  double cost = 0;
+  std::uint64_t candidates = 0;
+};
+
+// The asker does not want the answer any more, or never got it.
+struct PlacementCancel {
+  HostId sender;
+  std::uint64_t ask = 0;
+};
+
 struct PeerEntry {
   HostId host;
   std::string ip;
@@ -367,6 +407,10 @@
   Digest endpoints = 0;  // of the last reading
   bool endpoints_read = false;
   bool leaving = false;
+  DataCentreId data_centre;
+  double capacity = 0;           // share of a processor
+  bool keeps = false;            // the load board
+  std::uint64_t hosts = 0;       // of the system, as it believes
   std::vector<PeerEntry> peers;  // some of those it knows
 };
 
@@ -404,7 +448,8 @@
                            PushPlanDeltaReply, FetchPlanReply, StatusReply, ReleasePermitReply,
                            FetchDirectoryReply>;
 
-using Datagram = std::variant<Ping, PingRequest, Ack, GossipPush, LoadUpdate, DirectoryNotice>;
+using Datagram = std::variant<Ping, PingRequest, Ack, GossipPush, LoadUpdate, DirectoryNotice,
+                              PlacementAsk, PlacementHeld, PlacementAnswer, PlacementCancel>;
 
 }  // namespace verbenaridge::wire
 
