Leave out a data centre that is cut off as a whole; tell choices to other keepers at once

On the grown site the hosts that keep the board heard of each other's choices for other hosts only after the answer had reached the asker.

--- a/verbenaridge/ctl/explain.cc
+++ b/verbenaridge/ctl/explain.cc
@@ -14,12 +14,20 @@
 using nlohmann::ordered_json;
 
 // Events that change what a host believes.
-constexpr std::array<std::string_view, 13> kBeliefs = {
-    "configuration_in_force", "configuration_older", "configuration_malformed",
-    "endpoint_changed",       "endpoint_left_out",   "store_lost",
-    "store_regained",         "store_history_lost",  "peer_silent",
-    "pause_noticed",          "draining",            "log_lines_dropped",
-    "started"};
+constexpr std::array<std::string_view, 14> kBeliefs = {"configuration_in_force",
+                                                       "configuration_older",
+                                                       "configuration_malformed",
+                                                       "endpoint_changed",
+                                                       "endpoint_left_out",
+                                                       "data_centre_left_out",
+                                                       "store_lost",
+                                                       "store_regained",
+                                                       "store_history_lost",
+                                                       "peer_silent",
+                                                       "pause_noticed",
+                                                       "draining",
+                                                       "log_lines_dropped",
+                                                       "started"};
 
 // How long before a request a change still explains it: longer than the longest pause of an
 // endpoint that is left out, and than an outage that was just noticed.
--- a/verbenaridge/directory/configuration.h
+++ b/verbenaridge/directory/configuration.h
@@ -75,8 +75,8 @@
 };
 
 struct ClientLimits {
-  std::size_t head_bytes = 16 * 1024;
-  std::size_t body_bytes = 4 * 1024 * 1024;
+  std::size_t head_bytes = std::size_t{16} * 1024;
+  std::size_t body_bytes = std::size_t{4} * 1024 * 1024;
   Duration head_timeout = std::chrono::seconds(3);
   Duration idle_timeout = std::chrono::seconds(15);
 };
--- a/verbenaridge/forwarding/client_server.cc
+++ b/verbenaridge/forwarding/client_server.cc
@@ -13,9 +13,9 @@
 namespace verbenaridge::forwarding {
 namespace {
 
-constexpr std::size_t kReadBytes = 16 * 1024;
+constexpr std::size_t kReadBytes = std::size_t{16} * 1024;
 // Bytes that a client may send ahead of the answer to its request. More are left in the kernel.
-constexpr std::size_t kMaxEarlyBytes = 64 * 1024;
+constexpr std::size_t kMaxEarlyBytes = std::size_t{64} * 1024;
 // Unread bytes of a refused request are discarded for so long, because closing a connection with
 // unread bytes resets it and the client might lose the answer.
 constexpr Duration kLingerLimit = std::chrono::seconds(1);
--- a/verbenaridge/forwarding/dispatcher.cc
+++ b/verbenaridge/forwarding/dispatcher.cc
@@ -115,6 +115,7 @@
       const Digest key = EndpointKey(*endpoint);
       if (endpoint->draining) continue;
       if (healthy_only && !health_.Usable(key, now)) continue;
+      if (healthy_only && reach_.Cut(endpoint->data_centre, now)) continue;
       if (untried_only && std::find(request.excluded.begin(), request.excluded.end(), key) !=
                               request.excluded.end()) {
         continue;
@@ -150,12 +151,14 @@
       assignment.free_kv.push_back(memory - candidates[index].load.kv_tokens);
     }
     assignment.members.push_back(*endpoints[index]);
-    Begin(request, group, candidates[index].key, i, choice.members.size(), assignment);
+    Begin(request, group, candidates[index].key, i, choice.members.size(), /*chosen_here=*/true,
+          assignment);
   }
 }
 
 void Dispatcher::Begin(const DispatchRequest& request, const Group& group, Digest endpoint,
-                       std::size_t member, std::size_t members, Assignment& assignment) {
+                       std::size_t member, std::size_t members, bool chosen_here,
+                       Assignment& assignment) {
   const TimePoint now = clock_.Now();
   const bool foreign = request.first_work != 0;
   dispatch::Work work{.id = foreign ? request.first_work + member : ReserveWorkIds(1),
@@ -177,9 +180,10 @@
   health_.OnDispatched(endpoint, now);
   board_.Begin(work, now);
   assignment.works.push_back(work.id);
-  if (foreign) return;
-  own_[work.id] = {.work = work, .begun = now};
-  announcements_.OnBegin(work);
+  if (!foreign) own_[work.id] = {.work = work, .begun = now};
+  // The host that chose tells the others at once, also for another host: until they hear of it they
+  // may choose the same engine.
+  if (chosen_here) announcements_.OnBegin(work);
 }
 
 bool Dispatcher::Adopt(const DispatchRequest& request, std::span<const EndpointId> members,
@@ -196,7 +200,8 @@
   const dispatch::WorkId first = std::exchange(own.first_work, 0);
   const dispatch::WorkId next = std::exchange(next_work_, first);
   for (std::size_t i = 0; i < members.size(); ++i) {
-    Begin(own, group->second, EndpointKey(assignment.members[i]), i, members.size(), assignment);
+    Begin(own, group->second, EndpointKey(assignment.members[i]), i, members.size(),
+          /*chosen_here=*/false, assignment);
   }
   next_work_ = next;
   return true;
@@ -277,10 +282,22 @@
 
 void Dispatcher::OnSuccess(const directory::Endpoint& endpoint) {
   health_.OnSuccess(EndpointKey(endpoint));
+  reach_.OnReached(endpoint.data_centre);
+}
+
+void Dispatcher::NoteUnreachable(const directory::Endpoint& endpoint, std::string_view source) {
+  // The own data centre is never given up as a whole.
+  if (endpoint.data_centre == options_.data_centre) return;
+  if (!reach_.OnUnreachable(endpoint.data_centre, EndpointKey(endpoint), clock_.Now())) return;
+  telemetry::Log(telemetry::Level::kWarning, "data_centre_left_out",
+                 {{"data_centre", endpoint.data_centre.value()},
+                  {"endpoint", endpoint.id.value()},
+                  {"source", source}});
 }
 
 void Dispatcher::OnFailure(const directory::Endpoint& endpoint, dispatch::FailureKind kind) {
   const Digest key = EndpointKey(endpoint);
+  if (kind == dispatch::FailureKind::kUnreachable) NoteUnreachable(endpoint, "self");
   const bool newly_unusable = health_.OnFailure(key, kind, clock_.Now());
   if (newly_unusable) {
     telemetry::Log(telemetry::Level::kInfo, "endpoint_left_out",
@@ -307,6 +324,9 @@
 
 void Dispatcher::OnPeerUnreachable(Digest endpoint) {
   health_.OnFailure(endpoint, dispatch::FailureKind::kUnreachable, clock_.Now());
+  for (const directory::Endpoint& known : snapshot_->endpoints) {
+    if (EndpointKey(known) == endpoint) NoteUnreachable(known, "peer");
+  }
 }
 
 std::size_t Dispatcher::unusable() const {
--- a/verbenaridge/forwarding/dispatcher.h
+++ b/verbenaridge/forwarding/dispatcher.h
@@ -29,6 +29,7 @@
 #include "verbenaridge/base/random.h"
 #include "verbenaridge/directory/configuration.h"
 #include "verbenaridge/directory/endpoint_table.h"
+#include "verbenaridge/dispatch/data_centre_reach.h"
 #include "verbenaridge/dispatch/endpoint_chooser.h"
 #include "verbenaridge/dispatch/endpoint_health.h"
 #include "verbenaridge/dispatch/load_board.h"
@@ -65,7 +66,7 @@
   TimePoint deadline{};
   int urgency = 0;                 // the lowest goes first
   std::vector<Digest> excluded{};  // endpoints that failed this request
-  // Of a request of another host: its works get these ids, and that host announces them.
+  // Of a request of another host: its works get these ids, and that host tells their progress.
   dispatch::WorkId first_work = 0;
 };
 
@@ -100,6 +101,7 @@
 };
 
 struct DispatcherOptions {
+  DataCentreId data_centre;  // of this host
   Incarnation incarnation = 1;
   dispatch::ChooserOptions chooser{};
   // Held requests are tried again this often, and not at each change of the load: in a flood both
@@ -123,8 +125,8 @@
   DispatchId Submit(DispatchRequest request, AssignmentCallback callback) override;
   void Cancel(DispatchId id) override;
 
-  // Takes over what another host has chosen: puts the works on the board and announces them. False
-  // if this host does not know one of the endpoints.
+  // Takes over what another host has chosen and announced. False if this host does not know one of
+  // the endpoints.
   bool Adopt(const DispatchRequest& request, std::span<const EndpointId> members,
              Assignment& assignment);
 
@@ -182,9 +184,10 @@
   void Assign(const DispatchRequest& request, const Group& group, const dispatch::Choice& choice,
               std::span<const dispatch::Candidate> candidates,
               std::span<const directory::Endpoint* const> endpoints, Assignment& assignment);
-  // One member's work, on the board and announced if it is this host's.
+  // Puts one member's work on the board.
   void Begin(const DispatchRequest& request, const Group& group, Digest endpoint,
-             std::size_t member, std::size_t members, Assignment& assignment);
+             std::size_t member, std::size_t members, bool chosen_here, Assignment& assignment);
+  void NoteUnreachable(const directory::Endpoint& endpoint, std::string_view source);
   void TryHeld();
   void ArmTimer();
 
@@ -200,6 +203,7 @@
   std::unique_ptr<dispatch::EndpointChooser> least_busy_;
   dispatch::LoadBoard board_;
   dispatch::EndpointHealth health_;
+  dispatch::DataCentreReach reach_;
   struct Own {
     dispatch::Work work;
     TimePoint begun{};
--- a/verbenaridge/forwarding/endpoint_pool.cc
+++ b/verbenaridge/forwarding/endpoint_pool.cc
@@ -17,7 +17,7 @@
 namespace verbenaridge::forwarding {
 namespace {
 
-constexpr std::size_t kReadBytes = 16 * 1024;
+constexpr std::size_t kReadBytes = std::size_t{16} * 1024;
 
 }  // namespace
 
--- a/verbenaridge/forwarding/endpoint_pool.h
+++ b/verbenaridge/forwarding/endpoint_pool.h
@@ -67,9 +67,10 @@
 };
 
 struct PoolOptions {
-  // A round trip within a region takes 2 ms. A lost opening packet is sent again after 1 s, and
-  // another endpoint is found sooner.
-  Duration connect_limit = std::chrono::milliseconds(300);
+  // A round trip within a region takes 2 ms, and a host with a small share of a processor some
+  // tens of milliseconds more. A lost opening packet is sent again after 1 s, and another endpoint
+  // is found sooner.
+  Duration connect_limit = std::chrono::milliseconds(150);
   // Sent bytes that the endpoint's host does not acknowledge for so long mean a dead path.
   Duration unacknowledged_limit = std::chrono::milliseconds(900);
   // Kept connections are closed this long before the endpoint does it, so that no request crosses
--- a/verbenaridge/forwarding/event_splitter.h
+++ b/verbenaridge/forwarding/event_splitter.h
@@ -23,7 +23,7 @@
 class EventSplitter {
  public:
   // An event longer than this is a fault of the endpoint.
-  static constexpr std::size_t kMaxEventBytes = 256 * 1024;
+  static constexpr std::size_t kMaxEventBytes = std::size_t{256} * 1024;
 
   std::vector<Event> Feed(std::string_view data);
 
--- a/verbenaridge/forwarding/request_run.h
+++ b/verbenaridge/forwarding/request_run.h
@@ -48,9 +48,9 @@
   // A plain service is given up after this part of the time left, if the request may be repeated.
   double service_patience = 0.4;
   // A whole answer is kept back up to this size, so that a broken one can be replaced.
-  std::size_t max_whole_answer = 256 * 1024;
+  std::size_t max_whole_answer = std::size_t{256} * 1024;
   // Reading from the endpoint pauses while the client has so much left to take.
-  std::size_t max_pending = 256 * 1024;
+  std::size_t max_pending = std::size_t{256} * 1024;
   // When a refused client may come back.
   Duration retry_after = std::chrono::milliseconds(300);
   dispatch::RetryBudgetOptions budget{};
--- a/verbenaridge/http1/message_parser.h
+++ b/verbenaridge/http1/message_parser.h
@@ -18,7 +18,7 @@
 namespace verbenaridge::http1 {
 
 struct ParserLimits {
-  std::size_t head_bytes = 64 * 1024;  // of one message's head, with its line ends
+  std::size_t head_bytes = std::size_t{64} * 1024;  // of one message's head, with its line ends
 };
 
 class RequestObserver {
