--- a/tools/demo.sh
+++ b/tools/demo.sh
@@ -286,7 +286,7 @@
   curl -s http://127.0.0.1:18180/status
   curl -s http://127.0.0.1:18180/metrics
   docs/interface.md             requests to paste
-  docs/operations.md            settings, drain, plans, logs and metrics
+  docs/OPERATIONS.md            settings, drain, plans, logs and metrics
   tools/test.sh                 all tests
 TEXT
 }
--- a/verbenaridge/directory/refresh_schedule.cc
+++ b/verbenaridge/directory/refresh_schedule.cc
@@ -35,7 +35,14 @@
 
 void RefreshSchedule::OnPeerRead(TimePoint now) {
   fresh_ = now;
-  if (!running_ && failures_ == 0) PutOff(now);
+  if (running_) return;
+  if (failures_ == 0) {
+    PutOff(now);
+  } else {
+    // The store turns this host away and serves others, which tell it what they read.
+    due_ = std::max(due_, now + FromSeconds(ToSeconds(options_.longest_retry) *
+                                            (0.5 + random_.Uniform())));
+  }
 }
 
 void RefreshSchedule::OnPeerDiffers(TimePoint now) {
--- a/verbenaridge/directory/refresh_schedule.h
+++ b/verbenaridge/directory/refresh_schedule.h
@@ -35,7 +35,10 @@
   bool running() const { return running_; }
 
   // From the next reading on.
-  void SetInterval(Duration interval) { options_.interval = interval; }
+  void SetPace(Duration interval, Duration longest_retry) {
+    options_.interval = interval;
+    options_.longest_retry = longest_retry;
+  }
 
   void OnStarted(TimePoint now);
   void OnRead(TimePoint now);
--- a/verbenaridge/directory/refresh_schedule_test.cc
+++ b/verbenaridge/directory/refresh_schedule_test.cc
@@ -83,6 +83,18 @@
   }
 }
 
+// Guards against hosts that press a store that turns them away, though their peers tell them all.
+TEST_CASE("a host that is turned away and hears of readings tries seldom") {
+  ManualClock clock;
+  SeededRandom random(3);
+  RefreshSchedule schedule({}, random, clock.Now());
+  schedule.OnStarted(clock.Now());
+  schedule.OnFailed(clock.Now());
+  schedule.OnPeerRead(clock.Now());
+  CHECK(schedule.due() - clock.Now() >= milliseconds(500));
+  CHECK(schedule.fresh() == clock.Now());
+}
+
 // Guards against a change that came while a reading was under way and is then missed.
 TEST_CASE("a change during a reading causes another one") {
   ManualClock clock;
--- a/verbenaridge/dispatch/load_board.cc
+++ b/verbenaridge/dispatch/load_board.cc
@@ -28,7 +28,7 @@
   Engine& engine = engines_[work.endpoint];
   Advance(engine, now);
   Item item{.work = work, .begun = now, .expiry = now + work.lifetime, .remaining = work.read_time};
-  engine.items.insert(work.part ? engine.items.begin() : engine.items.end(), std::move(item));
+  engine.items.insert(work.part ? engine.items.begin() : engine.items.end(), item);
 }
 
 void LoadBoard::OnFirstEvent(WorkId id, TimePoint now) {
--- a/verbenaridge/forwarding/client_server.cc
+++ b/verbenaridge/forwarding/client_server.cc
@@ -93,7 +93,7 @@
     head.headers.push_back({"Content-Length", std::to_string(body.size())});
     std::string bytes = http1::Serialize(head);
     if (!head_request_) bytes.append(body);
-    Write(std::move(bytes));
+    Write(bytes);
     FinishAnswer();
   }
 
@@ -110,7 +110,7 @@
 
   void End() override {
     if (closed_ || !answering_) return;
-    if (!head_request_) Write(std::string(http1::kLastChunk));
+    if (!head_request_) Write(http1::kLastChunk);
     FinishAnswer();
   }
 
@@ -244,7 +244,7 @@
     if (!write_in_progress_) OnWritten();
   }
 
-  void Write(std::string bytes) {
+  void Write(std::string_view bytes) {
     queued_.append(bytes);
     if (!write_in_progress_) Flush();
   }
--- a/verbenaridge/forwarding/endpoint_pool.cc
+++ b/verbenaridge/forwarding/endpoint_pool.cc
@@ -255,8 +255,8 @@
 };
 
 EndpointPool::EndpointPool(asio::io_context& io_context, const MessageAdapter& adapter,
-                           const Clock& clock, const PoolOptions& options)
-    : io_context_(io_context), adapter_(adapter), clock_(clock), options_(options) {}
+                           const PoolOptions& options)
+    : io_context_(io_context), adapter_(adapter), options_(options) {}
 
 EndpointPool::~EndpointPool() {
   for (auto& [id, connections] : idle_) {
--- a/verbenaridge/forwarding/endpoint_pool.h
+++ b/verbenaridge/forwarding/endpoint_pool.h
@@ -82,7 +82,7 @@
 
 class EndpointPool {
  public:
-  EndpointPool(asio::io_context& io_context, const MessageAdapter& adapter, const Clock& clock,
+  EndpointPool(asio::io_context& io_context, const MessageAdapter& adapter,
                const PoolOptions& options);
   ~EndpointPool();
 
@@ -109,7 +109,6 @@
 
   asio::io_context& io_context_;
   const MessageAdapter& adapter_;
-  const Clock& clock_;
   PoolOptions options_;
   std::unordered_map<EndpointId, std::vector<std::shared_ptr<Connection>>> idle_;
   std::uint64_t opened_ = 0;
--- a/verbenaridge/forwarding/event_splitter.cc
+++ b/verbenaridge/forwarding/event_splitter.cc
@@ -40,10 +40,12 @@
   std::vector<Event> events;
   std::size_t start = 0;
   while (true) {
-    const std::string_view rest = std::string_view(buffer_).substr(start);
+    std::string_view rest = buffer_;
+    rest.remove_prefix(start);
     const std::size_t end = EndOfEvent(rest);
     if (end == std::string_view::npos) break;
-    events.push_back({.bytes = std::string(rest.substr(0, end)), .id = IdOf(rest.substr(0, end))});
+    const std::string_view event = rest.substr(0, end);
+    events.push_back({.bytes = std::string{event}, .id = IdOf(event)});
     start += end;
   }
   buffer_.erase(0, start);
--- a/verbenaridge/forwarding/request_run.cc
+++ b/verbenaridge/forwarding/request_run.cc
@@ -71,7 +71,7 @@
     return false;
   }
   digest_ = HashOf({request_.head.target, account_.value(),
-                    request_.body ? std::string_view(*request_.body) : std::string_view()});
+                    request_.body ? std::string_view{*request_.body} : std::string_view{}});
   context_.BudgetOf(service_).OnRequest(context_.clock.Now());
   if (context_.crashes.Refused(digest_, context_.clock.Now())) {
     Refuse(502, "kills_endpoints");
@@ -241,7 +241,7 @@
                  {{"id", facts_.attempt_id},
                   {"endpoints", Endpoints()},
                   {"offer", offers_},
-                  {"tickets", tickets_ ? std::string_view(tickets_->name()) : std::string_view()},
+                  {"tickets", tickets_ ? std::string_view{tickets_->name()} : std::string_view{}},
                   {"resume_after", last_event_.value_or(0)},
                   {"held_ms", Milliseconds(Elapsed())},
                   {"left_ms", Milliseconds(deadline_ - now)},
--- a/verbenaridge/forwarding/ticket_set.h
+++ b/verbenaridge/forwarding/ticket_set.h
@@ -25,8 +25,10 @@
 namespace verbenaridge::forwarding {
 
 struct TicketOptions {
-  Duration hold = std::chrono::milliseconds(3'500);
-  Duration renew_every = std::chrono::milliseconds(1'200);
+  // Memory of a dead host's tickets is free this long after its last order at the latest. Each order
+  // has its price, and most prompts are answered before the first renewal.
+  Duration hold = std::chrono::milliseconds(5'500);
+  Duration renew_every = std::chrono::milliseconds(3'500);
   // Orders are answered within a round trip. One that is not may still be carried out later.
   Duration order_limit = std::chrono::milliseconds(400);
 };
--- a/verbenaridge/ingress/directory_service.cc
+++ b/verbenaridge/ingress/directory_service.cc
@@ -116,15 +116,30 @@
   if (keepers == published_keepers_) return;
   Log(Level::kInfo, "keepers_changed",
       {{"self", keepers.first}, {"others", keepers.second.size()}, {"hosts", peers_.live()}});
+  const bool became_keeper = keepers.first && !published_keepers_.first;
   published_keepers_ = keepers;
-  const auto interval = [&](Duration own) {
-    return keepers.first ? own : options_.listening_interval;
-  };
-  configuration_schedule_.SetInterval(interval(options_.configuration.interval));
-  endpoints_schedule_.SetInterval(interval(options_.endpoints.interval));
+  SetPace(keepers.first, 1 + keepers.second.size());
+  if (became_keeper) {
+    configuration_schedule_.OnPeerDiffers(now);
+    endpoints_schedule_.OnPeerDiffers(now);
+  }
   outputs_.keepers(keepers.first, std::move(keepers.second));
 }
 
+void DirectoryService::SetPace(bool keeps, std::size_t keepers) {
+  const Duration retry = std::clamp<Duration>(options_.outage_interval * keepers,
+                                              std::chrono::seconds(1), options_.longest_retry);
+  const auto set = [&](directory::RefreshSchedule& schedule, Duration interval) {
+    if (keeps) {
+      schedule.SetPace(interval, retry);
+    } else {
+      schedule.SetPace(options_.listening_interval, options_.longest_retry);
+    }
+  };
+  set(configuration_schedule_, options_.configuration.interval);
+  set(endpoints_schedule_, options_.endpoints.interval);
+}
+
 void DirectoryService::NoticePause(TimePoint now) {
   const Duration gap = now - std::exchange(last_tick_, now);
   if (gap < kPause) return;
--- a/verbenaridge/ingress/directory_service.h
+++ b/verbenaridge/ingress/directory_service.h
@@ -45,7 +45,10 @@
   directory::RefreshOptions endpoints{.interval = std::chrono::milliseconds(450)};
   // Of a host that does not keep the load board: it hears of the readings of those that do, and
   // reads only when it does not.
-  Duration listening_interval = std::chrono::milliseconds(1'100);
+  Duration listening_interval = std::chrono::seconds(5);
+  // While the store does not answer, all hosts together call it about so often for each value.
+  Duration outage_interval = std::chrono::milliseconds(125);
+  Duration longest_retry = std::chrono::seconds(4);
   // A host that has read nothing for so long says that it lives.
   Duration notice_interval = std::chrono::seconds(1);
 };
@@ -82,6 +85,7 @@
 
   void Tick();
   void NoticePause(TimePoint now);
+  void SetPace(bool keeps, std::size_t keepers);
 
   void ReadConfiguration();
   void OnConfigurationRead(Result<directory::ConfigurationReading> reading);
--- a/verbenaridge/ingress/placement_exchange.cc
+++ b/verbenaridge/ingress/placement_exchange.cc
@@ -203,7 +203,7 @@
                           .urgency = ask.urgency,
                           .excluded = ask.excluded,
                           .first_work = ask.first_work},
-                         [this, ask, ip, key](Assignment assignment) {
+                         [this, ask, ip, key](const Assignment& assignment) {
                            foreign_.erase(key);
                            Reply(ask, ip, assignment);
                          });
--- a/verbenaridge/ingress/traffic.cc
+++ b/verbenaridge/ingress/traffic.cc
@@ -47,7 +47,7 @@
       dispatcher_(loop_.io_context(), clock, random_, exchange_,
                   {.data_centre = settings.data_centre, .incarnation = incarnation}),
       placement_(loop_.io_context(), clock, settings.host, exchange_, dispatcher_),
-      pool_(loop_.io_context(), adapter, clock, {}),
+      pool_(loop_.io_context(), adapter, {}),
       context_{.io_context = loop_.io_context(),
                .clock = clock,
                .random = random_,
