Bound the harm of one prompt, wait for a group's memory, spread without a view

After kill_all all hosts, with empty boards, gathered on the same engines. A started host refused requests before its first reading.

Change: groups whose members lack the memory are not chosen; a long prompt may do harm up to 1.5 times its own weight; a host spreads its requests in its first 1.5 s, and is told the work of the others; requests wait up to 0.9 s for the first configuration; tickets are held for 3.7 s. The rows of endpoint_chooser_test that let a long prompt harm six others are replaced by rows for two and by one that forbids six.

--- a/verbenaridge/daemon/main.cc
+++ b/verbenaridge/daemon/main.cc
@@ -91,10 +91,9 @@
     std::cout << command_line.config << ": valid\n";
     return kExitOk;
   }
-  const Status log = telemetry::StartLog(
-      {.level = LevelOf(loaded.settings.log.level),
-       .file = loaded.settings.log.file,
-       .max_waiting_lines = kMaxWaitingLogLines});
+  const Status log = telemetry::StartLog({.level = LevelOf(loaded.settings.log.level),
+                                          .file = loaded.settings.log.file,
+                                          .max_waiting_lines = kMaxWaitingLogLines});
   if (log.has_error()) {
     std::cerr << "cannot open the log: " << log.error().message() << '\n';
     return kExitFailure;
--- a/verbenaridge/directory/refresh_schedule.cc
+++ b/verbenaridge/directory/refresh_schedule.cc
@@ -40,8 +40,8 @@
     PutOff(now);
   } else {
     // The store turns this host away and serves others, which tell it what they read.
-    due_ = std::max(due_, now + FromSeconds(ToSeconds(options_.longest_retry) *
-                                            (0.5 + random_.Uniform())));
+    due_ = std::max(
+        due_, now + FromSeconds(ToSeconds(options_.longest_retry) * (0.5 + random_.Uniform())));
   }
 }
 
--- a/verbenaridge/dispatch/endpoint_chooser.cc
+++ b/verbenaridge/dispatch/endpoint_chooser.cc
@@ -8,10 +8,6 @@
 
 constexpr std::array<std::size_t, 6> kGroupSizes = {1, 2, 3, 4, 6, 8};
 
-// Endpoints that differ by less than this in cost are spread at random, so that hosts with the same
-// view do not choose alike.
-constexpr double kSpread = 0.01;
-
 double Ratio(Duration value, Duration target) {
   return target <= Duration{} ? 0 : ToSeconds(value) / ToSeconds(target);
 }
@@ -42,6 +38,7 @@
   double HarmToReaders(const Demand& demand, const Candidate& candidate, Duration read,
                        std::size_t parts) const;
   double Crowding(const Demand& demand, const Candidate& candidate) const;
+  double MemoryShortage(const Demand& demand, const Candidate& candidate, std::size_t parts) const;
   Place PlaceAt(const Demand& demand, std::span<const Candidate> candidates, std::size_t index,
                 std::size_t parts) const;
   Choice Group(const Demand& demand, std::span<const Candidate> candidates, std::size_t parts,
@@ -97,6 +94,15 @@
   return cost;
 }
 
+// Members that have their even part of the memory free come first.
+double PredictiveChooser::MemoryShortage(const Demand& demand, const Candidate& candidate,
+                                         std::size_t parts) const {
+  const double needed = static_cast<double>(demand.kv_tokens()) / static_cast<double>(parts);
+  const double free = static_cast<double>(candidate.model->timing().kv_tokens) * options_.kv_fill -
+                      static_cast<double>(candidate.load.kv_tokens);
+  return options_.no_memory_cost * std::clamp(1 - free / needed, 0.0, 1.0);
+}
+
 PredictiveChooser::Place PredictiveChooser::PlaceAt(const Demand& demand,
                                                     std::span<const Candidate> candidates,
                                                     std::size_t index, std::size_t parts) const {
@@ -129,7 +135,8 @@
   places.reserve(candidates.size());
   for (std::size_t i = 0; i < candidates.size(); ++i) {
     Place place = PlaceAt(demand, candidates, i, parts);
-    place.cost += kSpread * random.Uniform();
+    place.cost += options_.spread * random.Uniform();
+    if (reserve) place.cost += MemoryShortage(demand, candidates[i], parts);
     places.push_back(place);
   }
   const std::size_t count = std::min(parts, places.size());
@@ -148,9 +155,7 @@
                            static_cast<double>(candidate.load.kv_tokens),
                        0.0);
   }
-  if (reserve && memory < static_cast<double>(demand.kv_tokens())) {
-    choice.harm += options_.no_memory_cost;
-  }
+  if (reserve && memory < static_cast<double>(demand.kv_tokens())) choice.kind = ChoiceKind::kHold;
   choice.first_event = slowest + places[0].first_pass;
   const double ratio = Ratio(demand.waited + choice.first_event, demand.target_latency);
   choice.cost = choice.harm + demand.weight() * Late(ratio) + options_.latency_weight * ratio +
@@ -179,20 +184,30 @@
   const bool reserve = needed > one_engine;
   const bool is_short = model.ReadTime(demand.prompt_tokens, 1) < options_.short_read;
   Choice best;
+  bool possible = false;  // later, if not now
   for (const std::size_t parts : kGroupSizes) {
     if (parts > std::min(options_.max_members, candidates.size())) break;
     if (parts > 1 && is_short) break;
     if (one_engine * static_cast<double>(parts) < needed) continue;
+    possible = true;
     Choice choice = Group(demand, candidates, parts, reserve, random);
+    if (choice.kind == ChoiceKind::kHold) continue;  // memory is not free
     if (best.kind != ChoiceKind::kDispatch || choice.cost < best.cost) best = std::move(choice);
   }
-  if (best.kind != ChoiceKind::kDispatch) return {.kind = ChoiceKind::kNever};
-  if (best.harm > options_.hold_above && MayHold(demand, candidates.front(), best)) {
+  if (best.kind != ChoiceKind::kDispatch) {
+    return {.kind = possible ? ChoiceKind::kHold : ChoiceKind::kNever};
+  }
+  const bool too_harmful = !is_short && best.harm > options_.most_harm * demand.weight();
+  if (too_harmful ||
+      (best.harm > options_.hold_above && MayHold(demand, candidates.front(), best))) {
     best.kind = ChoiceKind::kHold;
   }
   return best;
 }
 
+// As ChooserOptions::spread, for plain endpoints.
+constexpr double kPlainSpread = 0.01;
+
 class LeastBusyChooser final : public EndpointChooser {
  public:
   Choice Choose(const Demand& /*demand*/, std::span<const Candidate> candidates,
@@ -202,7 +217,7 @@
       const Candidate& candidate = candidates[i];
       const double slots = static_cast<double>(std::max<std::size_t>(candidate.slots, 1));
       const double cost = static_cast<double>(candidate.load.works) / slots + candidate.error_rate +
-                          kSpread * random.Uniform();
+                          kPlainSpread * random.Uniform();
       if (best.kind == ChoiceKind::kDispatch && cost >= best.cost) continue;
       best = {.kind = ChoiceKind::kDispatch, .members = {i}, .cost = cost};
     }
@@ -212,6 +227,12 @@
 
 }  // namespace
 
+ChooserOptions WithoutView(ChooserOptions options) {
+  options.scatter_cost = 0;
+  options.spread = 0.5;
+  return options;
+}
+
 std::unique_ptr<EndpointChooser> MakePredictiveChooser(const ChooserOptions& options) {
   return std::make_unique<PredictiveChooser>(options);
 }
--- a/verbenaridge/dispatch/endpoint_chooser.h
+++ b/verbenaridge/dispatch/endpoint_chooser.h
@@ -82,6 +82,9 @@
   double scatter_cost = 0.1;
   double gathered = 10;
   Duration short_read = std::chrono::milliseconds(200);
+  // Endpoints that differ by less than this in cost are drawn at random, so that hosts with the
+  // same view do not choose alike.
+  double spread = 0.01;
   double full_cost = 2;       // no slot is free: the request waits for one
   double no_memory_cost = 3;  // the engine would preempt its newest request
   double kv_fill = 0.95;      // token counts of answers are estimates
@@ -89,11 +92,18 @@
   std::size_t max_members = 8;
   // A request that does more harm than this is held while waiting costs it nothing.
   double hold_above = 0.4;
+  // A long prompt that does more harm than this many times its own weight is held to the end: one
+  // prompt over several engines must not make all that runs there late.
+  double most_harm = 1.5;
   // A request that is late anyway is dispatched when its deadline is this near, beyond twice the
   // time that it needs.
   Duration hold_margin = std::chrono::milliseconds(1'500);
 };
 
+// For a host that has just started and does not know what the others have sent: spreads its
+// requests over all engines, since it cannot tell where others gather.
+ChooserOptions WithoutView(ChooserOptions options);
+
 // Used by one thread.
 class EndpointChooser {
  public:
--- a/verbenaridge/dispatch/endpoint_chooser_test.cc
+++ b/verbenaridge/dispatch/endpoint_chooser_test.cc
@@ -105,19 +105,24 @@
        {}},
       {"and goes before it is late",
        After(Long(133'000), milliseconds(2'000)),
-       {ShortDecoders(6), ShortDecoders(8)},
+       {ShortDecoders(2), ShortDecoders(3)},
        ChoiceKind::kDispatch,
        {0}},
       {"a late one lets others go first",
        After(Long(133'000), milliseconds(6'000)),
-       {ShortDecoders(6), ShortDecoders(8)},
+       {ShortDecoders(2), ShortDecoders(3)},
        ChoiceKind::kHold,
        {}},
       {"but not past its deadline",
        After(Long(133'000), milliseconds(11'000)),
-       {ShortDecoders(6), ShortDecoders(8)},
+       {ShortDecoders(2), ShortDecoders(3)},
        ChoiceKind::kDispatch,
        {0}},
+      {"never at the cost of many",
+       After(Long(133'000), milliseconds(11'000)),
+       {ShortDecoders(6), ShortDecoders(8)},
+       ChoiceKind::kHold,
+       {}},
   };
   for (const Row& row : rows) {
     CAPTURE(row.name);
@@ -165,6 +170,45 @@
   }
 }
 
+// Guards against a group whose members cannot grant the memory, which would ask for it again and
+// again, while a larger group could hold the prompt.
+TEST_CASE("a group has the memory that it needs") {
+  struct Row {
+    const char* name;
+    TokenCount held;  // by others, on each of eight engines
+    ChoiceKind kind;
+  };
+  const Row rows[] = {{"all free", 0, ChoiceKind::kDispatch},
+                      {"two thirds free", 80'000, ChoiceKind::kDispatch},
+                      {"a fifth free", 180'000, ChoiceKind::kHold}};
+  for (const Row& row : rows) {
+    CAPTURE(row.name);
+    const EndpointLoad load{.works = 1, .kv_tokens = row.held};
+    std::vector<Candidate> candidates(8, Candidate{.model = &Model(), .slots = 16, .load = load});
+    SeededRandom random(5);
+    const Choice choice = MakePredictiveChooser({})->Choose(Long(560'000), candidates, random);
+    CHECK(choice.kind == row.kind);
+    const double free = 0.95 * 232'000 - static_cast<double>(row.held);
+    if (choice.kind == ChoiceKind::kDispatch) {
+      CHECK(free * static_cast<double>(choice.members.size()) >= 560'700);
+    }
+  }
+}
+
+// Guards against hosts that all gather on the same engine, because none knows of the others yet.
+TEST_CASE("a host without a view spreads its requests") {
+  std::vector<Candidate> candidates(10, Candidate{.model = &Model(), .slots = 16});
+  SeededRandom random(5);
+  const auto chooser = MakePredictiveChooser(WithoutView({}));
+  std::vector<int> chosen(candidates.size(), 0);
+  for (int i = 0; i < 200; ++i) {
+    const Choice choice = chooser->Choose(Short(), candidates, random);
+    REQUIRE(choice.members.size() == 1);
+    ++chosen[choice.members[0]];
+  }
+  for (const int count : chosen) CHECK(count >= 5);
+}
+
 // Guards against plain endpoints that get work although they fail or are busy.
 TEST_CASE("which plain endpoint a request goes to") {
   struct Row {
--- a/verbenaridge/forwarding/dispatcher.cc
+++ b/verbenaridge/forwarding/dispatcher.cc
@@ -27,7 +27,9 @@
       options_(options),
       timer_(io_context),
       snapshot_(std::make_shared<const DirectorySnapshot>()),
+      started_(clock.Now()),
       predictive_(dispatch::MakePredictiveChooser(options.chooser)),
+      without_view_(dispatch::MakePredictiveChooser(dispatch::WithoutView(options.chooser))),
       least_busy_(dispatch::MakeLeastBusyChooser()),
       next_work_(dispatch::FirstWorkId(options.incarnation)) {}
 
@@ -86,8 +88,7 @@
   demand.waited = now - request.arrived;
   demand.remaining = request.deadline - now;
   const bool generation = found->second.model != nullptr && demand.prompt_tokens > 0;
-  const dispatch::Choice choice =
-      (generation ? predictive_ : least_busy_)->Choose(demand, candidates, random_);
+  const dispatch::Choice choice = ChooserFor(generation).Choose(demand, candidates, random_);
   switch (choice.kind) {
     case dispatch::ChoiceKind::kHold:
       return false;
@@ -105,6 +106,11 @@
   return false;
 }
 
+dispatch::EndpointChooser& Dispatcher::ChooserFor(bool generation) {
+  if (!generation) return *least_busy_;
+  return clock_.Now() - started_ < options_.settling ? *without_view_ : *predictive_;
+}
+
 std::vector<dispatch::Candidate> Dispatcher::Candidates(
     const Group& group, const DispatchRequest& request,
     std::vector<const directory::Endpoint*>& endpoints) {
--- a/verbenaridge/forwarding/dispatcher.h
+++ b/verbenaridge/forwarding/dispatcher.h
@@ -107,6 +107,8 @@
   // Held requests are tried again this often, and not at each change of the load: in a flood both
   // the changes and the held requests are many.
   Duration retry_interval = std::chrono::milliseconds(10);
+  // A host that has started hears of the others' work within this time.
+  Duration settling = std::chrono::milliseconds(1'500);
   // How long a request waits for an endpoint of a service that has none.
   Duration no_endpoint_wait = std::chrono::milliseconds(400);
   // Work of others whose end was not heard of is forgotten after its deadline; this is for work
@@ -179,6 +181,7 @@
   using Place = std::pair<std::pair<int, TimePoint>, DispatchId>;
 
   bool Try(const DispatchRequest& request, Assignment& assignment);
+  dispatch::EndpointChooser& ChooserFor(bool generation);
   std::vector<dispatch::Candidate> Candidates(const Group& group, const DispatchRequest& request,
                                               std::vector<const directory::Endpoint*>& endpoints);
   void Assign(const DispatchRequest& request, const Group& group, const dispatch::Choice& choice,
@@ -199,7 +202,9 @@
   bool timer_armed_ = false;
   SnapshotPtr snapshot_;
   std::unordered_map<ServiceId, Group> groups_;
+  const TimePoint started_;
   std::unique_ptr<dispatch::EndpointChooser> predictive_;
+  std::unique_ptr<dispatch::EndpointChooser> without_view_;
   std::unique_ptr<dispatch::EndpointChooser> least_busy_;
   dispatch::LoadBoard board_;
   dispatch::EndpointHealth health_;
--- a/verbenaridge/forwarding/request_run.cc
+++ b/verbenaridge/forwarding/request_run.cc
@@ -41,11 +41,28 @@
 
 void RequestRun::Start() {
   facts_ = context_.adapter.ReadRequest(request_.head);
+  Proceed();
+}
+
+void RequestRun::Proceed() {
+  snapshot_ = context_.dispatcher.snapshot();
+  if (snapshot_->configuration == nullptr && Elapsed() < context_.options.configuration_wait) {
+    AwaitConfiguration();
+    return;
+  }
   if (!Admit()) return;
   ArmDeadline();
   FindEndpoint();
 }
 
+// A host that has just started knows a configuration within some hundred milliseconds.
+void RequestRun::AwaitConfiguration() {
+  patience_timer_.expires_after(context_.options.configuration_check);
+  patience_timer_.async_wait([self = shared_from_this()](std::error_code code) {
+    if (!code && !self->finished_) self->Proceed();
+  });
+}
+
 bool RequestRun::Admit() {
   if (snapshot_->configuration == nullptr) {
     Refuse(503, "no_configuration");
--- a/verbenaridge/forwarding/request_run.h
+++ b/verbenaridge/forwarding/request_run.h
@@ -43,6 +43,9 @@
   // Clients leave a stream after a pause of two seconds or more.
   double gap_factor = 3;
   Duration min_gap_patience = std::chrono::milliseconds(1'600);
+  // How long a request waits on a host that knows no configuration yet, and how often it looks.
+  Duration configuration_wait = std::chrono::milliseconds(900);
+  Duration configuration_check = std::chrono::milliseconds(20);
   // Between two tries to reserve memory.
   Duration reservation_pause = std::chrono::milliseconds(80);
   // A plain service is given up after this part of the time left, if the request may be repeated.
@@ -103,6 +106,8 @@
     kServerError,   // a whole answer that reports a failure
   };
 
+  void Proceed();
+  void AwaitConfiguration();
   // The checks before any endpoint is asked. False if the request was answered.
   bool Admit();
   bool Authenticate();
--- a/verbenaridge/forwarding/ticket_set.h
+++ b/verbenaridge/forwarding/ticket_set.h
@@ -25,10 +25,11 @@
 namespace verbenaridge::forwarding {
 
 struct TicketOptions {
-  // Memory of a dead host's tickets is free this long after its last order at the latest. Each order
-  // has its price, and most prompts are answered before the first renewal.
-  Duration hold = std::chrono::milliseconds(5'500);
-  Duration renew_every = std::chrono::milliseconds(3'500);
+  // Memory must be free within 4 s of the end of the request that used it, also when the host that
+  // reserved it is dead by then.
+  Duration hold = std::chrono::milliseconds(3'700);
+  // Leaves time for a second try when one renewal gets no answer. Each order has its price.
+  Duration renew_every = std::chrono::milliseconds(1'650);
   // Orders are answered within a round trip. One that is not may still be carried out later.
   Duration order_limit = std::chrono::milliseconds(400);
 };
--- a/verbenaridge/ingress/directory_service.cc
+++ b/verbenaridge/ingress/directory_service.cc
@@ -278,6 +278,7 @@
          {"restarted", heard.news == PeerList::News::kRestarted},
          {"hosts", peers_.live()}});
     SendNotice(false, false, &ip);
+    outputs_.peer_started();
   }
   if (notice.configuration_version > version()) {
     OnDifference(notice, ip, configuration_schedule_);
--- a/verbenaridge/ingress/directory_service.h
+++ b/verbenaridge/ingress/directory_service.h
@@ -58,6 +58,7 @@
   // Whether this host keeps the load board, and the other hosts that do, the nearest first.
   std::function<void(bool, std::vector<std::string>)> keepers;
   std::function<void(Incarnation)> peer_gone;  // dead, or started anew
+  std::function<void()> peer_started;          // knows nothing of the work of the others
 };
 
 class DirectoryService final : private DirectoryContent {
--- a/verbenaridge/ingress/ingress.cc
+++ b/verbenaridge/ingress/ingress.cc
@@ -154,7 +154,8 @@
                            [this](bool self, std::vector<std::string> others) {
                              traffic_->PublishKeepers(self, std::move(others));
                            },
-                       .peer_gone = [this](Incarnation peer) { traffic_->ForgetPeer(peer); }});
+                       .peer_gone = [this](Incarnation peer) { traffic_->ForgetPeer(peer); },
+                       .peer_started = [this] { traffic_->AnnounceAll(); }});
 }
 
 void Ingress::Parts::Run() {
--- a/verbenaridge/ingress/traffic.cc
+++ b/verbenaridge/ingress/traffic.cc
@@ -106,6 +106,10 @@
   loop_.Post([this, peer] { dispatcher_.OnPeerGone(peer); });
 }
 
+void Traffic::AnnounceAll() {
+  loop_.Post([this] { dispatcher_.AnnounceAll(); });
+}
+
 void Traffic::BeginDrain() {
   loop_.Post([this] { server_.BeginDrain(); });
 }
--- a/verbenaridge/ingress/traffic.h
+++ b/verbenaridge/ingress/traffic.h
@@ -44,6 +44,7 @@
   void PublishSnapshot(forwarding::SnapshotPtr snapshot);
   void PublishKeepers(bool self, std::vector<std::string> others);
   void ForgetPeer(Incarnation peer);
+  void AnnounceAll();
 
   void BeginDrain();
   void StopAccepting();
--- a/verbenaridge/telemetry/line_writer_test.cc
+++ b/verbenaridge/telemetry/line_writer_test.cc
@@ -1,3 +1,5 @@
+#include "verbenaridge/telemetry/internal/line_writer.h"
+
 #include <doctest/doctest.h>
 
 #include <chrono>
@@ -5,8 +7,6 @@
 #include <string>
 #include <vector>
 
-#include "verbenaridge/telemetry/internal/line_writer.h"
-
 namespace verbenaridge::telemetry::internal {
 namespace {
 
--- a/verbenaridge/telemetry/log.cc
+++ b/verbenaridge/telemetry/log.cc
@@ -152,8 +152,7 @@
     if (!line.contains(key)) line[key] = ToJson(field);
   }
   // ASCII output passes log4cxx's conversion between character sets unchanged.
-  std::string text =
-      line.dump(-1, ' ', true, nlohmann::ordered_json::error_handler_t::replace);
+  std::string text = line.dump(-1, ' ', true, nlohmann::ordered_json::error_handler_t::replace);
   if (Writer() != nullptr) {
     Writer()->Push(std::move(text));
   } else {
