Split the run of a request, share the daemons' command line, blame the endpoint at fault

Behaviour changes only in who is blamed. The tests of the path, the hosts, the directory and the log pass.

--- a/verbenaridge/directory/endpoint_table.h
+++ b/verbenaridge/directory/endpoint_table.h
@@ -60,9 +60,7 @@
   void OnReadingFailed(TimePoint now);
 
   std::vector<Endpoint> endpoints() const;
-  bool empty() const { return endpoints_.empty(); }
   bool read_once() const { return read_once_; }
-  TimePoint last_reading() const { return last_reading_; }
 
  private:
   EndpointTableOptions options_;
--- a/verbenaridge/directory/refresh_schedule.h
+++ b/verbenaridge/directory/refresh_schedule.h
@@ -32,7 +32,6 @@
 
   bool Due(TimePoint now) const { return !running_ && now >= due_; }
   TimePoint due() const { return due_; }
-  bool running() const { return running_; }
 
   // From the next reading on.
   void SetPace(Duration interval, Duration longest_retry) {
--- a/verbenaridge/forwarding/endpoint_pool.cc
+++ b/verbenaridge/forwarding/endpoint_pool.cc
@@ -94,13 +94,11 @@
     if (open_ && !reading_) Read();
   }
 
-  bool connected() const override { return open_ || was_open_; }
   bool reused() const override { return reused_; }
 
   void Close() {
     if (closed_) return;
     closed_ = true;
-    was_open_ = was_open_ || open_;
     open_ = false;
     timer_.cancel();
     std::error_code ignored;  // the connection is given up either way
@@ -127,7 +125,6 @@
 
   void OnConnected() {
     open_ = true;
-    ++pool_->opened_;
     std::error_code ignored;  // both options only improve latency and detection
     socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
     const int limit = static_cast<int>(
@@ -245,7 +242,6 @@
   std::array<char, kReadBytes> buffer_{};
   std::optional<Duration> idle_limit_;
   bool open_ = false;
-  bool was_open_ = false;
   bool closed_ = false;
   bool reused_ = false;
   bool reading_ = false;
@@ -323,10 +319,4 @@
   idle_.erase(found);
 }
 
-std::size_t EndpointPool::idle() const {
-  std::size_t count = 0;
-  for (const auto& [id, connections] : idle_) count += connections.size();
-  return count;
-}
-
 }  // namespace verbenaridge::forwarding
--- a/verbenaridge/forwarding/endpoint_pool.h
+++ b/verbenaridge/forwarding/endpoint_pool.h
@@ -62,7 +62,6 @@
   virtual void Pause() = 0;
   virtual void Resume() = 0;
 
-  virtual bool connected() const = 0;
   virtual bool reused() const = 0;
 };
 
@@ -96,10 +95,6 @@
   // Closes the kept connections of an endpoint that is gone.
   void Forget(const EndpointId& endpoint);
 
-  void set_max_idle_per_endpoint(std::size_t count) { options_.max_idle_per_endpoint = count; }
-  std::size_t idle() const;
-  std::uint64_t opened() const { return opened_; }
-
  private:
   class Connection;
 
@@ -111,7 +106,6 @@
   const MessageAdapter& adapter_;
   PoolOptions options_;
   std::unordered_map<EndpointId, std::vector<std::shared_ptr<Connection>>> idle_;
-  std::uint64_t opened_ = 0;
 };
 
 }  // namespace verbenaridge::forwarding
--- a/verbenaridge/forwarding/request_run.cc
+++ b/verbenaridge/forwarding/request_run.cc
@@ -18,10 +18,6 @@
 
 double Milliseconds(Duration duration) { return ToSeconds(duration) * 1000; }
 
-bool IsEventStream(const http1::ResponseHead& head) {
-  return head.header("Content-Type").starts_with("text/event-stream");
-}
-
 }  // namespace
 
 dispatch::RetryBudget& RunContext::BudgetOf(const ServiceId& service) {
@@ -330,136 +326,6 @@
   if (exchange_ != nullptr) exchange_->Resume();
 }
 
-void RequestRun::OnAnswerHead(http1::ResponseHead head) {
-  answer_facts_ = context_.adapter.ReadAnswer(head);
-  const bool ok = head.status >= 200 && head.status < 300;
-  events_ = ok && route_->kind == directory::RequestKind::kStream && IsEventStream(head);
-  answer_ = std::move(head);
-}
-
-void RequestRun::OnAnswerBody(std::string_view data) {
-  const std::shared_ptr<RequestRun> self = shared_from_this();
-  if (finished_ || exchange_ == nullptr) return;
-  if (events_) {
-    OnEvents(data);
-    return;
-  }
-  body_.append(data);
-  if (body_.size() > context_.options.max_whole_answer) {
-    AttemptFailed(AttemptEnd::kBroken, "answer_too_large");
-  }
-}
-
-void RequestRun::OnEvents(std::string_view data) {
-  if (answer_facts_.attempt_id != facts_.attempt_id || !answer_facts_.sealed ||
-      answer_facts_.encoded) {
-    AttemptFailed(AttemptEnd::kBroken, "answer_not_of_this_request");
-    return;
-  }
-  for (const Event& event : splitter_.Feed(data)) {
-    if (!AcceptEvent(event)) return;
-  }
-  if (splitter_.too_long()) {
-    AttemptFailed(AttemptEnd::kBroken, "event_too_long");
-    return;
-  }
-  if (port_->pending() > context_.options.max_pending) exchange_->Pause();
-}
-
-bool RequestRun::AcceptEvent(const Event& event) {
-  const std::optional<std::uint64_t> before = last_event_ ? last_event_ : facts_.last_event_id;
-  if (!event.id) {
-    AttemptFailed(AttemptEnd::kBroken, "event_without_id");
-    return false;
-  }
-  // A stream that goes on must do so with the next event.
-  if (before && *event.id != *before + 1) {
-    AttemptFailed(AttemptEnd::kBroken, "event_out_of_order");
-    return false;
-  }
-  const TimePoint now = context_.clock.Now();
-  if (!first_seen_) OnFirstEvent();
-  if (events_sent_ > 0) longest_pause_ = std::max(longest_pause_, now - last_event_at_);
-  last_event_at_ = now;
-  last_event_ = event.id;
-  ++events_sent_;
-  port_->Send(event.bytes);
-  if (finished_) return false;
-  ArmPatience(std::max(FromSeconds(context_.options.gap_factor * ToSeconds(route_->target_gap)),
-                       context_.options.min_gap_patience));
-  return true;
-}
-
-void RequestRun::OnFirstEvent() {
-  first_seen_ = true;
-  for (const dispatch::WorkId work : assignment_.works) context_.dispatcher.OnFirstEvent(work);
-  context_.dispatcher.OnSuccess(assignment_.members.front());
-  if (begun_) return;
-  begun_ = true;
-  first_event_after_ = Elapsed();
-  context_.metrics.latency.With({std::to_string(priority_)}).Observe(ToSeconds(first_event_after_));
-  http1::ResponseHead head{.status = answer_->status};
-  const std::string_view connection = answer_->header("Connection");
-  for (const http1::Header& header : answer_->headers) {
-    if (http1::IsHopByHop(header.name, connection)) continue;
-    if (http1::EqualsIgnoringCase(header.name, "Content-Length")) continue;
-    head.headers.push_back(header);
-  }
-  port_->Begin(std::move(head));
-}
-
-void RequestRun::OnAnswerEnd() {
-  const std::shared_ptr<RequestRun> self = shared_from_this();
-  exchange_ = nullptr;
-  if (finished_) return;
-  patience_timer_.cancel();
-  if (!events_) {
-    OnWholeAnswer();
-    return;
-  }
-  if (splitter_.partial() || !first_seen_) {
-    AttemptFailed(AttemptEnd::kBroken, "stream_cut_off");
-    return;
-  }
-  context_.crashes.OnCompleted(digest_);
-  Finish("served", answer_->status);
-  port_->End();
-}
-
-void RequestRun::OnWholeAnswer() {
-  const int status = answer_->status;
-  if (answer_facts_.not_executed || status == 421) {
-    AttemptFailed(AttemptEnd::kRefused, std::to_string(status));
-    return;
-  }
-  const bool ok = status >= 200 && status < 300;
-  const bool other_id =
-      !answer_facts_.attempt_id.empty() && answer_facts_.attempt_id != facts_.attempt_id;
-  const bool unproved =
-      ok && (answer_facts_.attempt_id.empty() || !answer_facts_.sealed || answer_facts_.encoded);
-  if (other_id || unproved || begun_) {
-    AttemptFailed(AttemptEnd::kBroken, "answer_not_of_this_request");
-    return;
-  }
-  if (status >= 500 && MayTryAgain(AttemptEnd::kServerError)) {
-    AttemptFailed(AttemptEnd::kServerError, std::to_string(status));
-    return;
-  }
-  if (status < 500) context_.dispatcher.OnSuccess(assignment_.members.front());
-  context_.crashes.OnCompleted(digest_);
-  first_event_after_ = Elapsed();
-  context_.metrics.latency.With({std::to_string(priority_)}).Observe(ToSeconds(first_event_after_));
-  http1::ResponseHead head{.status = status};
-  const std::string_view connection = answer_->header("Connection");
-  for (const http1::Header& header : answer_->headers) {
-    if (http1::IsHopByHop(header.name, connection)) continue;
-    if (http1::EqualsIgnoringCase(header.name, "Content-Length")) continue;
-    head.headers.push_back(header);
-  }
-  Finish(ok ? "served" : "endpoint_failure", status);
-  port_->Answer(std::move(head), body_);
-}
-
 void RequestRun::OnExchangeFailed(ExchangeFailure failure) {
   const std::shared_ptr<RequestRun> self = shared_from_this();
   exchange_ = nullptr;
@@ -469,8 +335,16 @@
       ToText(failure));
 }
 
+// The member that an answer names as the cause; else the one that received the request.
+const directory::Endpoint& RequestRun::EndpointAtFault() const {
+  for (const directory::Endpoint& member : assignment_.members) {
+    if (member.id == answer_facts_.endpoint_at_fault) return member;
+  }
+  return assignment_.members.front();
+}
+
 void RequestRun::NoteHealth(AttemptEnd end) {
-  const directory::Endpoint& endpoint = assignment_.members.front();
+  const directory::Endpoint& endpoint = EndpointAtFault();
   using dispatch::FailureKind;
   switch (end) {
     case AttemptEnd::kNotConnected:
@@ -512,7 +386,7 @@
   if (may_have_run) ++runs_;
   LogAttempt(end, detail);
   NoteHealth(end);
-  const Digest endpoint = EndpointKey(assignment_.members.front());
+  const Digest endpoint = EndpointKey(EndpointAtFault());
   if (end == AttemptEnd::kBroken) {
     if (context_.crashes.OnCrash(digest_, endpoint, context_.clock.Now())) {
       context_.dispatcher.OnCrash(digest_, assignment_.members.front());
@@ -605,7 +479,7 @@
                  {{"id", facts_.attempt_id},
                   {"end", name},
                   {"detail", detail},
-                  {"endpoint", assignment_.members.front().id.value()},
+                  {"endpoint", EndpointAtFault().id.value()},
                   {"offer", offers_},
                   {"runs", runs_},
                   {"after_ms", Milliseconds(context_.clock.Now() - attempt_started_)},
--- a/verbenaridge/forwarding/request_run.h
+++ b/verbenaridge/forwarding/request_run.h
@@ -128,9 +128,11 @@
   bool AcceptEvent(const Event& event);
   void OnFirstEvent();
   void OnWholeAnswer();
+  http1::ResponseHead ClientHead() const;
   void AttemptFailed(AttemptEnd end, std::string_view detail);
   bool MayTryAgain(AttemptEnd end);
   void GiveUp(AttemptEnd end);
+  const directory::Endpoint& EndpointAtFault() const;
   void NoteHealth(AttemptEnd end);
 
   void Refuse(int status, std::string_view reason);
--- a/verbenaridge/ingress/load_exchange.h
+++ b/verbenaridge/ingress/load_exchange.h
@@ -59,8 +59,6 @@
   void OnUnreachable(Digest endpoint) override;
   void OnCrash(Digest request, Digest endpoint) override;
 
-  const wire::DatagramCounters& counters() const { return socket_.counters(); }
-
  private:
   void Arm();
   void Flush();
--- a/verbenaridge/ingress/main.cc
+++ b/verbenaridge/ingress/main.cc
@@ -1,5 +1,3 @@
-#include <getopt.h>
-
 #include <cstdlib>
 #include <iostream>
 #include <string>
@@ -7,6 +5,7 @@
 #include "platform/http_adapter.h"
 #include "verbenaridge/base/clock.h"
 #include "verbenaridge/ingress/ingress.h"
+#include "verbenaridge/settings/daemon_command_line.h"
 #include "verbenaridge/settings/ingress_settings.h"
 #include "verbenaridge/telemetry/log.h"
 
@@ -16,10 +15,6 @@
 // Some 2 MB of lines, or minutes of an ordinary host's.
 constexpr std::size_t kMaxWaitingLogLines = 4'000;
 
-constexpr int kExitOk = 0;
-constexpr int kExitFailure = 1;
-constexpr int kExitUsage = 2;  // also for a faulty settings file
-
 constexpr const char* kUsage =
     "Usage: verbenaridge-ingress [--config FILE] [--check]\n"
     "Forwards requests of clients to endpoints that the platform's store names.\n"
@@ -32,82 +27,37 @@
     "Signals: SIGTERM and SIGINT drain; SIGHUP is logged.\n"
     "Exit codes: 0 stopped or settings valid, 1 could not start, 2 wrong use or faulty settings.\n";
 
-struct CommandLine {
-  std::string config;
-  bool check = false;
-  int exit_code = -1;  // at least 0: exit at once
-};
-
-CommandLine ParseCommandLine(int argc, char** argv) {
-  constexpr int kCheck = 1000;
-  const option options[] = {{"config", required_argument, nullptr, 'c'},
-                            {"check", no_argument, nullptr, kCheck},
-                            {"version", no_argument, nullptr, 'V'},
-                            {"help", no_argument, nullptr, 'h'},
-                            {nullptr, 0, nullptr, 0}};
-  CommandLine command_line;
-  if (const char* file = std::getenv(platform::kSettingsVariable)) command_line.config = file;
-  int choice = 0;
-  while ((choice = getopt_long(argc, argv, "c:Vh", options, nullptr)) != -1) {
-    switch (choice) {
-      case 'c':
-        command_line.config = optarg;
-        break;
-      case kCheck:
-        command_line.check = true;
-        break;
-      case 'V':
-        std::cout << "verbenaridge-ingress " << VERBENARIDGE_VERSION << '\n';
-        command_line.exit_code = kExitOk;
-        return command_line;
-      case 'h':
-        std::cout << kUsage;
-        command_line.exit_code = kExitOk;
-        return command_line;
-      default:
-        command_line.exit_code = kExitUsage;
-        return command_line;
-    }
-  }
-  if (command_line.config.empty() || optind != argc) {
-    std::cerr << kUsage;
-    command_line.exit_code = kExitUsage;
-  }
-  return command_line;
-}
-
-telemetry::Level LevelOf(std::string_view name) {
-  if (name == "debug") return telemetry::Level::kDebug;
-  if (name == "warn") return telemetry::Level::kWarning;
-  if (name == "error") return telemetry::Level::kError;
-  return telemetry::Level::kInfo;
-}
-
 int Main(int argc, char** argv) {
-  const CommandLine command_line = ParseCommandLine(argc, argv);
-  if (command_line.exit_code >= 0) return command_line.exit_code;
+  const char* const file = std::getenv(platform::kSettingsVariable);
+  const settings::DaemonCommandLine command_line = settings::ParseDaemonCommandLine(
+      argc, argv,
+      {.program = "verbenaridge-ingress",
+       .version = VERBENARIDGE_VERSION,
+       .usage = kUsage,
+       .config = file == nullptr ? std::string() : std::string(file)});
+  if (command_line.exit_code) return *command_line.exit_code;
   const settings::LoadedIngressSettings loaded = settings::LoadIngressSettings(command_line.config);
   for (const settings::SettingError& error : loaded.errors) std::cerr << error.Text() << '\n';
-  if (!loaded.errors.empty()) return kExitUsage;
+  if (!loaded.errors.empty()) return settings::kExitUsage;
   if (command_line.check) {
     std::cout << command_line.config << ": valid\n";
-    return kExitOk;
+    return settings::kExitOk;
   }
-  const telemetry::LogOptions log{.level = LevelOf(loaded.settings.log_level),
+  const telemetry::LogOptions log{.level = telemetry::LevelOf(loaded.settings.log_level),
                                   .max_waiting_lines = kMaxWaitingLogLines};
   if (telemetry::StartLog(log).has_error()) {
     std::cerr << "cannot open the log\n";
-    return kExitFailure;
+    return settings::kExitFailure;
   }
   const SuspendAwareClock clock;
   Ingress ingress(loaded.settings, clock);
   if (const Status opened = ingress.Open(); opened.has_error()) {
     telemetry::Log(telemetry::Level::kError, "start_failed", {{"error", opened.error().message()}});
-    return kExitFailure;
+    return settings::kExitFailure;
   }
   ingress.Run();
   telemetry::StopLog();
-  return kExitOk;
+  return settings::kExitOk;
 }
 
 }  // namespace
--- a/verbenaridge/telemetry/log.cc
+++ b/verbenaridge/telemetry/log.cc
@@ -137,6 +137,13 @@
   Output()->removeAllAppenders();
 }
 
+Level LevelOf(std::string_view name) {
+  if (name == "debug") return Level::kDebug;
+  if (name == "warn") return Level::kWarning;
+  if (name == "error") return Level::kError;
+  return Level::kInfo;
+}
+
 bool LogEnabled(Level level) {
   return level >= lowest_level.load(std::memory_order_relaxed) && level < Level::kOff;
 }
--- a/verbenaridge/telemetry/log.h
+++ b/verbenaridge/telemetry/log.h
@@ -26,6 +26,9 @@
 
 enum class Level : std::uint8_t { kDebug = 0, kInfo = 1, kWarning = 2, kError = 3, kOff = 4 };
 
+// The level with this name in settings; kInfo for any other text.
+Level LevelOf(std::string_view name);
+
 inline constexpr std::size_t kMaxFieldBytes = 1024;
 
 // One key and value. Refers to text, which outlives the call of Log.
