Ask a far host for a change that the near one does not tell of in time

Hosts that do not keep the load board listened to the keepers of their own data centre only; those were dead and not yet missed, which takes 3.5 s.

Change: a far keeper is asked when the difference has lasted for 400 ms. Test: listening hosts learn of a change though the near keeper has just died; it fails with 10 s in place of 400 ms. Small systems, where all hosts keep the board, do not run this code.

--- a/verbenaridge/ingress/directory_service.cc
+++ b/verbenaridge/ingress/directory_service.cc
@@ -65,7 +65,8 @@
               .ip = options.ip,
               .data_centre = options.data_centre,
               .capacity = options.capacity,
-              .incarnation = options.incarnation}),
+              .incarnation = options.incarnation},
+             options.peers),
       socket_(io_context,
               {.listen = {options.ip, options.port}, .self = options.self, .keys = options.keys},
               clock,
@@ -195,6 +196,7 @@
         {{"version", reading.configuration->version()}, {"known", known}, {"source", source}});
     return;
   }
+  differs_since_.reset();
   configuration_.revision = std::max(configuration_.revision, reading.revision);
   if (reading.configuration->version() == known) return;
   configuration_.configuration = std::move(reading.configuration);
@@ -243,6 +245,7 @@
 
 void DirectoryService::ApplyEndpoints(std::vector<directory::Endpoint> entries,
                                       std::string_view source) {
+  differs_since_.reset();
   last_digest_ = DigestOf(entries);
   last_entries_ = entries;
   for (const auto& change : table_.OnReading(std::move(entries), clock_.Now())) {
@@ -302,10 +305,12 @@
     if (schedule.failures() > 0) AskPeer();
     return;
   }
-  // The many hosts that do not keep the board spare the store: they ask one that does, and that is
-  // near, since a keeper of each data centre tells them.
+  // The many hosts that do not keep the board spare the store: they ask one that does, and a near
+  // one if it tells them in time.
+  const TimePoint now = clock_.Now();
+  if (!differs_since_) differs_since_ = now;
   const bool near = notice.data_centre == options_.data_centre;
-  if (near || !peers_.KnowsNearKeeper()) AskPeer();
+  if (near || !peers_.KnowsNearKeeper() || now - *differs_since_ >= options_.near_wait) AskPeer();
 }
 
 void DirectoryService::SendNotice(bool configuration_read, bool endpoints_read,
--- a/verbenaridge/ingress/directory_service.h
+++ b/verbenaridge/ingress/directory_service.h
@@ -51,6 +51,10 @@
   Duration longest_retry = std::chrono::seconds(4);
   // A host that has read nothing for so long says that it lives.
   Duration notice_interval = std::chrono::seconds(1);
+  // A host that does not keep the board waits so long for a near one to tell it of a change before
+  // it asks a far one. The near one may be dead and not missed yet.
+  Duration near_wait = std::chrono::milliseconds(400);
+  PeerListOptions peers{};
 };
 
 struct DirectoryOutputs {
@@ -129,6 +133,7 @@
   Digest last_digest_ = 0;
   std::string informed_peer_;  // the last one that had something else than this host
   bool asking_peer_ = false;
+  std::optional<TimePoint> differs_since_;  // peers have something that this host does not have
   bool store_works_ = true;
   TimePoint last_notice_{};
   TimePoint last_tick_{};
--- a/verbenaridge/ingress/hosts_test.cc
+++ b/verbenaridge/ingress/hosts_test.cc
@@ -94,7 +94,7 @@
 
 class Hosts {
  public:
-  explicit Hosts(std::size_t count) {
+  explicit Hosts(std::size_t count, const PeerListOptions& peers = {}) {
     const std::uint16_t port = NextPort();
     for (std::size_t i = 0; i < count; ++i) {
       auto host = std::make_unique<Host>();
@@ -104,13 +104,14 @@
           io_,
           DirectoryOptions{.self = HostId(std::string("h").append(std::to_string(i))),
                            .ip = Ip(i),
-                           .data_centre = DataCentreId("a"),
-                           .capacity = 1,
+                           .data_centre = DataCentreId(i < 3 ? "a" : "b"),
+                           .capacity = static_cast<double>(count - i),
                            .port = port,
                            .keys = Keys(),
                            .seeds = {Ip(0)},
                            .incarnation = i + 1,
-                           .endpoint_heartbeat = milliseconds(1'200)},
+                           .endpoint_heartbeat = milliseconds(1'200),
+                           .peers = peers},
           *host->store, clock_, random_,
           DirectoryOutputs{.snapshot = [raw](forwarding::SnapshotPtr s) { raw->snapshot = s; },
                            .keepers = [](bool, const std::vector<std::string>&) {},
@@ -177,6 +178,23 @@
   }
 }
 
+// Guards against hosts that learn of a change only when the dead host that told them is missed.
+TEST_CASE("listening hosts learn of a change though the near keeper has just died") {
+  // The first host of each data centre keeps the board.
+  Hosts fleet(6, {.small_system = 1, .keepers_per_data_centre = 1});
+  fleet.shared.endpoints = {{.id = EndpointId("i-1"), .service = ServiceId("s")}};
+  fleet.Run(milliseconds(3'000));
+  fleet.hosts[0] = nullptr;
+  fleet.shared.version = 9;
+  fleet.shared.endpoints[0].draining = true;
+  fleet.Run(milliseconds(2'000));
+  for (std::size_t i = 1; i < fleet.hosts.size(); ++i) {
+    CAPTURE(i);
+    CHECK(fleet.hosts[i]->service->version() == 9);
+    CHECK(fleet.hosts[i]->snapshot->endpoints[0].draining);
+  }
+}
+
 // Guards against a version that goes back when the store answers with an older one.
 TEST_CASE("a version never goes back") {
   Hosts fleet(2);
