--- a/verbenaridge/dispatch/endpoint_chooser_test.cc
+++ b/verbenaridge/dispatch/endpoint_chooser_test.cc
@@ -5,21 +5,15 @@
 #include <string>
 #include <vector>
 
+#include "verbenaridge/dispatch/testing.h"
+
 namespace verbenaridge::dispatch {
 namespace {
 
 using std::chrono::milliseconds;
 
 const PassModel& Model() {
-  static const PassModel model({.slots = 16,
-                                .kv_tokens = 232'000,
-                                .stride = 43,
-                                .step = FromSeconds(0.00102),
-                                .step_per_sequence = FromSeconds(0.00000226),
-                                .context_seconds_per_token = 0.00000431 / 1000,
-                                .read_tokens_per_second = 206'000,
-                                .seconds_per_pair = 0.000138 / 1e6,
-                                .chunk_tokens = 2048});
+  static const PassModel model(testing::SiteTiming());
   return model;
 }
 
--- a/verbenaridge/dispatch/pass_model_test.cc
+++ b/verbenaridge/dispatch/pass_model_test.cc
@@ -2,21 +2,11 @@
 
 #include <doctest/doctest.h>
 
+#include "verbenaridge/dispatch/testing.h"
+
 namespace verbenaridge::dispatch {
 namespace {
 
-directory::EngineTiming Timing() {
-  return {.slots = 16,
-          .kv_tokens = 232'000,
-          .stride = 43,
-          .step = FromSeconds(0.00102),
-          .step_per_sequence = FromSeconds(0.00000226),
-          .context_seconds_per_token = 0.00000431 / 1000,
-          .read_tokens_per_second = 206'000,
-          .seconds_per_pair = 0.000138 / 1e6,
-          .chunk_tokens = 2048};
-}
-
 // Guards against predictions that leave out the pairs of a long prompt. The expected times are
 // worked out by hand from the published formula.
 TEST_CASE("reading time") {
@@ -33,7 +23,7 @@
       {"133,000 tokens on four engines", 133'000, 4, 466.5},
       {"600,000 tokens", 600'000, 1, 27'752.6},
   };
-  const PassModel model(Timing());
+  const PassModel model(testing::SiteTiming());
   for (const Row& row : rows) {
     CAPTURE(row.name);
     const double predicted = ToSeconds(model.ReadTime(row.tokens, row.parts)) * 1000;
@@ -53,7 +43,7 @@
       {"one request", {.sequences = 1}, 43 * 1.02226},
       {"ten requests", {.sequences = 10, .context_tokens = 50'000}, 43 * (1.02 + 0.0226 + 0.2155)},
   };
-  const PassModel model(Timing());
+  const PassModel model(testing::SiteTiming());
   for (const Row& row : rows) {
     CAPTURE(row.name);
     const double predicted = ToSeconds(model.PassTime(row.decoding)) * 1000;
--- a/verbenaridge/forwarding/dispatcher.cc
+++ b/verbenaridge/forwarding/dispatcher.cc
@@ -38,7 +38,7 @@
   groups_.clear();
   for (const directory::Endpoint& endpoint : snapshot_->endpoints) {
     Group& group = groups_[endpoint.service];
-    group.endpoints.push_back(&endpoint);
+    group.endpoints.push_back({&endpoint, EndpointKey(endpoint)});
     if (group.model != nullptr || snapshot_->configuration == nullptr) continue;
     const directory::Service* service = snapshot_->configuration->FindService(endpoint.service);
     if (service != nullptr && service->engine) {
@@ -117,8 +117,7 @@
   const TimePoint now = clock_.Now();
   std::vector<dispatch::Candidate> candidates;
   const auto collect = [&](bool healthy_only, bool untried_only) {
-    for (const directory::Endpoint* endpoint : group.endpoints) {
-      const Digest key = EndpointKey(*endpoint);
+    for (const auto& [endpoint, key] : group.endpoints) {
       if (endpoint->draining) continue;
       if (healthy_only && !health_.Usable(key, now)) continue;
       if (healthy_only && reach_.Cut(endpoint->data_centre, now)) continue;
@@ -197,7 +196,7 @@
   const auto group = groups_.find(request.service);
   if (group == groups_.end()) return false;
   for (const EndpointId& id : members) {
-    for (const directory::Endpoint* endpoint : group->second.endpoints) {
+    for (const auto& [endpoint, key] : group->second.endpoints) {
       if (endpoint->id == id) assignment.members.push_back(*endpoint);
     }
   }
--- a/verbenaridge/forwarding/dispatcher.h
+++ b/verbenaridge/forwarding/dispatcher.h
@@ -173,8 +173,12 @@
     DispatchRequest request;
     AssignmentCallback callback;
   };
+  struct Member {
+    const directory::Endpoint* endpoint = nullptr;
+    Digest key = 0;  // hashed once a snapshot; each choice looks at every member
+  };
   struct Group {  // endpoints of one service
-    std::vector<const directory::Endpoint*> endpoints;
+    std::vector<Member> endpoints;
     std::unique_ptr<dispatch::PassModel> model;
   };
   // The order in which held requests are tried.
