Show that the oracles of load board, retry budget and endpoint table can fail

Cause: the three fuzz tests of the new decision packages had no faults that they must catch. Change: nine deliberate faults in dispatch and directory, compiled only into a library of the tests; dispatch_mutation_test runs the same oracles over them. Conclusion: the oracle of the retry budget was too weak and is stronger now.

--- a/verbenaridge/directory/endpoint_table.cc
+++ b/verbenaridge/directory/endpoint_table.cc
@@ -2,11 +2,14 @@
 
 #include <utility>
 
+#include "verbenaridge/mutation/mutation.h"
+
 namespace verbenaridge::directory {
 
 std::vector<EndpointTable::Change> EndpointTable::OnReading(std::vector<Endpoint> entries,
                                                             TimePoint now) {
-  if (read_once_ && failing_ && now - last_reading_ > options_.outage_after) {
+  if (read_once_ && failing_ && now - last_reading_ > options_.outage_after &&
+      !Mutated(Mutation::kForgetInOutage)) {
     keep_missing_until_ = now + options_.return_limit;
   }
   failing_ = false;
@@ -26,12 +29,15 @@
     } else if (known->second.draining != entry.draining) {
       changes.push_back({Change::Kind::kDraining, entry});
     }
+    if (Mutated(Mutation::kIgnoreLeaving) && known != endpoints_.end()) {
+      entry.draining = known->second.draining;
+    }
     EndpointId id = entry.id;
     next.insert_or_assign(std::move(id), std::move(entry));
   }
   for (auto& [id, endpoint] : endpoints_) {
     if (next.contains(id)) continue;
-    if (now < keep_missing_until_) {
+    if (now < keep_missing_until_ || Mutated(Mutation::kKeepRemoved)) {
       next.emplace(id, std::move(endpoint));
     } else {
       changes.push_back({Change::Kind::kRemoved, endpoint});
--- a/verbenaridge/dispatch/dispatch_fuzz_test.cc
+++ b/verbenaridge/dispatch/dispatch_fuzz_test.cc
@@ -5,12 +5,14 @@
 
 #include <algorithm>
 #include <map>
+#include <string_view>
 #include <vector>
 
 #include "verbenaridge/base/clock.h"
 #include "verbenaridge/directory/endpoint_table.h"
 #include "verbenaridge/dispatch/load_board.h"
 #include "verbenaridge/dispatch/retry_budget.h"
+#include "verbenaridge/mutation/mutation.h"
 
 namespace verbenaridge::dispatch {
 namespace {
@@ -54,8 +56,8 @@
 };
 
 // Guards against work that is lost, counted twice or kept after its end, in any order of messages.
-TEST_CASE("load board against an oracle") {
-  CHECK(rc::check([] {
+bool LoadBoardHolds() {
+  return rc::check("load board", [] {
     ManualClock clock;
     LoadBoard board;
     BoardOracle oracle;
@@ -99,13 +101,13 @@
       }
       oracle.Check(board, clock.Now());
     }
-  }));
+  });
 }
 
 // Guards against hosts that together send more than the budget in any window.
-TEST_CASE("retry budgets of several hosts against an oracle") {
-  CHECK(rc::check([] {
-    const RetryBudgetOptions options{.ratio = 0.2, .window = milliseconds(10'000), .slack = 100};
+bool RetryBudgetsHold() {
+  return rc::check("retry budgets of several hosts", [] {
+    const RetryBudgetOptions options{.ratio = 0.2, .window = milliseconds(10'000), .slack = 6};
     ManualClock clock;
     const auto hosts = static_cast<std::size_t>(1 + Draw(6));
     std::vector<RetryBudget> budgets(hosts, RetryBudget(options));
@@ -116,7 +118,7 @@
       RetryBudget& budget = budgets[static_cast<std::size_t>(Draw(static_cast<int>(hosts)))];
       const int action = Draw(4);
       if (action == 0) {
-        clock.Advance(milliseconds(Draw(800)));
+        clock.Advance(milliseconds(Draw(4000)));
       } else if (action == 1) {
         budget.OnRequest(clock.Now());
         requests.push_back(clock.Now());
@@ -134,12 +136,12 @@
       RC_ASSERT(static_cast<double>(in_window(retries)) <=
                 options.ratio * static_cast<double>(paying) + options.slack);
     }
-  }));
+  });
 }
 
 // Guards against endpoints that are lost or kept wrongly over outages of the store.
-TEST_CASE("endpoint table against an oracle") {
-  CHECK(rc::check([] {
+bool EndpointTableHolds() {
+  return rc::check("endpoint table", [] {
     ManualClock clock;
     const directory::EndpointTableOptions options{};
     directory::EndpointTable table(options);
@@ -180,8 +182,44 @@
         RC_ASSERT(known[endpoint.id] == endpoint.draining);
       }
     }
-  }));
+  });
 }
 
+#ifdef VERBENARIDGE_MUTABLE
+
+// Guards against oracles that cannot fail.
+TEST_CASE("the fuzz tests catch each fault") {
+  struct Row {
+    std::string_view name;
+    Mutation mutation;
+    bool (*holds)();
+  };
+  const Row rows[] = {
+      {"a repeated begin counts", Mutation::kCountWorkTwice, LoadBoardHolds},
+      {"ended work stays", Mutation::kKeepEndedWork, LoadBoardHolds},
+      {"expired work stays", Mutation::kKeepExpiredWork, LoadBoardHolds},
+      {"the work of a dead host stays", Mutation::kForgetNoHost, LoadBoardHolds},
+      {"the slack is spent by each host", Mutation::kSlackForEach, RetryBudgetsHold},
+      {"old requests pay for retries", Mutation::kOldRequestsPay, RetryBudgetsHold},
+      {"lapsed entries are gone at once", Mutation::kForgetInOutage, EndpointTableHolds},
+      {"removed entries stay", Mutation::kKeepRemoved, EndpointTableHolds},
+      {"endpoints do not leave", Mutation::kIgnoreLeaving, EndpointTableHolds},
+  };
+  for (const Row& row : rows) {
+    CAPTURE(row.name);
+    active_mutation = row.mutation;
+    CHECK_FALSE(row.holds());
+    active_mutation = Mutation::kNone;
+  }
+}
+
+#else
+
+TEST_CASE("load board against an oracle") { CHECK(LoadBoardHolds()); }
+TEST_CASE("retry budgets against an oracle") { CHECK(RetryBudgetsHold()); }
+TEST_CASE("endpoint table against an oracle") { CHECK(EndpointTableHolds()); }
+
+#endif
+
 }  // namespace
 }  // namespace verbenaridge::dispatch
--- a/verbenaridge/dispatch/load_board.cc
+++ b/verbenaridge/dispatch/load_board.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "verbenaridge/mutation/mutation.h"
+
 namespace verbenaridge::dispatch {
 namespace {
 
@@ -24,7 +26,8 @@
 }
 
 void LoadBoard::Begin(const Work& work, TimePoint now) {
-  if (!endpoint_of_.emplace(work.id, work.endpoint).second) return;
+  const bool added = endpoint_of_.emplace(work.id, work.endpoint).second;
+  if (!added && !Mutated(Mutation::kCountWorkTwice)) return;
   Engine& engine = engines_[work.endpoint];
   Advance(engine, now);
   Item item{.work = work, .begun = now, .expiry = now + work.lifetime, .remaining = work.read_time};
@@ -48,12 +51,14 @@
   if (endpoint == endpoint_of_.end()) return;
   const auto engine = engines_.find(endpoint->second);
   Advance(engine->second, now);
+  if (Mutated(Mutation::kKeepEndedWork)) return;
   std::erase_if(engine->second.items, [id](const Item& item) { return item.work.id == id; });
   if (engine->second.items.empty()) engines_.erase(engine);
   endpoint_of_.erase(endpoint);
 }
 
 std::size_t LoadBoard::EndAllOf(Incarnation host, TimePoint now) {
+  if (Mutated(Mutation::kForgetNoHost)) return 0;
   const WorkId first = FirstWorkId(host);
   std::vector<WorkId> works;
   for (const auto& [id, endpoint] : endpoint_of_) {
@@ -64,6 +69,7 @@
 }
 
 std::size_t LoadBoard::RemoveExpired(TimePoint now) {
+  if (Mutated(Mutation::kKeepExpiredWork)) return 0;
   std::vector<WorkId> expired;
   for (const auto& [endpoint, engine] : engines_) {
     for (const Item& item : engine.items) {
--- a/verbenaridge/dispatch/retry_budget.cc
+++ b/verbenaridge/dispatch/retry_budget.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "verbenaridge/mutation/mutation.h"
+
 namespace verbenaridge::dispatch {
 
 void RetryBudget::OnRequest(TimePoint now) {
@@ -17,7 +19,8 @@
 
 double RetryBudget::Left(std::size_t hosts, TimePoint now) {
   RemoveOld(now);
-  const double own_slack = options_.slack / static_cast<double>(std::max<std::size_t>(hosts, 1));
+  const std::size_t parts = Mutated(Mutation::kSlackForEach) ? 1 : std::max<std::size_t>(hosts, 1);
+  const double own_slack = options_.slack / static_cast<double>(parts);
   const double bound = options_.ratio * static_cast<double>(requests_.size()) + own_slack;
   return options_.use * bound - static_cast<double>(retries_.size());
 }
@@ -26,7 +29,7 @@
   const auto drop = [&](std::deque<TimePoint>& times) {
     while (!times.empty() && now - times.front() > options_.window) times.pop_front();
   };
-  drop(requests_);
+  if (!Mutated(Mutation::kOldRequestsPay)) drop(requests_);
   drop(retries_);
 }
 
--- a/verbenaridge/mutation/mutation.h
+++ b/verbenaridge/mutation/mutation.h
@@ -56,6 +56,17 @@
   kNoRefutation,  // a member does not contradict its own death
   kOldestWins,    // merging keeps the state of the older incarnation
   kLeavingOwns,   // a leaving host still owns endpoints in its own view
+  // dispatch
+  kCountWorkTwice,   // a repeated begin is counted again
+  kKeepEndedWork,    // work stays on the board after its end
+  kKeepExpiredWork,  // work whose end was never told stays for ever
+  kForgetNoHost,     // the work of a dead host stays
+  kSlackForEach,     // each host spends the whole slack of the system
+  kOldRequestsPay,   // requests pay for retries long after the window
+  // directory
+  kForgetInOutage,  // entries that lapsed during an outage are gone at once
+  kKeepRemoved,     // removed entries stay
+  kIgnoreLeaving,   // an endpoint that leaves keeps its old state
 };
 
 #ifdef VERBENARIDGE_MUTABLE
