Take over changed settings, show a host's state, and count what was not counted

Cause: SIGHUP was only logged and a settings file that changes without a signal was not noticed; an operator could not ask a host what it believes; retries left, tickets, endpoints by state, store calls by kind and result and dropped log lines had no metric. Change: settings::SettingsWatch, LiveSettings that a running daemon takes over (the others are reported as needing a restart); pages of a host in ingress/operator_pages with a status page for verbenaridgectl status; the metrics. Tests: settings_watch_test, daemon_test (a whole daemon beside a stand-in of store and endpoint), request_log_test (each outcome leaves its line and the counters agree).

--- a/verbenaridge/directory/endpoint_table.h
+++ b/verbenaridge/directory/endpoint_table.h
@@ -54,6 +54,8 @@
     Endpoint endpoint;
   };
 
+  void SetOutageAfter(Duration limit) { options_.outage_after = limit; }
+
   // A whole, current reading. Returns what changed.
   std::vector<Change> OnReading(std::vector<Endpoint> entries, TimePoint now);
 
--- a/verbenaridge/dispatch/retry_budget.h
+++ b/verbenaridge/dispatch/retry_budget.h
@@ -29,6 +29,9 @@
  public:
   explicit RetryBudget(const RetryBudgetOptions& options) : options_(options) {}
 
+  // What was spent before counts against the new bound.
+  void SetOptions(const RetryBudgetOptions& options) { options_ = options; }
+
   void OnRequest(TimePoint now);
 
   // True if one more may be sent, which then counts. `hosts`: how many share the slack.
--- a/verbenaridge/forwarding/dispatcher.cc
+++ b/verbenaridge/forwarding/dispatcher.cc
@@ -334,13 +334,14 @@
   }
 }
 
-std::size_t Dispatcher::unusable() const {
+std::vector<EndpointId> Dispatcher::LeftOut() const {
   const TimePoint now = clock_.Now();
-  std::size_t count = 0;
+  std::vector<EndpointId> left_out;
   for (const directory::Endpoint& endpoint : snapshot_->endpoints) {
-    count += health_.Usable(EndpointKey(endpoint), now) ? 0 : 1;
+    if (endpoint.draining || health_.Usable(EndpointKey(endpoint), now)) continue;
+    left_out.push_back(endpoint.id);
   }
-  return count;
+  return left_out;
 }
 
 }  // namespace verbenaridge::forwarding
--- a/verbenaridge/forwarding/dispatcher.h
+++ b/verbenaridge/forwarding/dispatcher.h
@@ -165,8 +165,8 @@
 
   std::size_t held() const { return held_.size(); }
   std::size_t works() const { return board_.size(); }
-  // Endpoints that this host leaves out now.
-  std::size_t unusable() const;
+  // Endpoints that this host leaves out now after failures; none of those that leave themselves.
+  std::vector<EndpointId> LeftOut() const;
 
  private:
   struct Held {
--- a/verbenaridge/forwarding/request_metrics.cc
+++ b/verbenaridge/forwarding/request_metrics.cc
@@ -20,6 +20,14 @@
                                        .labels = {{"priority", 10}}})),
       held(registry.AddHistogram({.name = "verbenaridge_held_seconds",
                                   .help = "From the arrival to the dispatch.",
-                                  .labels = {{"priority", 10}}})) {}
+                                  .labels = {{"priority", 10}}})),
+      tickets(
+          registry.AddCounter({.name = "verbenaridge_ticket_orders_total",
+                               .help = "Orders about memory at endpoints, by what came of them.",
+                               .labels = {{"event", 6}}})),
+      tickets_held(registry
+                       .AddGauge({.name = "verbenaridge_tickets_held",
+                                  .help = "Reservations of memory that requests of this host use."})
+                       .With({})) {}
 
 }  // namespace verbenaridge::forwarding
--- a/verbenaridge/forwarding/request_metrics.h
+++ b/verbenaridge/forwarding/request_metrics.h
@@ -15,6 +15,8 @@
   telemetry::Family<telemetry::Histogram>& latency;    // priority; to the first event or the answer
   telemetry::Family<telemetry::Histogram>& predicted;  // priority
   telemetry::Family<telemetry::Histogram>& held;       // priority
+  telemetry::Family<telemetry::Counter>& tickets;      // event
+  telemetry::Gauge& tickets_held;
 };
 
 }  // namespace verbenaridge::forwarding
--- a/verbenaridge/forwarding/request_run.cc
+++ b/verbenaridge/forwarding/request_run.cc
@@ -206,9 +206,9 @@
     RetryReservation();
     return;
   }
-  tickets_ = TicketSet::Create(context_.io_context, context_.pool, context_.adapter,
-                               context_.ticket_prefix + std::to_string(++context_.tickets_made),
-                               context_.options.tickets);
+  tickets_ = TicketSet::Create(
+      context_.io_context, context_.pool, context_.adapter, context_.metrics,
+      context_.ticket_prefix + std::to_string(++context_.tickets_made), context_.options.tickets);
   tickets_->Reserve(
       assignment_.members, std::move(tokens), [self = shared_from_this()](bool reserved) {
         if (self->finished_) return;
--- a/verbenaridge/forwarding/ticket_set.cc
+++ b/verbenaridge/forwarding/ticket_set.cc
@@ -43,17 +43,19 @@
 };
 
 std::shared_ptr<TicketSet> TicketSet::Create(asio::io_context& io_context, EndpointPool& pool,
-                                             const MessageAdapter& adapter, std::string name,
-                                             const TicketOptions& options) {
+                                             const MessageAdapter& adapter, RequestMetrics& metrics,
+                                             std::string name, const TicketOptions& options) {
   return std::shared_ptr<TicketSet>(
-      new TicketSet(io_context, pool, adapter, std::move(name), options));
+      new TicketSet(io_context, pool, adapter, metrics, std::move(name), options));
 }
 
 TicketSet::TicketSet(asio::io_context& io_context, EndpointPool& pool,
-                     const MessageAdapter& adapter, std::string name, const TicketOptions& options)
+                     const MessageAdapter& adapter, RequestMetrics& metrics, std::string name,
+                     const TicketOptions& options)
     : io_context_(io_context),
       pool_(pool),
       adapter_(adapter),
+      metrics_(metrics),
       name_(std::move(name)),
       options_(options),
       timer_(io_context) {}
@@ -80,11 +82,14 @@
 
 void TicketSet::OnReserved(bool reserved) {
   refused_ = refused_ || !reserved;
+  metrics_.tickets.With({reserved ? "reserved" : "not_reserved"}).Add();
   if (--waiting_ > 0 || released_) return;
   const auto done = std::exchange(done_, nullptr);
   if (refused_) {
     Release();
   } else {
+    held_ = true;
+    metrics_.tickets_held.Add(static_cast<double>(members_.size()));
     ArmRenewal();
   }
   if (done) done(!refused_);
@@ -101,6 +106,7 @@
                                                           .tokens = self->tokens_[i],
                                                           .hold = self->options_.hold}),
                  [self, id = member.id.value()](bool accepted) {
+                   self->metrics_.tickets.With({accepted ? "renewed" : "not_renewed"}).Add();
                    if (accepted || self->released_) return;
                    telemetry::Log(telemetry::Level::kWarning, "ticket_not_renewed",
                                   {{"ticket", self->name_}, {"endpoint", id}});
@@ -114,9 +120,11 @@
   if (std::exchange(released_, true)) return;
   done_ = nullptr;
   timer_.cancel();
+  if (held_) metrics_.tickets_held.Add(-static_cast<double>(members_.size()));
   for (const directory::Endpoint& member : members_) {
     Send(member, adapter_.WriteRelease(member, name_),
-         [name = name_, id = member.id.value()](bool accepted) {
+         [&metrics = metrics_, name = name_, id = member.id.value()](bool accepted) {
+           metrics.tickets.With({accepted ? "released" : "not_released"}).Add();
            if (accepted) return;
            telemetry::Log(
                telemetry::Level::kWarning, "ticket_not_released",
--- a/verbenaridge/forwarding/ticket_set.h
+++ b/verbenaridge/forwarding/ticket_set.h
@@ -1,6 +1,6 @@
 // Memory reserved at several endpoints for one prompt, all or nothing.
 //
-//   auto tickets = TicketSet::Create(pool, adapter, clock, io_context, "t-7f3a", {});
+//   auto tickets = TicketSet::Create(io_context, pool, adapter, metrics, "t-7f3a", {});
 //   tickets->Reserve(members, tokens, [](bool reserved) { ... });
 //   tickets->Release();
 //
@@ -21,6 +21,7 @@
 #include "verbenaridge/directory/endpoint_table.h"
 #include "verbenaridge/forwarding/endpoint_pool.h"
 #include "verbenaridge/forwarding/message_adapter.h"
+#include "verbenaridge/forwarding/request_metrics.h"
 
 namespace verbenaridge::forwarding {
 
@@ -37,8 +38,8 @@
 class TicketSet : public std::enable_shared_from_this<TicketSet> {
  public:
   static std::shared_ptr<TicketSet> Create(asio::io_context& io_context, EndpointPool& pool,
-                                           const MessageAdapter& adapter, std::string name,
-                                           const TicketOptions& options);
+                                           const MessageAdapter& adapter, RequestMetrics& metrics,
+                                           std::string name, const TicketOptions& options);
 
   // `tokens` of each member. The callback runs once, unless the set is released first.
   void Reserve(std::vector<directory::Endpoint> members, std::vector<TokenCount> tokens,
@@ -53,7 +54,7 @@
   class Order;
 
   TicketSet(asio::io_context& io_context, EndpointPool& pool, const MessageAdapter& adapter,
-            std::string name, const TicketOptions& options);
+            RequestMetrics& metrics, std::string name, const TicketOptions& options);
 
   void OnReserved(bool reserved);
   void ArmRenewal();
@@ -63,6 +64,7 @@
   asio::io_context& io_context_;
   EndpointPool& pool_;
   const MessageAdapter& adapter_;
+  RequestMetrics& metrics_;
   const std::string name_;
   const TicketOptions options_;
   asio::steady_timer timer_;
@@ -71,6 +73,7 @@
   std::function<void(bool)> done_;
   std::size_t waiting_ = 0;
   bool refused_ = false;
+  bool held_ = false;  // all members have granted their part
   bool released_ = false;
 };
 
--- a/verbenaridge/ingress/directory_service.cc
+++ b/verbenaridge/ingress/directory_service.cc
@@ -82,8 +82,18 @@
       tick_(io_context, kTick, [this] { Tick(); }),
       configuration_schedule_(options.configuration, random, clock.Now()),
       endpoints_schedule_(options.endpoints, random, clock.Now()),
-      table_({.outage_after = 2 * options.endpoint_heartbeat}) {
-  for (const std::string& seed : options.seeds) peers_.AddSeed(seed);
+      table_() {
+  SetEndpointHeartbeat(options.endpoint_heartbeat);
+  AddSeeds(options.seeds);
+}
+
+void DirectoryService::AddSeeds(const std::vector<std::string>& seeds) {
+  for (const std::string& seed : seeds) peers_.AddSeed(seed);
+}
+
+void DirectoryService::SetEndpointHeartbeat(Duration heartbeat) {
+  // An entry lapses when its endpoint could not renew it for two heartbeats.
+  table_.SetOutageAfter(2 * heartbeat);
 }
 
 Status DirectoryService::Open() {
--- a/verbenaridge/ingress/directory_service.h
+++ b/verbenaridge/ingress/directory_service.h
@@ -6,7 +6,7 @@
 //
 // One of the hosts reads from the store in each interval and tells the others; those that have the
 // same need not read. A host that the store turns away asks the peer that told it. The version of
-// the configuration never goes back. Used by the control thread.
+// the configuration never goes back.
 #ifndef VERBENARIDGE_INGRESS_DIRECTORY_SERVICE_H_
 #define VERBENARIDGE_INGRESS_DIRECTORY_SERVICE_H_
 
@@ -65,6 +65,7 @@
   std::function<void()> peer_started;          // knows nothing of the work of the others
 };
 
+// Used by the control thread.
 class DirectoryService final : private DirectoryContent {
  public:
   DirectoryService(asio::io_context& io_context, const DirectoryOptions& options,
@@ -77,10 +78,18 @@
   // Tells the peers that this host leaves.
   void AnnounceLeaving();
 
+  // Takes over settings that have changed.
+  void AddSeeds(const std::vector<std::string>& seeds);
+  void SetEndpointHeartbeat(Duration heartbeat);
+
   bool ready() const { return configuration_.configuration != nullptr && table_.read_once(); }
   std::uint64_t version() const;
-  std::size_t endpoints() const { return table_.endpoints().size(); }
+  std::vector<directory::Endpoint> endpoints() const { return table_.endpoints(); }
   std::size_t hosts() const { return peers_.live(); }
+  // Hosts that this one hears.
+  std::vector<PeerFacts> peers() const { return peers_.Live(); }
+  bool keeps_board() const { return peers_.Keeps(); }
+  bool store_works() const { return store_works_; }
   Duration configuration_age() const { return clock_.Now() - configuration_schedule_.fresh(); }
   Duration endpoints_age() const { return clock_.Now() - endpoints_schedule_.fresh(); }
 
--- /dev/null
+++ b/verbenaridge/ingress/host_status.cc
@@ -0,0 +1,60 @@
+#include "verbenaridge/ingress/host_status.h"
+
+#include <algorithm>
+#include <chrono>
+#include <nlohmann/json.hpp>
+#include <string_view>
+
+namespace verbenaridge::ingress {
+namespace {
+
+using nlohmann::ordered_json;
+
+std::int64_t Milliseconds(Duration duration) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+}
+
+std::string_view StateOf(const directory::Endpoint& endpoint,
+                         const std::vector<EndpointId>& left_out) {
+  if (endpoint.draining) return "draining";
+  const bool failed = std::find(left_out.begin(), left_out.end(), endpoint.id) != left_out.end();
+  return failed ? "left_out" : "ready";
+}
+
+}  // namespace
+
+std::string ToJson(const HostStatus& status) {
+  ordered_json json = {{"host", status.host.value()},
+                       {"data_centre", status.data_centre.value()},
+                       {"ready", status.not_ready_reason.empty()}};
+  if (!status.not_ready_reason.empty()) json["not_ready_reason"] = status.not_ready_reason;
+  json["configuration"] = {{"version", status.configuration_version},
+                           {"age_ms", Milliseconds(status.configuration_age)}};
+  json["store_works"] = status.store_works;
+  json["endpoints_age_ms"] = Milliseconds(status.endpoints_age);
+  ordered_json& endpoints = json["endpoints"] = ordered_json::object();
+  for (const directory::Endpoint& endpoint : status.endpoints) {
+    endpoints[endpoint.id.value()] = {{"service", endpoint.service.value()},
+                                      {"data_centre", endpoint.data_centre.value()},
+                                      {"state", StateOf(endpoint, status.traffic.left_out)}};
+  }
+  json["keeps_board"] = status.keeps_board;
+  json["hosts"] = status.hosts;
+  ordered_json& peers = json["peers"] = ordered_json::object();
+  for (const PeerFacts& peer : status.peers) {
+    peers[peer.host.value()] = {{"data_centre", peer.data_centre.value()},
+                                {"keeps_board", peer.keeps}};
+  }
+  const TrafficStatus& traffic = status.traffic;
+  json["requests"] = {{"running", traffic.requests_running},
+                      {"held", traffic.requests_held},
+                      {"known_at_endpoints", traffic.works_known}};
+  json["client_connections"] = traffic.client_connections;
+  ordered_json& budgets = json["retries_left"] = ordered_json::object();
+  for (const BudgetStatus& budget : traffic.budgets) {
+    budgets[budget.service.value()] = budget.retries_left;
+  }
+  return json.dump(2, ' ', false, ordered_json::error_handler_t::replace);
+}
+
+}  // namespace verbenaridge::ingress
--- a/verbenaridge/ingress/ingress.cc
+++ b/verbenaridge/ingress/ingress.cc
@@ -11,9 +11,12 @@
 #include "verbenaridge/base/random.h"
 #include "verbenaridge/frontend/http_server.h"
 #include "verbenaridge/ingress/directory_service.h"
+#include "verbenaridge/ingress/operator_pages.h"
 #include "verbenaridge/ingress/traffic.h"
 #include "verbenaridge/loop/event_loop.h"
+#include "verbenaridge/loop/periodic.h"
 #include "verbenaridge/net/http_client.h"
+#include "verbenaridge/settings/settings_watch.h"
 #include "verbenaridge/telemetry/log.h"
 #include "verbenaridge/telemetry/metrics.h"
 #include "verbenaridge/wire/handshake.h"
@@ -29,60 +32,52 @@
 constexpr Duration kDrainCheck = std::chrono::milliseconds(100);
 // The rest of the grace period is left for the end of the process.
 constexpr Duration kExitMargin = std::chrono::milliseconds(300);
-constexpr std::string_view kMetricsPath = "/metrics";
-
-// The pages for the load balancer and for metrics.
-class Pages final : public frontend::HttpService {
- public:
-  Pages(std::function<std::string()> not_ready, std::function<std::string()> metrics)
-      : not_ready_(std::move(not_ready)), metrics_(std::move(metrics)) {}
-
-  void Handle(const frontend::HttpCall& call,
-              std::shared_ptr<frontend::ResponseWriter> writer) override {
-    if (call.target == platform::kReadinessPath) {
-      const std::string reason = not_ready_();
-      writer->Send(reason.empty() ? 200 : 503, {}, reason.empty() ? "ready" : reason);
-    } else if (call.target == kMetricsPath) {
-      writer->Send(200, {}, metrics_());
-    } else {
-      writer->Send(404, {}, "");
-    }
-  }
-
- private:
-  const std::function<std::string()> not_ready_;
-  const std::function<std::string()> metrics_;
-};
+// Settings may change without a signal; reading the small file costs some 20 us.
+constexpr Duration kSettingsPeriod = std::chrono::seconds(1);
+
+std::vector<std::string> IpsOf(const std::vector<settings::SocketAddress>& addresses) {
+  std::vector<std::string> ips;
+  ips.reserve(addresses.size());
+  for (const settings::SocketAddress& address : addresses) ips.push_back(address.ip);
+  return ips;
+}
 
 }  // namespace
 
-class Ingress::Parts {
+class Ingress::Parts final : private HostView {
  public:
-  Parts(settings::IngressSettings settings, const Clock& clock)
+  Parts(settings::IngressSettings settings, const std::string& settings_file, const Clock& clock)
       : settings_(std::move(settings)),
+        settings_watch_(settings_file),
         clock_(clock),
         random_(RandomSeed()),
         incarnation_(random_.Next()),
         control_("control") {}
 
-  ~Parts() { StopLoops(); }
+  ~Parts() override { StopLoops(); }
 
   Status Open();
   void Run();
   void RequestStop();
 
  private:
+  // HostView
+  std::string NotReadyReason() const override;
+  std::string Metrics() override;
+  void DescribeHost(std::function<void(const HostStatus&)> done) override;
+
   void OpenDirectory(const wire::FleetKeys& keys);
   void WatchSignals();
   void OnSignal(int signal);
+  void ReloadSettings();
+  void Apply(const settings::LiveSettings& live);
   void BeginDrain();
   void ArmDrainCheck();
   void CheckDrained();
   void StopLoops();
-  std::string NotReadyReason() const;
-  std::string Metrics();
 
-  const settings::IngressSettings settings_;
+  settings::IngressSettings settings_;  // control loop
+  settings::SettingsWatch settings_watch_;
   const Clock& clock_;
   SeededRandom random_;  // control loop
   const Incarnation incarnation_;
@@ -93,11 +88,12 @@
   std::unique_ptr<net::CurlHttpClient> http_;
   std::unique_ptr<platform::StoreClient> store_;
   std::unique_ptr<DirectoryService> directory_;
-  std::unique_ptr<Pages> pages_;
+  OperatorPages pages_{*this};
   std::unique_ptr<frontend::HttpServer> readiness_server_;
   std::unique_ptr<frontend::HttpServer> metrics_server_;
   std::unique_ptr<asio::signal_set> signals_;
   std::unique_ptr<asio::steady_timer> drain_timer_;
+  std::unique_ptr<loop::Periodic> settings_tick_;
   bool draining_ = false;  // control loop
   TimePoint drain_began_{};
   std::promise<void> stopped_;
@@ -112,28 +108,25 @@
   BOOST_OUTCOME_TRYV(traffic_->Open());
   OpenDirectory(keys.value());
   BOOST_OUTCOME_TRYV(directory_->Open());
-  pages_ =
-      std::make_unique<Pages>([this] { return NotReadyReason(); }, [this] { return Metrics(); });
   readiness_server_ = std::make_unique<frontend::HttpServer>(
       control_.io_context(),
       frontend::HttpServer::Options{.address = settings_.readiness.ip,
                                     .port = settings_.readiness.port},
-      *pages_);
+      pages_);
   BOOST_OUTCOME_TRYV(readiness_server_->Open());
   if (settings_.metrics_port == 0) return Ok();
   metrics_server_ = std::make_unique<frontend::HttpServer>(
       control_.io_context(),
       frontend::HttpServer::Options{.address = settings_.ip, .port = settings_.metrics_port},
-      *pages_);
+      pages_);
   return metrics_server_->Open();
 }
 
 void Ingress::Parts::OpenDirectory(const wire::FleetKeys& keys) {
   http_ = std::make_unique<net::CurlHttpClient>(control_.io_context());
+  const settings::SocketAddress& store = settings_.live.store;
   store_ = std::make_unique<platform::StoreClient>(
-      *http_, platform::StoreClientOptions{.ip = settings_.store.ip, .port = settings_.store.port});
-  std::vector<std::string> seeds;
-  for (const settings::SocketAddress& seed : settings_.seeds) seeds.push_back(seed.ip);
+      *http_, platform::StoreClientOptions{.ip = store.ip, .port = store.port}, registry_);
   directory_ = std::make_unique<DirectoryService>(
       control_.io_context(),
       DirectoryOptions{.self = settings_.host,
@@ -142,9 +135,9 @@
                        .capacity = settings_.processor_share,
                        .port = static_cast<std::uint16_t>(settings_.first_internal_port + 1),
                        .keys = keys,
-                       .seeds = std::move(seeds),
+                       .seeds = IpsOf(settings_.live.seeds),
                        .incarnation = incarnation_,
-                       .endpoint_heartbeat = settings_.endpoint_heartbeat},
+                       .endpoint_heartbeat = settings_.live.endpoint_heartbeat},
       *store_, clock_, random_,
       DirectoryOutputs{.snapshot =
                            [this](forwarding::SnapshotPtr snapshot) {
@@ -174,12 +167,13 @@
   drain_timer_ = std::make_unique<asio::steady_timer>(control_.io_context());
   signals_ = std::make_unique<asio::signal_set>(control_.io_context(), SIGTERM, SIGINT, SIGHUP);
   OnSignal(0);
+  settings_tick_ = std::make_unique<loop::Periodic>(control_.io_context(), kSettingsPeriod,
+                                                    [this] { ReloadSettings(); });
 }
 
 void Ingress::Parts::OnSignal(int signal) {
   if (signal == SIGHUP) {
-    Log(Level::kInfo, "signal_ignored",
-        {{"signal", "SIGHUP"}, {"reason", "settings are read at the start"}});
+    ReloadSettings();
   } else if (signal != 0) {
     BeginDrain();
   }
@@ -188,6 +182,30 @@
   });
 }
 
+void Ingress::Parts::ReloadSettings() {
+  const auto loaded = settings_watch_.Poll();
+  if (!loaded) return;
+  if (!loaded->errors.empty()) {
+    for (const settings::SettingError& error : loaded->errors) {
+      Log(Level::kError, "settings_faulty", {{"error", error.Text()}, {"kept", true}});
+    }
+    return;
+  }
+  Log(Level::kInfo, "settings_reloaded",
+      {{"changed", loaded->settings.live != settings_.live},
+       {"needs_restart", settings::NeedsRestart(settings_, loaded->settings)}});
+  Apply(loaded->settings.live);
+}
+
+void Ingress::Parts::Apply(const settings::LiveSettings& live) {
+  settings_.live = live;
+  telemetry::SetLogLevel(telemetry::LevelOf(live.log_level));
+  store_->SetAddress(live.store.ip, live.store.port);
+  directory_->AddSeeds(IpsOf(live.seeds));
+  directory_->SetEndpointHeartbeat(live.endpoint_heartbeat);
+  traffic_->SetRetryBudget(live);
+}
+
 void Ingress::Parts::RequestStop() {
   control_.Post([this] { BeginDrain(); });
 }
@@ -212,7 +230,7 @@
   if (since >= kBalancerDelay) traffic_->StopAccepting();
   const bool idle = since >= kBalancerDelay + 2 * kDrainCheck + std::chrono::milliseconds(500) &&
                     traffic_->busy() == 0;
-  if (!idle && since < settings_.grace_period - kExitMargin) {
+  if (!idle && since < settings_.live.grace_period - kExitMargin) {
     ArmDrainCheck();
     return;
   }
@@ -242,18 +260,38 @@
   set("verbenaridge_configuration_age_seconds", "Since it was known to be the newest.",
       ToSeconds(directory_->configuration_age()));
   set("verbenaridge_endpoints", "Endpoints in the table.",
-      static_cast<double>(directory_->endpoints()));
+      static_cast<double>(directory_->endpoints().size()));
   set("verbenaridge_endpoints_age_seconds", "Since the endpoints were read.",
       ToSeconds(directory_->endpoints_age()));
   set("verbenaridge_hosts", "Hosts of the system that live.",
       static_cast<double>(directory_->hosts()));
-  set("verbenaridge_store_calls", "Calls of the platform's store since the start.",
-      static_cast<double>(store_->calls()));
+  set("verbenaridge_log_lines_dropped", "Since the start, for a slow reader of the log.",
+      static_cast<double>(telemetry::LogLinesDropped()));
   return registry_.PrometheusText();
 }
 
-Ingress::Ingress(settings::IngressSettings settings, const Clock& clock)
-    : parts_(std::make_unique<Parts>(std::move(settings), clock)) {}
+void Ingress::Parts::DescribeHost(std::function<void(const HostStatus&)> done) {
+  traffic_->Describe([this, done = std::move(done)](TrafficStatus traffic) mutable {
+    control_.Post([this, done = std::move(done), traffic = std::move(traffic)] {
+      done({.host = settings_.host,
+            .data_centre = settings_.data_centre,
+            .not_ready_reason = NotReadyReason(),
+            .configuration_version = directory_->version(),
+            .configuration_age = directory_->configuration_age(),
+            .store_works = directory_->store_works(),
+            .endpoints_age = directory_->endpoints_age(),
+            .endpoints = directory_->endpoints(),
+            .keeps_board = directory_->keeps_board(),
+            .hosts = directory_->hosts(),
+            .peers = directory_->peers(),
+            .traffic = traffic});
+    });
+  });
+}
+
+Ingress::Ingress(settings::IngressSettings settings, const std::string& settings_file,
+                 const Clock& clock)
+    : parts_(std::make_unique<Parts>(std::move(settings), settings_file, clock)) {}
 
 Ingress::~Ingress() = default;
 
--- a/verbenaridge/ingress/ingress.h
+++ b/verbenaridge/ingress/ingress.h
@@ -1,12 +1,13 @@
 // One ingress daemon: a control thread and a traffic thread.
 //
-//   Ingress ingress(settings, clock);
+//   Ingress ingress(settings, file, clock);
 //   if (Status opened = ingress.Open(); opened.has_error()) ...
 //   ingress.Run();   // until a signal to stop
 #ifndef VERBENARIDGE_INGRESS_INGRESS_H_
 #define VERBENARIDGE_INGRESS_INGRESS_H_
 
 #include <memory>
+#include <string>
 
 #include "verbenaridge/base/clock.h"
 #include "verbenaridge/base/result.h"
@@ -16,7 +17,8 @@
 
 class Ingress {
  public:
-  Ingress(settings::IngressSettings settings, const Clock& clock);
+  // `settings_file` is read again on SIGHUP and when its content changes.
+  Ingress(settings::IngressSettings settings, const std::string& settings_file, const Clock& clock);
   ~Ingress();
 
   Status Open();
--- a/verbenaridge/ingress/main.cc
+++ b/verbenaridge/ingress/main.cc
@@ -24,7 +24,7 @@
     "  -V, --version      print the version and exit\n"
     "  -h, --help         print this text and exit\n"
     "\n"
-    "Signals: SIGTERM and SIGINT drain; SIGHUP is logged.\n"
+    "Signals: SIGTERM and SIGINT drain; SIGHUP reads the settings again.\n"
     "Exit codes: 0 stopped or settings valid, 1 could not start, 2 wrong use or faulty settings.\n";
 
 int Main(int argc, char** argv) {
@@ -43,14 +43,14 @@
     std::cout << command_line.config << ": valid\n";
     return settings::kExitOk;
   }
-  const telemetry::LogOptions log{.level = telemetry::LevelOf(loaded.settings.log_level),
+  const telemetry::LogOptions log{.level = telemetry::LevelOf(loaded.settings.live.log_level),
                                   .max_waiting_lines = kMaxWaitingLogLines};
   if (telemetry::StartLog(log).has_error()) {
     std::cerr << "cannot open the log\n";
     return settings::kExitFailure;
   }
   const SuspendAwareClock clock;
-  Ingress ingress(loaded.settings, clock);
+  Ingress ingress(loaded.settings, command_line.config, clock);
   if (const Status opened = ingress.Open(); opened.has_error()) {
     telemetry::Log(telemetry::Level::kError, "start_failed", {{"error", opened.error().message()}});
     return settings::kExitFailure;
--- a/verbenaridge/ingress/peer_list.cc
+++ b/verbenaridge/ingress/peer_list.cc
@@ -8,7 +8,8 @@
 namespace verbenaridge::ingress {
 
 void PeerList::AddSeed(std::string_view ip) {
-  if (ip != self_.ip) seeds_.emplace_back(ip);
+  const bool known = std::find(seeds_.begin(), seeds_.end(), ip) != seeds_.end();
+  if (ip != self_.ip && !known) seeds_.emplace_back(ip);
 }
 
 PeerList::Heard PeerList::OnHeard(const PeerFacts& facts, TimePoint now) {
@@ -129,6 +130,14 @@
   return sample;
 }
 
+std::vector<PeerFacts> PeerList::Live() const {
+  std::vector<PeerFacts> live;
+  for (const auto& [host, peer] : peers_) {
+    if (peer.live) live.push_back(peer.facts);
+  }
+  return live;
+}
+
 std::size_t PeerList::heard() const {
   return static_cast<std::size_t>(std::count_if(
       peers_.begin(), peers_.end(), [](const auto& entry) { return entry.second.live; }));
--- a/verbenaridge/ingress/peer_list.h
+++ b/verbenaridge/ingress/peer_list.h
@@ -94,6 +94,9 @@
   // Those that keep the board come first.
   std::vector<std::pair<HostId, std::string>> Sample(RandomSource& random) const;
 
+  // The hosts that are heard.
+  std::vector<PeerFacts> Live() const;
+
   // Hosts of the system that live, with this one.
   std::size_t live() const;
 
--- a/verbenaridge/ingress/traffic.cc
+++ b/verbenaridge/ingress/traffic.cc
@@ -1,5 +1,6 @@
 #include "verbenaridge/ingress/traffic.h"
 
+#include <algorithm>
 #include <utility>
 #include <variant>
 
@@ -10,10 +11,10 @@
 
 constexpr Duration kMeasurePeriod = std::chrono::milliseconds(250);
 
-forwarding::RunOptions MakeRunOptions(const settings::IngressSettings& settings) {
-  return {.budget = {.ratio = settings.retry_budget_ratio,
-                     .window = settings.retry_budget_window,
-                     .slack = settings.retry_budget_slack}};
+dispatch::RetryBudgetOptions BudgetOf(const settings::LiveSettings& live) {
+  return {.ratio = live.retry_budget_ratio,
+          .window = live.retry_budget_window,
+          .slack = live.retry_budget_slack};
 }
 
 telemetry::Gauge& AddGauge(telemetry::MetricsRegistry& registry, std::string name,
@@ -28,15 +29,19 @@
                  const forwarding::MessageAdapter& adapter, telemetry::MetricsRegistry& registry)
     : settings_(settings),
       clock_(clock),
-      run_options_(MakeRunOptions(settings)),
+      run_options_{.budget = BudgetOf(settings.live)},
       random_(RandomSeed()),
       metrics_(registry),
       connections_(AddGauge(registry, "verbenaridge_client_connections", "Open connections.")),
       works_(AddGauge(registry, "verbenaridge_known_works",
                       "Requests at endpoints that this host knows of, of all hosts.")),
       held_(AddGauge(registry, "verbenaridge_held_requests", "Requests that wait here.")),
-      unusable_(AddGauge(registry, "verbenaridge_unusable_endpoints",
-                         "Endpoints that this host leaves out after failures.")),
+      endpoints_(registry.AddGauge({.name = "verbenaridge_endpoints_by_state",
+                                    .help = "Endpoints in the table, as this host uses them.",
+                                    .labels = {{"state", 3}}})),
+      retries_left_(registry.AddGauge({.name = "verbenaridge_retries_left",
+                                       .help = "What this host may still send again.",
+                                       .labels = {{"service", 50}}})),
       loop_("traffic-0"),
       exchange_(loop_.io_context(), clock,
                 {.self = settings.host,
@@ -78,6 +83,17 @@
   loop_.Join();
 }
 
+void Traffic::SetRetryBudget(const settings::LiveSettings& live) {
+  loop_.Post([this, options = BudgetOf(live)] {
+    run_options_.budget = options;
+    for (auto& [service, budget] : context_.budgets) budget.SetOptions(options);
+  });
+}
+
+void Traffic::Describe(std::function<void(TrafficStatus)> done) {
+  loop_.Post([this, done = std::move(done)] { done(CurrentStatus()); });
+}
+
 void Traffic::PublishSnapshot(forwarding::SnapshotPtr snapshot) {
   loop_.Post([this, snapshot = std::move(snapshot)]() mutable {
     ForgetLostEndpoints(*dispatcher_.snapshot(), *snapshot);
@@ -163,13 +179,35 @@
   }
 }
 
+TrafficStatus Traffic::CurrentStatus() {
+  TrafficStatus status{.requests_running = server_.busy(),
+                       .requests_held = dispatcher_.held(),
+                       .works_known = dispatcher_.works(),
+                       .client_connections = server_.connections(),
+                       .left_out = dispatcher_.LeftOut()};
+  for (auto& [service, budget] : context_.budgets) {
+    status.budgets.push_back({service, budget.Left(dispatcher_.snapshot()->hosts, clock_.Now())});
+  }
+  return status;
+}
+
 void Traffic::Measure() {
-  busy_.store(server_.busy(), std::memory_order_relaxed);
-  connections_.Set(static_cast<double>(server_.connections()));
-  works_.Set(static_cast<double>(dispatcher_.works()));
-  held_.Set(static_cast<double>(dispatcher_.held()));
-  unusable_.Set(static_cast<double>(dispatcher_.unusable()));
   dispatcher_.RemoveExpired();
+  const TrafficStatus status = CurrentStatus();
+  busy_.store(status.requests_running, std::memory_order_relaxed);
+  connections_.Set(static_cast<double>(status.client_connections));
+  works_.Set(static_cast<double>(status.works_known));
+  held_.Set(static_cast<double>(status.requests_held));
+  for (const BudgetStatus& budget : status.budgets) {
+    retries_left_.With({budget.service.value()}).Set(budget.retries_left);
+  }
+  const auto& all = dispatcher_.snapshot()->endpoints;
+  const auto draining = static_cast<std::size_t>(std::count_if(
+      all.begin(), all.end(), [](const auto& endpoint) { return endpoint.draining; }));
+  endpoints_.With({"draining"}).Set(static_cast<double>(draining));
+  endpoints_.With({"left_out"}).Set(static_cast<double>(status.left_out.size()));
+  endpoints_.With({"ready"}).Set(
+      static_cast<double>(all.size() - draining - status.left_out.size()));
 }
 
 }  // namespace verbenaridge::ingress
--- a/verbenaridge/ingress/traffic.h
+++ b/verbenaridge/ingress/traffic.h
@@ -8,6 +8,7 @@
 #define VERBENARIDGE_INGRESS_TRAFFIC_H_
 
 #include <atomic>
+#include <functional>
 #include <memory>
 #include <string>
 #include <vector>
@@ -18,6 +19,7 @@
 #include "verbenaridge/forwarding/dispatcher.h"
 #include "verbenaridge/forwarding/message_adapter.h"
 #include "verbenaridge/forwarding/request_run.h"
+#include "verbenaridge/ingress/host_status.h"
 #include "verbenaridge/ingress/load_exchange.h"
 #include "verbenaridge/ingress/placement_exchange.h"
 #include "verbenaridge/loop/event_loop.h"
@@ -41,6 +43,10 @@
   void Start() { loop_.Start(); }
   void Stop();
 
+  void SetRetryBudget(const settings::LiveSettings& live);
+  // `done` runs on the traffic thread.
+  void Describe(std::function<void(TrafficStatus)> done);
+
   void PublishSnapshot(forwarding::SnapshotPtr snapshot);
   void PublishKeepers(bool self, std::vector<std::string> others);
   void ForgetPeer(Incarnation peer);
@@ -65,17 +71,19 @@
 
   void ForgetLostEndpoints(const forwarding::DirectorySnapshot& before,
                            const forwarding::DirectorySnapshot& after);
+  TrafficStatus CurrentStatus();
   void Measure();
 
   const settings::IngressSettings settings_;
   const Clock& clock_;
-  const forwarding::RunOptions run_options_;
+  forwarding::RunOptions run_options_;
   SeededRandom random_;
   forwarding::RequestMetrics metrics_;
   telemetry::Gauge& connections_;
   telemetry::Gauge& works_;
   telemetry::Gauge& held_;
-  telemetry::Gauge& unusable_;
+  telemetry::Family<telemetry::Gauge>& endpoints_;     // state
+  telemetry::Family<telemetry::Gauge>& retries_left_;  // service
   loop::EventLoop loop_;
   LoadExchange exchange_;
   forwarding::Dispatcher dispatcher_;
--- a/verbenaridge/settings/ingress_settings.h
+++ b/verbenaridge/settings/ingress_settings.h
@@ -16,27 +16,36 @@
 
 namespace verbenaridge::settings {
 
+// Settings that a running daemon takes over when their file changes.
+struct LiveSettings {
+  SocketAddress store;  // of the platform
+  std::vector<SocketAddress> seeds;
+  std::string log_level = "info";
+  double retry_budget_ratio = 0;
+  Duration retry_budget_window{};
+  double retry_budget_slack = 0;
+  Duration grace_period{};  // between the signal to stop and the kill
+  Duration endpoint_heartbeat{};
+
+  friend bool operator==(const LiveSettings&, const LiveSettings&) = default;
+};
+
+// The others are read at the start only: they name this host, its addresses and its keys.
 struct IngressSettings {
   HostId host;
   DataCentreId data_centre;
   SocketAddress clients;    // for clients
   SocketAddress readiness;  // for the platform's load balancer
   SocketAddress control;    // for other hosts that look for their peers
-  SocketAddress store;      // of the platform
   std::string ip;           // of this host
   std::uint16_t first_internal_port = 0;
   std::uint16_t metrics_port = 0;  // 0: none
   std::vector<std::string> fleet_keys;
-  std::vector<SocketAddress> seeds;
   double processor_share = 1;  // of one core
   std::size_t max_connections = 1'000;
-  std::string log_level = "info";
+  LiveSettings live;
 
-  double retry_budget_ratio = 0;
-  Duration retry_budget_window{};
-  double retry_budget_slack = 0;
-  Duration grace_period{};  // between the signal to stop and the kill
-  Duration endpoint_heartbeat{};
+  friend bool operator==(const IngressSettings&, const IngressSettings&) = default;
 };
 
 struct LoadedIngressSettings {
@@ -47,6 +56,9 @@
 LoadedIngressSettings LoadIngressSettings(const std::string& file);
 LoadedIngressSettings ParseIngressSettings(std::string_view json, std::string_view file);
 
+// Whether a running daemon needs a restart to take over all of `next`.
+bool NeedsRestart(const IngressSettings& running, const IngressSettings& next);
+
 }  // namespace verbenaridge::settings
 
 #endif  // VERBENARIDGE_SETTINGS_INGRESS_SETTINGS_H_
--- a/verbenaridge/telemetry/internal/line_writer.h
+++ b/verbenaridge/telemetry/internal/line_writer.h
@@ -28,7 +28,8 @@
   LineWriter(const LineWriter&) = delete;
   LineWriter& operator=(const LineWriter&) = delete;
 
-  void Push(std::string line);
+  // False if the line was dropped.
+  bool Push(std::string line);
 
  private:
   void Run();
--- a/verbenaridge/telemetry/line_writer.cc
+++ b/verbenaridge/telemetry/line_writer.cc
@@ -20,18 +20,19 @@
   thread_.join();
 }
 
-void LineWriter::Push(std::string line) {
+bool LineWriter::Push(std::string line) {
   bool wake = false;
   {
     const std::lock_guard<std::mutex> lock(mutex_);
     if (lines_.size() >= capacity_) {
       ++dropped_count_;
-      return;
+      return false;
     }
     wake = lines_.empty();
     lines_.push_back(std::move(line));
   }
   if (wake) changed_.notify_one();
+  return true;
 }
 
 void LineWriter::Run() {
--- a/verbenaridge/telemetry/log.cc
+++ b/verbenaridge/telemetry/log.cc
@@ -26,6 +26,7 @@
     "authorization", "bearer", "credential", "key", "password", "proof", "secret"};
 
 std::atomic<Level> lowest_level{Level::kOff};
+std::atomic<std::uint64_t> lines_dropped{0};
 
 // Set while no other thread logs.
 std::unique_ptr<internal::LineWriter>& Writer() {
@@ -131,6 +132,10 @@
   return Ok();
 }
 
+void SetLogLevel(Level level) { lowest_level.store(level, std::memory_order_relaxed); }
+
+std::uint64_t LogLinesDropped() { return lines_dropped.load(std::memory_order_relaxed); }
+
 void StopLog() {
   lowest_level.store(Level::kOff, std::memory_order_relaxed);
   Writer() = nullptr;
@@ -161,7 +166,7 @@
   // ASCII output passes log4cxx's conversion between character sets unchanged.
   std::string text = line.dump(-1, ' ', true, nlohmann::ordered_json::error_handler_t::replace);
   if (Writer() != nullptr) {
-    Writer()->Push(std::move(text));
+    if (!Writer()->Push(std::move(text))) lines_dropped.fetch_add(1, std::memory_order_relaxed);
   } else {
     Write(ToLog4cxx(level), text);
   }
--- a/verbenaridge/telemetry/log.h
+++ b/verbenaridge/telemetry/log.h
@@ -75,6 +75,12 @@
 // Errors: kUnavailable if the file cannot be opened.
 Status StartLog(const LogOptions& options);
 
+// Of further lines; thread-safe.
+void SetLogLevel(Level level);
+
+// Lines dropped since the start of the process because too many waited for the output.
+std::uint64_t LogLinesDropped();
+
 // Closes the output. Nothing is logged afterwards.
 void StopLog();
 
