Let two hosts of each data centre decide on all placements, and tell changes in time

Cause: on small systems all 18 hosts chose engines from boards of their own, and choices made at the same time collided. With the new way on small systems, hosts_test showed that nobody read the store when it turned away just those that decide (five turned away of six). Change: the two hosts of each data centre with the most processor keep the load board and decide for the others on systems of any size; the exception for up to 24 hosts is gone. Notices carry the age of what a host knows, not a flag; a host that hears of no reading for 0.9 s reads for itself, all of them together every 125 ms, and those that decide pass on what they heard. Tests: hosts_test (five turned away failed before; a large configuration travels compressed), refresh_schedule_test, compression_test, peer_list_test.

--- a/tools/install_packages.sh
+++ b/tools/install_packages.sh
@@ -5,7 +5,7 @@
   g++ cmake ninja-build ccache git curl jq
   libasio-dev librestinio-dev libhttp-parser-dev libfmt-dev
   libcurl4-openssl-dev libssl-dev libnghttp2-dev libmsgpack-cxx-dev
-  nlohmann-json3-dev libboost-dev liblog4cxx-dev libxxhash-dev
+  nlohmann-json3-dev libboost-dev liblog4cxx-dev libxxhash-dev zlib1g-dev
   doctest-dev librapidcheck-dev libbenchmark-dev
   clang-14 libclang-rt-14-dev clang-format-14 clang-tidy-14
 )
--- a/verbenaridge/directory/refresh_schedule.cc
+++ b/verbenaridge/directory/refresh_schedule.cc
@@ -3,13 +3,18 @@
 #include <algorithm>
 
 namespace verbenaridge::directory {
+namespace {
+
+// One reading is told by several peers, each with the delay of its way.
+constexpr Duration kSameReading = std::chrono::milliseconds(30);
+
+}  // namespace
 
 RefreshSchedule::RefreshSchedule(const RefreshOptions& options, RandomSource& random, TimePoint now)
     : options_(options), random_(random), due_(now) {}
 
 void RefreshSchedule::PutOff(TimePoint now) {
-  due_ = now + options_.interval +
-         FromSeconds(ToSeconds(options_.interval) * options_.spread * random_.Uniform());
+  due_ = now + options_.interval + FromSeconds(ToSeconds(options_.spread) * random_.Uniform());
 }
 
 void RefreshSchedule::OnStarted(TimePoint /*now*/) {
@@ -33,16 +38,18 @@
   due_ = now + FromSeconds(ToSeconds(wait) * (0.5 + random_.Uniform()));
 }
 
-void RefreshSchedule::OnPeerRead(TimePoint now) {
-  fresh_ = now;
-  if (running_) return;
+bool RefreshSchedule::OnPeerRead(TimePoint when, TimePoint now) {
+  if (when <= fresh_ + kSameReading) return false;
+  fresh_ = when;
+  if (running_) return true;
   if (failures_ == 0) {
-    PutOff(now);
+    PutOff(when);
   } else {
     // The store turns this host away and serves others, which tell it what they read.
     due_ = std::max(
         due_, now + FromSeconds(ToSeconds(options_.longest_retry) * (0.5 + random_.Uniform())));
   }
+  return true;
 }
 
 void RefreshSchedule::OnPeerDiffers(TimePoint now) {
--- a/verbenaridge/directory/refresh_schedule.h
+++ b/verbenaridge/directory/refresh_schedule.h
@@ -4,7 +4,7 @@
 //   RefreshSchedule schedule({.interval = std::chrono::milliseconds(500)}, random, clock.Now());
 //   if (schedule.Due(now)) { schedule.OnStarted(now); Read(...); }
 //   schedule.OnRead(now);        // read it; tells the peers
-//   schedule.OnPeerRead(now);    // a peer has just read the same value
+//   schedule.OnPeerRead(when, now);  // a peer knows that the value was the same then
 //   schedule.OnPeerDiffers(now); // a peer has read another one
 //
 // Each host waits for the interval and a random part of it since anyone's last reading, so mostly
@@ -20,7 +20,7 @@
 
 struct RefreshOptions {
   Duration interval = std::chrono::milliseconds(400);
-  double spread = 1;  // random part of the wait, in intervals
+  Duration spread = std::chrono::milliseconds(400);  // random part of the wait, at most
   // After failures in a row the wait grows up to this.
   Duration first_retry = std::chrono::milliseconds(200);
   Duration longest_retry = std::chrono::milliseconds(1'000);
@@ -34,15 +34,18 @@
   TimePoint due() const { return due_; }
 
   // From the next reading on.
-  void SetPace(Duration interval, Duration longest_retry) {
+  void SetPace(Duration interval, Duration spread, Duration longest_retry) {
     options_.interval = interval;
+    options_.spread = spread;
     options_.longest_retry = longest_retry;
   }
 
   void OnStarted(TimePoint now);
   void OnRead(TimePoint now);
   void OnFailed(TimePoint now);
-  void OnPeerRead(TimePoint now);
+  // A peer tells that the value was read at `when` and is the same as here. False if as much was
+  // known.
+  bool OnPeerRead(TimePoint when, TimePoint now);
   void OnPeerDiffers(TimePoint now);
 
   // When the value was last known to be current.
--- a/verbenaridge/ingress/directory_service.cc
+++ b/verbenaridge/ingress/directory_service.cc
@@ -4,6 +4,7 @@
 #include <utility>
 #include <variant>
 
+#include "verbenaridge/base/compression.h"
 #include "verbenaridge/base/hash.h"
 #include "verbenaridge/telemetry/log.h"
 
@@ -18,6 +19,14 @@
 constexpr Duration kPause = std::chrono::milliseconds(900);
 // A reading that a peer passed on is of use only if it is newer than the own one.
 constexpr Duration kMaxPeerAge = std::chrono::seconds(5);
+// The platform's store holds values of up to 1 MB; beyond that a peer sends nonsense.
+constexpr std::size_t kMaxDocumentBytes = std::size_t{8} * 1024 * 1024;
+// The age of what was never read.
+constexpr Duration kNever = std::chrono::hours(1);
+// A notice follows a reading at once. What was passed on by others is trusted to be newer only with
+// a margin, since its age leaves out what it waited on slow hosts.
+constexpr Duration kJustRead = std::chrono::milliseconds(20);
+constexpr Duration kRelayMargin = std::chrono::milliseconds(500);
 
 double Milliseconds(Duration duration) { return ToSeconds(duration) * 1000; }
 
@@ -80,8 +89,8 @@
           {.self = options.self, .ip = options.ip, .port = options.port, .keys = options.keys},
           *this),
       tick_(io_context, kTick, [this] { Tick(); }),
-      configuration_schedule_(options.configuration, random, clock.Now()),
-      endpoints_schedule_(options.endpoints, random, clock.Now()),
+      configuration_schedule_(options.refresh, random, clock.Now()),
+      endpoints_schedule_(options.refresh, random, clock.Now()),
       table_() {
   SetEndpointHeartbeat(options.endpoint_heartbeat);
   AddSeeds(options.seeds);
@@ -104,12 +113,12 @@
 void DirectoryService::Start() {
   started_ = true;
   last_tick_ = clock_.Now();
-  SendNotice(false, false, nullptr);
+  SendNotice(nullptr);
   Tick();
 }
 
 std::uint64_t DirectoryService::version() const {
-  return configuration_.configuration == nullptr ? 0 : configuration_.configuration->version();
+  return configuration_ == nullptr ? 0 : configuration_->version();
 }
 
 void DirectoryService::Tick() {
@@ -122,14 +131,14 @@
     Log(Level::kInfo, "peer_silent", {{"peer", host.value()}, {"hosts", peers_.live()}});
     outputs_.peer_gone(incarnation);
   }
-  if (now - last_notice_ >= options_.notice_interval) SendNotice(false, false, nullptr);
+  if (now - last_notice_ >= options_.notice_interval) SendNotice(nullptr);
+  SetPace();
   std::pair<bool, std::vector<std::string>> keepers{peers_.Keeps(), peers_.Keepers()};
   if (keepers == published_keepers_) return;
   Log(Level::kInfo, "keepers_changed",
       {{"self", keepers.first}, {"others", keepers.second.size()}, {"hosts", peers_.live()}});
   const bool became_keeper = keepers.first && !published_keepers_.first;
   published_keepers_ = keepers;
-  SetPace(keepers.first, 1 + keepers.second.size());
   if (became_keeper) {
     configuration_schedule_.OnPeerDiffers(now);
     endpoints_schedule_.OnPeerDiffers(now);
@@ -137,18 +146,19 @@
   outputs_.keepers(keepers.first, std::move(keepers.second));
 }
 
-void DirectoryService::SetPace(bool keeps, std::size_t keepers) {
-  const Duration retry = std::clamp<Duration>(options_.outage_interval * keepers,
-                                              std::chrono::seconds(1), options_.longest_retry);
-  const auto set = [&](directory::RefreshSchedule& schedule, Duration interval) {
+void DirectoryService::SetPace() {
+  const bool keeps = published_keepers_.first;
+  const std::size_t readers = keeps ? 1 + published_keepers_.second.size() : peers_.live();
+  const Duration together = options_.outage_interval * readers;
+  const Duration retry =
+      std::clamp<Duration>(together, std::chrono::seconds(1), options_.longest_retry);
+  for (directory::RefreshSchedule* schedule : {&configuration_schedule_, &endpoints_schedule_}) {
     if (keeps) {
-      schedule.SetPace(interval, retry);
+      schedule->SetPace(options_.refresh.interval, options_.refresh.spread, retry);
     } else {
-      schedule.SetPace(options_.listening_interval, options_.longest_retry);
+      schedule->SetPace(options_.listening_interval, together, retry);
     }
-  };
-  set(configuration_schedule_, options_.configuration.interval);
-  set(endpoints_schedule_, options_.endpoints.interval);
+  }
 }
 
 void DirectoryService::NoticePause(TimePoint now) {
@@ -167,8 +177,7 @@
     });
   } else {
     store_.PollConfiguration(
-        configuration_.revision,
-        [this](Result<std::optional<directory::ConfigurationReading>> reading) {
+        revision_, [this](Result<std::optional<directory::ConfigurationReading>> reading) {
           OnConfigurationPolled(std::move(reading));
         });
   }
@@ -182,8 +191,8 @@
   read_anew_ = false;
   NoteStore(true, {});
   configuration_schedule_.OnRead(clock_.Now());
-  Adopt(std::move(reading).value(), "store");
-  SendNotice(true, false, nullptr);
+  OnNewReading(std::move(reading).value());
+  SendNotice(nullptr);
 }
 
 void DirectoryService::OnConfigurationPolled(
@@ -195,29 +204,36 @@
   }
   NoteStore(true, {});
   configuration_schedule_.OnRead(clock_.Now());
-  if (reading.value()) Adopt(std::move(*reading.value()), "store");
-  SendNotice(true, false, nullptr);
+  if (reading.value()) OnNewReading(std::move(*reading.value()));
+  SendNotice(nullptr);
+}
+
+void DirectoryService::OnNewReading(directory::ConfigurationReading reading) {
+  revision_ = std::max(revision_, reading.revision);
+  if (Adopt(std::move(reading.configuration), "store")) {
+    packed_document_ = Compress(reading.document);
+  }
 }
 
-void DirectoryService::Adopt(directory::ConfigurationReading reading, std::string_view source) {
+bool DirectoryService::Adopt(std::shared_ptr<const directory::Configuration> configuration,
+                             std::string_view source) {
   const std::uint64_t known = version();
-  if (reading.configuration->version() < known) {
+  if (configuration->version() < known) {
     Log(Level::kWarning, "configuration_older",
-        {{"version", reading.configuration->version()}, {"known", known}, {"source", source}});
-    return;
+        {{"version", configuration->version()}, {"known", known}, {"source", source}});
+    return false;
   }
   differs_since_.reset();
-  configuration_.revision = std::max(configuration_.revision, reading.revision);
-  if (reading.configuration->version() == known) return;
-  configuration_.configuration = std::move(reading.configuration);
-  configuration_.document = std::move(reading.document);
+  if (configuration->version() == known) return false;
+  configuration_ = std::move(configuration);
   Log(Level::kInfo, "configuration_in_force",
       {{"version", version()},
        {"before", known},
        {"source", source},
-       {"revision", configuration_.revision},
-       {"routes", configuration_.configuration->route_count()}});
+       {"revision", revision_},
+       {"routes", configuration_->route_count()}});
   Publish();
+  return true;
 }
 
 void DirectoryService::OnConfigurationFailed(std::error_code error) {
@@ -225,7 +241,7 @@
   if (error == Errc::kMalformed) {
     Log(Level::kError, "configuration_malformed", {{"known", version()}});
   } else if (error == Errc::kConflict) {
-    Log(Level::kInfo, "store_history_lost", {{"revision", configuration_.revision}});
+    Log(Level::kInfo, "store_history_lost", {{"revision", revision_}});
     configuration_schedule_.OnPeerDiffers(clock_.Now());
   } else {
     NoteStore(false, error);
@@ -250,7 +266,7 @@
   NoteStore(true, {});
   endpoints_schedule_.OnRead(clock_.Now());
   ApplyEndpoints(std::move(reading.value().endpoints), "store");
-  SendNotice(false, true, nullptr);
+  SendNotice(nullptr);
 }
 
 void DirectoryService::ApplyEndpoints(std::vector<directory::Endpoint> entries,
@@ -290,23 +306,46 @@
         {{"peer", notice.sender.value()},
          {"restarted", heard.news == PeerList::News::kRestarted},
          {"hosts", peers_.live()}});
-    SendNotice(false, false, &ip);
+    SendNotice(&ip);
     outputs_.peer_started();
   }
+  OnConfigurationNotice(notice, ip);
+  OnEndpointsNotice(notice, ip);
+}
+
+void DirectoryService::OnConfigurationNotice(const wire::DirectoryNotice& notice,
+                                             const std::string& ip) {
+  const TimePoint now = clock_.Now();
   if (notice.configuration_version > version()) {
     OnDifference(notice, ip, configuration_schedule_);
-  } else if (notice.configuration_read && notice.configuration_version == version()) {
-    configuration_schedule_.OnPeerRead(now);
+  } else if (notice.configuration_version == version() && notice.configuration_age <= kMaxPeerAge) {
+    if (configuration_schedule_.OnPeerRead(now - notice.configuration_age, now)) RelayNews();
   }
-  if (!notice.endpoints_read) return;
+}
+
+void DirectoryService::OnEndpointsNotice(const wire::DirectoryNotice& notice,
+                                         const std::string& ip) {
+  if (notice.endpoints_age > kMaxPeerAge) return;
+  const TimePoint now = clock_.Now();
+  const TimePoint read = now - notice.endpoints_age;
   if (notice.endpoints == last_digest_ && table_.read_once()) {
-    endpoints_schedule_.OnPeerRead(now);
+    if (!endpoints_schedule_.OnPeerRead(read, now)) return;
     ApplyEndpoints(last_entries_, "peer");
-  } else {
+    RelayNews();
+    return;
+  }
+  const Duration margin = notice.endpoints_age < kJustRead ? Duration{} : kRelayMargin;
+  if (!table_.read_once() || read > endpoints_schedule_.fresh() + margin) {
     OnDifference(notice, ip, endpoints_schedule_);
   }
 }
 
+void DirectoryService::RelayNews() {
+  if (!peers_.Keeps()) return;
+  if (configuration_schedule_.failures() == 0 && endpoints_schedule_.failures() == 0) return;
+  SendNotice(nullptr);
+}
+
 void DirectoryService::OnDifference(const wire::DirectoryNotice& notice, const std::string& ip,
                                     directory::RefreshSchedule& schedule) {
   informed_peer_ = ip;
@@ -323,15 +362,14 @@
   if (near || !peers_.KnowsNearKeeper() || now - *differs_since_ >= options_.near_wait) AskPeer();
 }
 
-void DirectoryService::SendNotice(bool configuration_read, bool endpoints_read,
-                                  const std::string* to) {
+void DirectoryService::SendNotice(const std::string* to) {
   wire::DirectoryNotice notice{.sender = options_.self,
                                .ip = options_.ip,
                                .incarnation = options_.incarnation,
                                .configuration_version = version(),
-                               .configuration_read = configuration_read,
+                               .configuration_age = configuration_age(),
                                .endpoints = last_digest_,
-                               .endpoints_read = endpoints_read,
+                               .endpoints_age = table_.read_once() ? endpoints_age() : kNever,
                                .data_centre = options_.data_centre,
                                .capacity = options_.capacity,
                                .keeps = peers_.Keeps(),
@@ -388,14 +426,12 @@
   }
   wire::FetchDirectoryReply content = std::move(reply).value();
   if (!content.configuration.empty() && content.configuration_version > version()) {
-    Result<std::shared_ptr<const directory::Configuration>> decoded =
-        store_.Decode(content.configuration);
+    Result<std::shared_ptr<const directory::Configuration>> decoded = Unpack(content.configuration);
     if (decoded.has_error()) {
       Log(Level::kError, "configuration_malformed", {{"peer", ip}});
-    } else {
-      Adopt({.configuration = std::move(decoded).value(),
-             .document = std::move(content.configuration)},
-            "peer");
+    } else if (Adopt(std::move(decoded).value(), "peer")) {
+      packed_document_ = std::move(content.configuration);
+      RelayNews();
     }
   }
   const bool newer = !table_.read_once() || content.endpoints_age < endpoints_age();
@@ -411,14 +447,22 @@
                        .born = entry.born,
                        .draining = entry.draining});
   }
-  endpoints_schedule_.OnPeerRead(clock_.Now() - content.endpoints_age);
+  const TimePoint now = clock_.Now();
+  endpoints_schedule_.OnPeerRead(now - content.endpoints_age, now);
   ApplyEndpoints(std::move(entries), "peer");
+  RelayNews();
+}
+
+Result<std::shared_ptr<const directory::Configuration>> DirectoryService::Unpack(
+    std::string_view packed) const {
+  BOOST_OUTCOME_TRY(document, Decompress(packed, kMaxDocumentBytes));
+  return store_.Decode(document);
 }
 
 wire::FetchDirectoryReply DirectoryService::Content(std::uint64_t have_version) const {
   wire::FetchDirectoryReply reply{.configuration_version = version(),
                                   .has_endpoints = table_.read_once()};
-  if (version() > have_version) reply.configuration = configuration_.document;
+  if (version() > have_version) reply.configuration = packed_document_;
   if (!reply.has_endpoints) return reply;
   reply.endpoints_age = endpoints_age();
   for (const directory::Endpoint& entry : last_entries_) {
@@ -445,7 +489,7 @@
 
 void DirectoryService::Publish() {
   auto snapshot = std::make_shared<forwarding::DirectorySnapshot>();
-  snapshot->configuration = configuration_.configuration;
+  snapshot->configuration = configuration_;
   snapshot->endpoints = table_.endpoints();
   snapshot->endpoints_read = endpoints_schedule_.fresh();
   snapshot->hosts = peers_.MostLately(clock_.Now());
--- a/verbenaridge/ingress/directory_service.h
+++ b/verbenaridge/ingress/directory_service.h
@@ -41,14 +41,15 @@
   Incarnation incarnation = 0;
   Duration endpoint_heartbeat{};
   // Versions must be in force within 2 s, and a leaving endpoint gets no work after 2 s.
-  directory::RefreshOptions configuration{.interval = std::chrono::milliseconds(450)};
-  directory::RefreshOptions endpoints{.interval = std::chrono::milliseconds(450)};
-  // Of a host that does not keep the load board: it hears of the readings of those that do, and
-  // reads only when it does not.
-  Duration listening_interval = std::chrono::seconds(5);
-  // While the store does not answer, all hosts together call it about so often for each value.
+  directory::RefreshOptions refresh{.interval = std::chrono::milliseconds(450),
+                                    .spread = std::chrono::milliseconds(450)};
+  // Of a host that does not keep the load board: it hears of the readings of those that do, twice
+  // a second, and reads only when it does not: the store may turn away just those.
+  Duration listening_interval = std::chrono::milliseconds(900);
+  // All listening hosts together read about so often when they hear of no reading, and all hosts
+  // together call a store that does not answer about so often, for each value.
   Duration outage_interval = std::chrono::milliseconds(125);
-  Duration longest_retry = std::chrono::seconds(4);
+  Duration longest_retry = std::chrono::seconds(16);
   // A host that has read nothing for so long says that it lives.
   Duration notice_interval = std::chrono::seconds(1);
   // A host that does not keep the board waits so long for a near one to tell it of a change before
@@ -82,7 +83,7 @@
   void AddSeeds(const std::vector<std::string>& seeds);
   void SetEndpointHeartbeat(Duration heartbeat);
 
-  bool ready() const { return configuration_.configuration != nullptr && table_.read_once(); }
+  bool ready() const { return configuration_ != nullptr && table_.read_once(); }
   std::uint64_t version() const;
   std::vector<directory::Endpoint> endpoints() const { return table_.endpoints(); }
   std::size_t hosts() const { return peers_.live(); }
@@ -99,12 +100,15 @@
 
   void Tick();
   void NoticePause(TimePoint now);
-  void SetPace(bool keeps, std::size_t keepers);
+  void SetPace();
 
   void ReadConfiguration();
   void OnConfigurationRead(Result<directory::ConfigurationReading> reading);
   void OnConfigurationPolled(Result<std::optional<directory::ConfigurationReading>> reading);
-  void Adopt(directory::ConfigurationReading reading, std::string_view source);
+  // True if it is newer than what was known.
+  bool Adopt(std::shared_ptr<const directory::Configuration> configuration,
+             std::string_view source);
+  void OnNewReading(directory::ConfigurationReading reading);
   void OnConfigurationFailed(std::error_code error);
 
   void ReadEndpoints();
@@ -112,11 +116,17 @@
   void ApplyEndpoints(std::vector<directory::Endpoint> entries, std::string_view source);
 
   void OnNotice(const wire::DirectoryNotice& notice, const std::string& ip);
-  void SendNotice(bool configuration_read, bool endpoints_read, const std::string* to);
+  void OnConfigurationNotice(const wire::DirectoryNotice& notice, const std::string& ip);
+  void OnEndpointsNotice(const wire::DirectoryNotice& notice, const std::string& ip);
+  // To one host, or to all that it concerns.
+  void SendNotice(const std::string* to);
+  // A host that keeps the board passes on what it heard if it cannot read for itself.
+  void RelayNews();
   // The peer has something else than this host.
   void OnDifference(const wire::DirectoryNotice& notice, const std::string& ip,
                     directory::RefreshSchedule& schedule);
   void AskPeer();
+  Result<std::shared_ptr<const directory::Configuration>> Unpack(std::string_view packed) const;
   void OnPeerContent(Result<wire::FetchDirectoryReply> reply, const std::string& ip);
 
   void NoteStore(bool works, std::error_code error);
@@ -135,7 +145,11 @@
 
   directory::RefreshSchedule configuration_schedule_;
   directory::RefreshSchedule endpoints_schedule_;
-  directory::ConfigurationReading configuration_;
+  std::shared_ptr<const directory::Configuration> configuration_;
+  std::uint64_t revision_ = 0;  // of the store, when it was read
+  // The document as peers get it, compressed: with 1,500 routes it has 400 KB, and one host of a
+  // data centre sends it to all others there over a link of perhaps 14 Mbit/s.
+  std::string packed_document_;
   bool read_anew_ = true;  // the history since the last reading is gone
   directory::EndpointTable table_;
   std::vector<directory::Endpoint> last_entries_;
--- a/verbenaridge/ingress/peer_list.cc
+++ b/verbenaridge/ingress/peer_list.cc
@@ -60,7 +60,6 @@
 }
 
 bool PeerList::Keeps() const {
-  if (live() <= options_.small_system) return true;
   const Rank own = RankOf(self_);
   const auto before = std::count_if(peers_.begin(), peers_.end(), [&](const auto& entry) {
     const Peer& peer = entry.second;
--- a/verbenaridge/ingress/peer_list.h
+++ b/verbenaridge/ingress/peer_list.h
@@ -6,11 +6,11 @@
 //   peers.OnHeard(facts, now);
 //   for (const std::string& ip : peers.NoticeTargets(now)) Send(ip, notice);
 //
-// Hosts learn of each other from the seeds and from the samples that every notice carries. In a
-// small system every host keeps the load board and hears every other one. In a larger one a few
-// hosts of each data centre do, those with the most processor first: these tell all hosts that
-// they live, the others tell only them. A host keeps the board unless it hears enough others of
-// its data centre that come before it, so that no agreement is needed. Used by one thread.
+// Hosts learn of each other from the seeds and from the samples that every notice carries. A few
+// hosts of each data centre keep the load board, those with the most processor first: these tell
+// all hosts that they live, the others tell only them. A host keeps the board unless it hears
+// enough others of its data centre that come before it, so that no agreement is needed. Used by one
+// thread.
 #ifndef VERBENARIDGE_INGRESS_PEER_LIST_H_
 #define VERBENARIDGE_INGRESS_PEER_LIST_H_
 
@@ -35,9 +35,8 @@
   // Addresses of hosts that were named or have fallen silent are remembered for so long.
   Duration contact = std::chrono::seconds(40);
   std::size_t sample = 8;  // hosts named in a notice
-  // Up to so many hosts all keep the board: a request costs a datagram to each of them.
-  std::size_t small_system = 24;
-  // In a larger system; two, so that one may die.
+  // Two, so that one may die. Choices that are made at one place do not collide, and a request
+  // costs a datagram to each that keeps the board.
   std::size_t keepers_per_data_centre = 2;
   Duration lately = std::chrono::seconds(30);
   // Assumed until the peers had time to be heard.
--- a/verbenaridge/wire/internal/message_fields.h
+++ b/verbenaridge/wire/internal/message_fields.h
@@ -225,8 +225,8 @@
 
 template <Like<DirectoryNotice> Self>
 auto Fields(Self& m) {
-  return std::tie(m.sender, m.ip, m.incarnation, m.configuration_version, m.configuration_read,
-                  m.endpoints, m.endpoints_read, m.leaving, m.data_centre, m.capacity, m.keeps,
+  return std::tie(m.sender, m.ip, m.incarnation, m.configuration_version, m.configuration_age,
+                  m.endpoints, m.endpoints_age, m.leaving, m.data_centre, m.capacity, m.keeps,
                   m.hosts, m.peers);
 }
 
--- a/verbenaridge/wire/messages.h
+++ b/verbenaridge/wire/messages.h
@@ -403,9 +403,9 @@
   std::string ip;
   Incarnation incarnation = 0;
   std::uint64_t configuration_version = 0;
-  bool configuration_read = false;
-  Digest endpoints = 0;  // of the last reading
-  bool endpoints_read = false;
+  Duration configuration_age{};  // since it was known to be the newest
+  Digest endpoints = 0;          // of the last reading
+  Duration endpoints_age{};      // since they were known to be current
   bool leaving = false;
   DataCentreId data_centre;
   double capacity = 0;           // share of a processor
