Choose the test fleet's ports where no client's socket takes them

Cause: fleet_test under AddressSanitizer ended by SIGABRT in 2 of 6 runs, without a word why, in different cases. The fleet chose its ports among those that the system also gives to clients' sockets, and released them until its daemons opened them; each way in which a fleet does not start called abort without a message. Change: ports from 20000 to 31999, none twice in a process; a fleet that does not start says why. Conclusion: if it aborts again, the message tells.

--- a/verbenaridge/fleet_tests/test_fleet.cc
+++ b/verbenaridge/fleet_tests/test_fleet.cc
@@ -1,10 +1,13 @@
 #include "verbenaridge/fleet_tests/test_fleet.h"
 
+#include <unistd.h>
+
 #include <asio/ip/tcp.hpp>
 #include <asio/ip/udp.hpp>
 #include <asio/steady_timer.hpp>
 #include <cstdlib>
 #include <future>
+#include <iostream>
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -22,19 +25,34 @@
 
 std::string HostOf(std::size_t index) { return "h" + std::to_string(index + 1); }
 
-// A port that is free for TCP and UDP now.
+// Below the ports that the system gives to clients' sockets: one of those may be taken for a
+// connection between its choice here and its use.
+constexpr int kFirstPort = 20'000;
+constexpr int kPorts = 12'000;
+
+// A port that is free for TCP and UDP now, and that was not given before in this process.
 std::uint16_t FreePort() {
+  static int next = getpid() * 97;  // test programs run side by side
+  const asio::ip::address address = asio::ip::make_address("127.0.0.1");
   asio::io_context io_context;
   for (;;) {
-    asio::ip::tcp::acceptor acceptor(io_context, {asio::ip::make_address("127.0.0.1"), 0});
-    const std::uint16_t port = acceptor.local_endpoint().port();
-    asio::error_code error;
+    const auto port = static_cast<std::uint16_t>(kFirstPort + next++ % kPorts);
+    asio::error_code tcp_error;
+    asio::error_code udp_error;
+    asio::ip::tcp::acceptor acceptor(io_context, asio::ip::tcp::v4());
+    acceptor.bind({address, port}, tcp_error);
     asio::ip::udp::socket socket(io_context, asio::ip::udp::v4());
-    socket.bind({asio::ip::make_address("127.0.0.1"), port}, error);
-    if (!error) return port;
+    socket.bind({address, port}, udp_error);
+    if (!tcp_error && !udp_error) return port;
   }
 }
 
+// A fleet that does not start is no result of the test at hand.
+[[noreturn]] void Fail(const std::string& what) {
+  std::cerr << "test fleet: " << what << std::endl;
+  std::abort();
+}
+
 std::string BaseUrl(std::uint16_t port) { return "http://127.0.0.1:" + std::to_string(port); }
 
 }  // namespace
@@ -50,7 +68,7 @@
   for (std::size_t i = 0; i <= options_.endpoints; ++i) {
     fakes::FakeEndpointOptions endpoint_options{.engine = options_.engine, .models = {"m"}};
     auto endpoint = std::make_unique<fakes::FakeEndpoint>(io_context, endpoint_options);
-    if (endpoint->Open().has_error()) std::abort();
+    if (endpoint->Open().has_error()) Fail("an endpoint cannot listen");
     if (i < options_.endpoints) {
       endpoints_.push_back(std::move(endpoint));
     } else {
@@ -61,7 +79,9 @@
   ApplyPlan("first", 1);
   daemons_.resize(options_.daemons);
   for (std::size_t i = 0; i < options_.daemons; ++i) StartDaemon(i);
-  if (!WaitFor(std::chrono::seconds(20), [this] { return AllReady(); })) std::abort();
+  if (!WaitFor(std::chrono::seconds(20), [this] { return AllReady(); })) {
+    Fail("not ready within 20 s");
+  }
 }
 
 TestFleet::~TestFleet() {
@@ -141,7 +161,9 @@
       .url = platform_->base_url() + "/kv/plans/current?expect=" + std::to_string(version - 1),
       .body = document.dump(),
       .timeout = kCallTimeout};
-  if (Send(std::move(request)).code != 200) std::abort();
+  const int code = Send(std::move(request)).code;
+  if (code != 200)
+    Fail(std::string("the plan is not written: status ").append(std::to_string(code)));
 }
 
 HttpReply TestFleet::Send(net::HttpRequest request) {
@@ -228,7 +250,8 @@
 void TestFleet::StartDaemon(std::size_t index) {
   Running& running = daemons_[index];
   running.daemon = std::make_unique<daemon::Daemon>(SettingsOf(index), clock_);
-  if (running.daemon->Open().has_error()) std::abort();
+  const Status opened = running.daemon->Open();
+  if (opened.has_error()) Fail("a daemon cannot open: " + opened.error().message());
   running.thread = std::thread([&running] { running.daemon->Run(); });
 }
 
