Convert between hosts' messages and the types of decisions in one place

Cause: work and endpoints were converted field by field in two places each, and a peer's confirmation hashed the same entries again. Change: ingress/wire_conversions with a test that no field is lost; a confirmation goes to the table without a new digest. Conclusion: one copy of each conversion.

--- a/verbenaridge/dispatch/load_board.h
+++ b/verbenaridge/dispatch/load_board.h
@@ -44,6 +44,8 @@
   double weight = 1;         // what it counts for when it is late
   bool decodes = true;       // false: reads a part for another engine, or is no generation
   bool part = false;         // one of several engines that read the prompt
+
+  friend bool operator==(const Work&, const Work&) = default;
 };
 
 // A request whose prompt, or whose part here, is not read yet.
--- a/verbenaridge/ingress/directory_service.cc
+++ b/verbenaridge/ingress/directory_service.cc
@@ -6,6 +6,7 @@
 
 #include "verbenaridge/base/compression.h"
 #include "verbenaridge/base/hash.h"
+#include "verbenaridge/ingress/wire_conversions.h"
 #include "verbenaridge/telemetry/log.h"
 
 namespace verbenaridge::ingress {
@@ -271,9 +272,14 @@
 
 void DirectoryService::ApplyEndpoints(std::vector<directory::Endpoint> entries,
                                       std::string_view source) {
-  differs_since_.reset();
   last_digest_ = DigestOf(entries);
   last_entries_ = entries;
+  ApplyToTable(std::move(entries), source);
+}
+
+void DirectoryService::ApplyToTable(std::vector<directory::Endpoint> entries,
+                                    std::string_view source) {
+  differs_since_.reset();
   for (const auto& change : table_.OnReading(std::move(entries), clock_.Now())) {
     Log(Level::kInfo, "endpoint_changed",
         {{"endpoint", change.endpoint.id.value()},
@@ -330,7 +336,7 @@
   const TimePoint read = now - notice.endpoints_age;
   if (notice.endpoints == last_digest_ && table_.read_once()) {
     if (!endpoints_schedule_.OnPeerRead(read, now)) return;
-    ApplyEndpoints(last_entries_, "peer");
+    ApplyToTable(last_entries_, "peer");
     RelayNews();
     return;
   }
@@ -437,16 +443,8 @@
   const bool newer = !table_.read_once() || content.endpoints_age < endpoints_age();
   if (!content.has_endpoints || !newer || content.endpoints_age > kMaxPeerAge) return;
   std::vector<directory::Endpoint> entries;
-  for (wire::EndpointEntry& entry : content.endpoints) {
-    entries.push_back({.id = std::move(entry.id),
-                       .service = std::move(entry.service),
-                       .ip = std::move(entry.ip),
-                       .port = entry.port,
-                       .data_centre = std::move(entry.data_centre),
-                       .slots = entry.slots,
-                       .born = entry.born,
-                       .draining = entry.draining});
-  }
+  entries.reserve(content.endpoints.size());
+  for (const wire::EndpointEntry& entry : content.endpoints) entries.push_back(FromWire(entry));
   const TimePoint now = clock_.Now();
   endpoints_schedule_.OnPeerRead(now - content.endpoints_age, now);
   ApplyEndpoints(std::move(entries), "peer");
@@ -465,16 +463,7 @@
   if (version() > have_version) reply.configuration = packed_document_;
   if (!reply.has_endpoints) return reply;
   reply.endpoints_age = endpoints_age();
-  for (const directory::Endpoint& entry : last_entries_) {
-    reply.endpoints.push_back({.id = entry.id,
-                               .service = entry.service,
-                               .ip = entry.ip,
-                               .port = entry.port,
-                               .data_centre = entry.data_centre,
-                               .slots = entry.slots,
-                               .born = entry.born,
-                               .draining = entry.draining});
-  }
+  for (const directory::Endpoint& entry : last_entries_) reply.endpoints.push_back(ToWire(entry));
   return reply;
 }
 
--- a/verbenaridge/ingress/directory_service.h
+++ b/verbenaridge/ingress/directory_service.h
@@ -114,6 +114,7 @@
   void ReadEndpoints();
   void OnEndpointsRead(Result<directory::EndpointsReading> reading);
   void ApplyEndpoints(std::vector<directory::Endpoint> entries, std::string_view source);
+  void ApplyToTable(std::vector<directory::Endpoint> entries, std::string_view source);
 
   void OnNotice(const wire::DirectoryNotice& notice, const std::string& ip);
   void OnConfigurationNotice(const wire::DirectoryNotice& notice, const std::string& ip);
--- a/verbenaridge/ingress/load_exchange.cc
+++ b/verbenaridge/ingress/load_exchange.cc
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include "verbenaridge/ingress/wire_conversions.h"
 #include "verbenaridge/telemetry/log.h"
 
 namespace verbenaridge::ingress {
@@ -25,16 +26,7 @@
       timer_(io_context) {}
 
 void LoadExchange::OnBegin(const dispatch::Work& work) {
-  update_.begun.push_back({.id = work.id,
-                           .endpoint = work.endpoint,
-                           .read_time = work.read_time,
-                           .kv_tokens = work.kv_tokens,
-                           .due = work.due,
-                           .target_gap = work.target_gap,
-                           .lifetime = work.lifetime,
-                           .weight = work.weight,
-                           .decodes = work.decodes,
-                           .part = work.part});
+  update_.begun.push_back(ToWire(work));
   Arm();
 }
 
--- a/verbenaridge/ingress/traffic.cc
+++ b/verbenaridge/ingress/traffic.cc
@@ -4,6 +4,7 @@
 #include <utility>
 #include <variant>
 
+#include "verbenaridge/ingress/wire_conversions.h"
 #include "verbenaridge/telemetry/log.h"
 
 namespace verbenaridge::ingress {
@@ -159,18 +160,7 @@
 }
 
 void Traffic::OnLoadUpdate(const wire::LoadUpdate& update) {
-  for (const wire::WorkEntry& work : update.begun) {
-    dispatcher_.OnPeerBegin({.id = work.id,
-                             .endpoint = work.endpoint,
-                             .read_time = work.read_time,
-                             .kv_tokens = work.kv_tokens,
-                             .due = work.due,
-                             .target_gap = work.target_gap,
-                             .lifetime = work.lifetime,
-                             .weight = work.weight,
-                             .decodes = work.decodes,
-                             .part = work.part});
-  }
+  for (const wire::WorkEntry& work : update.begun) dispatcher_.OnPeerBegin(FromWire(work));
   for (const std::uint64_t work : update.first_events) dispatcher_.OnPeerFirstEvent(work);
   for (const std::uint64_t work : update.ended) dispatcher_.OnPeerEnd(work);
   for (const Digest endpoint : update.unreachable) dispatcher_.OnPeerUnreachable(endpoint);
--- /dev/null
+++ b/verbenaridge/ingress/wire_conversions.cc
@@ -0,0 +1,53 @@
+#include "verbenaridge/ingress/wire_conversions.h"
+
+namespace verbenaridge::ingress {
+
+wire::WorkEntry ToWire(const dispatch::Work& work) {
+  return {.id = work.id,
+          .endpoint = work.endpoint,
+          .read_time = work.read_time,
+          .kv_tokens = work.kv_tokens,
+          .due = work.due,
+          .target_gap = work.target_gap,
+          .lifetime = work.lifetime,
+          .weight = work.weight,
+          .decodes = work.decodes,
+          .part = work.part};
+}
+
+dispatch::Work FromWire(const wire::WorkEntry& entry) {
+  return {.id = entry.id,
+          .endpoint = entry.endpoint,
+          .read_time = entry.read_time,
+          .kv_tokens = entry.kv_tokens,
+          .due = entry.due,
+          .target_gap = entry.target_gap,
+          .lifetime = entry.lifetime,
+          .weight = entry.weight,
+          .decodes = entry.decodes,
+          .part = entry.part};
+}
+
+wire::EndpointEntry ToWire(const directory::Endpoint& endpoint) {
+  return {.id = endpoint.id,
+          .service = endpoint.service,
+          .ip = endpoint.ip,
+          .port = endpoint.port,
+          .data_centre = endpoint.data_centre,
+          .slots = endpoint.slots,
+          .born = endpoint.born,
+          .draining = endpoint.draining};
+}
+
+directory::Endpoint FromWire(const wire::EndpointEntry& entry) {
+  return {.id = entry.id,
+          .service = entry.service,
+          .ip = entry.ip,
+          .port = entry.port,
+          .data_centre = entry.data_centre,
+          .slots = entry.slots,
+          .born = entry.born,
+          .draining = entry.draining};
+}
+
+}  // namespace verbenaridge::ingress
--- /dev/null
+++ b/verbenaridge/ingress/wire_conversions.h
@@ -0,0 +1,22 @@
+// Between the types of decisions and those of the inner protocol.
+//
+//   update.begun.push_back(ToWire(work));
+//   dispatcher.OnPeerBegin(FromWire(entry));
+#ifndef VERBENARIDGE_INGRESS_WIRE_CONVERSIONS_H_
+#define VERBENARIDGE_INGRESS_WIRE_CONVERSIONS_H_
+
+#include "verbenaridge/directory/endpoint_table.h"
+#include "verbenaridge/dispatch/load_board.h"
+#include "verbenaridge/wire/messages.h"
+
+namespace verbenaridge::ingress {
+
+wire::WorkEntry ToWire(const dispatch::Work& work);
+dispatch::Work FromWire(const wire::WorkEntry& entry);
+
+wire::EndpointEntry ToWire(const directory::Endpoint& endpoint);
+directory::Endpoint FromWire(const wire::EndpointEntry& entry);
+
+}  // namespace verbenaridge::ingress
+
+#endif  // VERBENARIDGE_INGRESS_WIRE_CONVERSIONS_H_
--- /dev/null
+++ b/verbenaridge/ingress/wire_conversions_test.cc
@@ -0,0 +1,50 @@
+#include "verbenaridge/ingress/wire_conversions.h"
+
+#include <doctest/doctest.h>
+
+namespace verbenaridge::ingress {
+namespace {
+
+using std::chrono::milliseconds;
+
+// Guards against a field that is lost between two hosts.
+TEST_CASE("an endpoint is the same on the other host") {
+  const directory::Endpoint rows[] = {
+      {},
+      {.id = EndpointId("i-1"),
+       .service = ServiceId("s"),
+       .ip = "10.0.0.1",
+       .port = 80,
+       .data_centre = DataCentreId("a"),
+       .slots = 12,
+       .born = 1'700'000'000'000,
+       .draining = true},
+  };
+  for (const directory::Endpoint& endpoint : rows) {
+    CAPTURE(endpoint.id.value());
+    CHECK(FromWire(ToWire(endpoint)) == endpoint);
+  }
+}
+
+TEST_CASE("work is the same on the other host") {
+  const dispatch::Work rows[] = {
+      {},
+      {.id = 7,
+       .endpoint = 9,
+       .read_time = milliseconds(3),
+       .kv_tokens = 5'000,
+       .due = milliseconds(250),
+       .target_gap = milliseconds(120),
+       .lifetime = milliseconds(9'000),
+       .weight = 2.5,
+       .decodes = false,
+       .part = true},
+  };
+  for (const dispatch::Work& work : rows) {
+    CAPTURE(work.id);
+    CHECK(FromWire(ToWire(work)) == work);
+  }
+}
+
+}  // namespace
+}  // namespace verbenaridge::ingress
