--- a/tools/check_tidy.sh
+++ b/tools/check_tidy.sh
@@ -13,10 +13,16 @@
 check_one() {
   local key inputs
   inputs=$(clang++-14 -std=c++20 -I. -DASIO_STANDALONE -MM "$1" | tr -d '\\\n' | cut -d: -f2)
-  # shellcheck disable=SC2086  # one word for each file
+  # shellcheck disable=SC2086  # one word for each file, here and below
   key=$(cat $inputs .clang-tidy | sha256sum | cut -c1-40)
   [ -e "$cache/$key" ] && return 0
-  clang-tidy-14 -p "$build" --quiet "$1" 2>/dev/null || { echo "clang-tidy failed: $1"; return 1; }
+  # Clang 14 has coroutines but does not say so in the way that libstdc++ and Asio ask for.
+  local coroutines=()
+  if grep -q 'asio::awaitable' $inputs; then
+    coroutines=(--extra-arg=-D__cpp_impl_coroutine=201902L --extra-arg=-DASIO_HAS_CO_AWAIT=1
+                --extra-arg=-DASIO_HAS_STD_COROUTINE=1)
+  fi
+  clang-tidy-14 -p "$build" --quiet "${coroutines[@]}" "$1" 2>/dev/null || { echo "clang-tidy failed: $1"; return 1; }
   touch "$cache/$key"
 }
 export -f check_one
--- a/verbenaridge/fleet_tests/test_fleet.cc
+++ b/verbenaridge/fleet_tests/test_fleet.cc
@@ -162,8 +162,9 @@
       .body = document.dump(),
       .timeout = kCallTimeout};
   const int code = Send(std::move(request)).code;
-  if (code != 200)
+  if (code != 200) {
     Fail(std::string("the plan is not written: status ").append(std::to_string(code)));
+  }
 }
 
 HttpReply TestFleet::Send(net::HttpRequest request) {
--- a/verbenaridge/ingress/directory_service.cc
+++ b/verbenaridge/ingress/directory_service.cc
@@ -97,7 +97,7 @@
   AddSeeds(options.seeds);
 }
 
-void DirectoryService::AddSeeds(const std::vector<std::string>& seeds) {
+void DirectoryService::AddSeeds(std::span<const std::string> seeds) {
   for (const std::string& seed : seeds) peers_.AddSeed(seed);
 }
 
--- a/verbenaridge/ingress/directory_service.h
+++ b/verbenaridge/ingress/directory_service.h
@@ -14,6 +14,8 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -80,7 +82,7 @@
   void AnnounceLeaving();
 
   // Takes over settings that have changed.
-  void AddSeeds(const std::vector<std::string>& seeds);
+  void AddSeeds(std::span<const std::string> seeds);
   void SetEndpointHeartbeat(Duration heartbeat);
 
   bool ready() const { return configuration_ != nullptr && table_.read_once(); }
--- a/verbenaridge/ingress/host_status.cc
+++ b/verbenaridge/ingress/host_status.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <chrono>
 #include <nlohmann/json.hpp>
+#include <span>
 #include <string_view>
 
 namespace verbenaridge::ingress {
@@ -15,7 +16,7 @@
 }
 
 std::string_view StateOf(const directory::Endpoint& endpoint,
-                         const std::vector<EndpointId>& left_out) {
+                         std::span<const EndpointId> left_out) {
   if (endpoint.draining) return "draining";
   const bool failed = std::find(left_out.begin(), left_out.end(), endpoint.id) != left_out.end();
   return failed ? "left_out" : "ready";
--- a/verbenaridge/ingress/ingress.cc
+++ b/verbenaridge/ingress/ingress.cc
@@ -4,6 +4,7 @@
 #include <asio/steady_timer.hpp>
 #include <csignal>
 #include <future>
+#include <span>
 #include <utility>
 
 #include "platform/http_adapter.h"
@@ -35,7 +36,7 @@
 // Settings may change without a signal; reading the small file costs some 20 us.
 constexpr Duration kSettingsPeriod = std::chrono::seconds(1);
 
-std::vector<std::string> IpsOf(const std::vector<settings::SocketAddress>& addresses) {
+std::vector<std::string> IpsOf(std::span<const settings::SocketAddress> addresses) {
   std::vector<std::string> ips;
   ips.reserve(addresses.size());
   for (const settings::SocketAddress& address : addresses) ips.push_back(address.ip);
