--- a/verbenaridge/directory/endpoint_table.cc
+++ b/verbenaridge/directory/endpoint_table.cc
@@ -15,6 +15,7 @@
   failing_ = false;
   read_once_ = true;
   last_reading_ = now;
+  keeps_missing_ = false;
   std::vector<Change> changes;
   std::map<EndpointId, Endpoint> next;
   for (Endpoint& entry : entries) {
@@ -39,6 +40,7 @@
     if (next.contains(id)) continue;
     if (now < keep_missing_until_ || Mutated(Mutation::kKeepRemoved)) {
       next.emplace(id, std::move(endpoint));
+      keeps_missing_ = true;
     } else {
       changes.push_back({Change::Kind::kRemoved, endpoint});
     }
@@ -47,6 +49,12 @@
   return changes;
 }
 
+bool EndpointTable::OnSameReading(TimePoint now) {
+  if (!read_once_ || failing_ || keeps_missing_) return false;
+  last_reading_ = now;
+  return true;
+}
+
 void EndpointTable::OnReadingFailed(TimePoint /*now*/) { failing_ = true; }
 
 std::vector<Endpoint> EndpointTable::endpoints() const {
--- a/verbenaridge/directory/endpoint_table.h
+++ b/verbenaridge/directory/endpoint_table.h
@@ -59,6 +59,10 @@
   // A whole, current reading. Returns what changed.
   std::vector<Change> OnReading(std::vector<Endpoint> entries, TimePoint now);
 
+  // A current reading has the same entries as the last one. False if that may change something
+  // nevertheless: then it must be given whole.
+  bool OnSameReading(TimePoint now);
+
   void OnReadingFailed(TimePoint now);
 
   std::vector<Endpoint> endpoints() const;
@@ -69,6 +73,7 @@
   std::map<EndpointId, Endpoint> endpoints_;
   bool read_once_ = false;
   bool failing_ = false;
+  bool keeps_missing_ = false;  // endpoints that the last reading did not have
   TimePoint last_reading_{};
   TimePoint keep_missing_until_{};
 };
--- a/verbenaridge/directory/endpoint_table_test.cc
+++ b/verbenaridge/directory/endpoint_table_test.cc
@@ -57,6 +57,34 @@
   }
 }
 
+// Guards against endpoints that are kept for good, because a reading without news passed as one
+// that changes nothing.
+TEST_CASE("the same reading again") {
+  struct Row {
+    const char* name;
+    bool read;
+    bool failed;  // before the same reading
+    bool lapsed;  // `b` is missing after an outage
+    bool no_change;
+  };
+  const Row rows[] = {
+      {"never read", false, false, false, false},
+      {"as before", true, false, false, true},
+      {"the store was away", true, true, false, false},
+      {"an endpoint is kept without an entry", true, false, true, false},
+  };
+  for (const Row& row : rows) {
+    CAPTURE(row.name);
+    ManualClock clock;
+    EndpointTable table;
+    if (row.read) table.OnReading({Entry("a"), Entry("b")}, clock.Now());
+    clock.Advance(seconds(5));
+    if (row.failed || row.lapsed) table.OnReadingFailed(clock.Now());
+    if (row.lapsed) table.OnReading({Entry("a")}, clock.Now());
+    CHECK(table.OnSameReading(clock.Now()) == row.no_change);
+  }
+}
+
 // Guards against changes that go unnoticed: a new start under the same id, or a drain.
 TEST_CASE("changes of one entry") {
   using Kind = EndpointTable::Change::Kind;
--- a/verbenaridge/ingress/directory_service.cc
+++ b/verbenaridge/ingress/directory_service.cc
@@ -22,6 +22,8 @@
 constexpr Duration kMaxPeerAge = std::chrono::seconds(5);
 // The platform's store holds values of up to 1 MB; beyond that a peer sends nonsense.
 constexpr std::size_t kMaxDocumentBytes = std::size_t{8} * 1024 * 1024;
+// A snapshot without news tells the age of the endpoints, and how many hosts share the bounds.
+constexpr Duration kPublishPeriod = std::chrono::seconds(1);
 // The age of what was never read.
 constexpr Duration kNever = std::chrono::hours(1);
 // A notice follows a reading at once. What was passed on by others is trusted to be newer only with
@@ -272,11 +274,22 @@
 
 void DirectoryService::ApplyEndpoints(std::vector<directory::Endpoint> entries,
                                       std::string_view source) {
-  last_digest_ = DigestOf(entries);
+  const Digest digest = DigestOf(entries);
+  if (digest == last_digest_ && NoteSameEndpoints()) return;
+  last_digest_ = digest;
   last_entries_ = entries;
   ApplyToTable(std::move(entries), source);
 }
 
+// Snapshots are large where endpoints are many, so that one without news is rare.
+bool DirectoryService::NoteSameEndpoints() {
+  const TimePoint now = clock_.Now();
+  if (!table_.OnSameReading(now)) return false;
+  differs_since_.reset();
+  if (now - last_published_ >= kPublishPeriod) Publish();
+  return true;
+}
+
 void DirectoryService::ApplyToTable(std::vector<directory::Endpoint> entries,
                                     std::string_view source) {
   differs_since_.reset();
@@ -336,7 +349,7 @@
   const TimePoint read = now - notice.endpoints_age;
   if (notice.endpoints == last_digest_ && table_.read_once()) {
     if (!endpoints_schedule_.OnPeerRead(read, now)) return;
-    ApplyToTable(last_entries_, "peer");
+    if (!NoteSameEndpoints()) ApplyToTable(last_entries_, "peer");
     RelayNews();
     return;
   }
@@ -477,6 +490,7 @@
 }
 
 void DirectoryService::Publish() {
+  last_published_ = clock_.Now();
   auto snapshot = std::make_shared<forwarding::DirectorySnapshot>();
   snapshot->configuration = configuration_;
   snapshot->endpoints = table_.endpoints();
--- a/verbenaridge/ingress/directory_service.h
+++ b/verbenaridge/ingress/directory_service.h
@@ -117,6 +117,8 @@
   void OnEndpointsRead(Result<directory::EndpointsReading> reading);
   void ApplyEndpoints(std::vector<directory::Endpoint> entries, std::string_view source);
   void ApplyToTable(std::vector<directory::Endpoint> entries, std::string_view source);
+  // A reading without news. False if it must go to the table nevertheless.
+  bool NoteSameEndpoints();
 
   void OnNotice(const wire::DirectoryNotice& notice, const std::string& ip);
   void OnConfigurationNotice(const wire::DirectoryNotice& notice, const std::string& ip);
@@ -162,6 +164,7 @@
   std::optional<TimePoint> differs_since_;  // peers have something that this host does not have
   bool store_works_ = true;
   TimePoint last_notice_{};
+  TimePoint last_published_{};
   TimePoint last_tick_{};
   std::pair<bool, std::vector<std::string>> published_keepers_;
 };
--- a/verbenaridge/ingress/hosts_test.cc
+++ b/verbenaridge/ingress/hosts_test.cc
@@ -114,7 +114,11 @@
                            .endpoint_heartbeat = milliseconds(1'200),
                            .peers = peers},
           *host->store, clock_, random_,
-          DirectoryOutputs{.snapshot = [raw](forwarding::SnapshotPtr s) { raw->snapshot = s; },
+          DirectoryOutputs{.snapshot =
+                               [raw](forwarding::SnapshotPtr s) {
+                                 raw->snapshot = s;
+                                 ++raw->snapshots;
+                               },
                            .keepers = [](bool, const std::vector<std::string>&) {},
                            .peer_gone = [](Incarnation) {},
                            .peer_started = [] {}});
@@ -146,6 +150,7 @@
     std::unique_ptr<FakeStore> store;
     std::unique_ptr<DirectoryService> service;
     forwarding::SnapshotPtr snapshot;
+    std::size_t snapshots = 0;
   };
 
  private:
@@ -226,6 +231,22 @@
   }
 }
 
+// Guards against hosts that work through all endpoints several times a second without news: with
+// 3,000 endpoints and 300 hosts that took two thirds of their processor time.
+TEST_CASE("without news there are few snapshots") {
+  Hosts fleet(4);
+  fleet.shared.endpoints = {{.id = EndpointId("i-1"), .service = ServiceId("s")}};
+  fleet.Run(milliseconds(1'500));
+  std::vector<std::size_t> before;
+  for (const auto& host : fleet.hosts) before.push_back(host->snapshots);
+  fleet.Run(milliseconds(3'000));
+  for (std::size_t i = 0; i < fleet.hosts.size(); ++i) {
+    CAPTURE(i);
+    CHECK(fleet.hosts[i]->snapshots - before[i] <= 3);
+    CHECK(fleet.hosts[i]->snapshots > before[i]);
+  }
+}
+
 // Guards against a version that goes back when the store answers with an older one.
 TEST_CASE("a version never goes back") {
   Hosts fleet(2);
--- a/verbenaridge/ingress/traffic.cc
+++ b/verbenaridge/ingress/traffic.cc
@@ -1,6 +1,7 @@
 #include "verbenaridge/ingress/traffic.h"
 
 #include <algorithm>
+#include <unordered_map>
 #include <utility>
 #include <variant>
 
@@ -104,12 +105,11 @@
 
 void Traffic::ForgetLostEndpoints(const forwarding::DirectorySnapshot& before,
                                   const forwarding::DirectorySnapshot& after) {
+  std::unordered_map<EndpointId, std::uint64_t> kept;
+  for (const directory::Endpoint& endpoint : after.endpoints) kept[endpoint.id] = endpoint.born;
   for (const directory::Endpoint& endpoint : before.endpoints) {
-    bool kept = false;
-    for (const directory::Endpoint& other : after.endpoints) {
-      kept = kept || (other.id == endpoint.id && other.born == endpoint.born);
-    }
-    if (!kept) pool_.Forget(endpoint.id);
+    const auto found = kept.find(endpoint.id);
+    if (found == kept.end() || found->second != endpoint.born) pool_.Forget(endpoint.id);
   }
 }
 
