--- a/verbenaridge/forwarding/dispatcher.cc
+++ b/verbenaridge/forwarding/dispatcher.cc
@@ -337,9 +337,10 @@
 std::vector<EndpointId> Dispatcher::LeftOut() const {
   const TimePoint now = clock_.Now();
   std::vector<EndpointId> left_out;
-  for (const directory::Endpoint& endpoint : snapshot_->endpoints) {
-    if (endpoint.draining || health_.Usable(EndpointKey(endpoint), now)) continue;
-    left_out.push_back(endpoint.id);
+  for (const auto& [service, group] : groups_) {
+    for (const auto& [endpoint, key] : group.endpoints) {
+      if (!endpoint->draining && !health_.Usable(key, now)) left_out.push_back(endpoint->id);
+    }
   }
   return left_out;
 }
--- a/verbenaridge/ingress/directory_service.cc
+++ b/verbenaridge/ingress/directory_service.cc
@@ -93,8 +93,7 @@
           *this),
       tick_(io_context, kTick, [this] { Tick(); }),
       configuration_schedule_(options.refresh, random, clock.Now()),
-      endpoints_schedule_(options.refresh, random, clock.Now()),
-      table_() {
+      endpoints_schedule_(options.refresh, random, clock.Now()) {
   SetEndpointHeartbeat(options.endpoint_heartbeat);
   AddSeeds(options.seeds);
 }
