Keep one reader of the store and fetch changes from it

A host that is no scheduler read 0.9 s after the last known read plus up to 125 ms for each host, since all hosts together were to read every 125 ms; when the others were rejected, the only served host still waited for them (up to 2.8 s with 15 hosts, 38 s with 295). A report that arrived during a fetch was dropped until the next gossip, and a scheduler read the store itself, which may be silent for 0.7 s, before it fetched a version that a peer had reported. Change: the host that read last reads again after 450 to 500 ms, and the others only after a longer pause, of which a growing share tries within 0.75 s. Changed values are fetched from the peer that reports them, again if another change was reported meanwhile, and relayed within the data centre. A rejected host that is not the reader waits before its next call instead of doubling from 0.2 s.

--- a/verbenaridge/directory/refresh_schedule.cc
+++ b/verbenaridge/directory/refresh_schedule.cc
@@ -1,6 +1,7 @@
 #include "verbenaridge/directory/refresh_schedule.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace verbenaridge::directory {
 namespace {
@@ -13,8 +14,16 @@
 RefreshSchedule::RefreshSchedule(const RefreshOptions& options, RandomSource& random, TimePoint now)
     : options_(options), random_(random), due_(now) {}
 
-void RefreshSchedule::ScheduleNext(TimePoint now) {
-  due_ = now + options_.interval + FromSeconds(ToSeconds(options_.jitter) * random_.Uniform());
+void RefreshSchedule::ScheduleNext(TimePoint when) {
+  if (is_reader_) {
+    due_ = when + options_.reader_interval +
+           FromSeconds(ToSeconds(options_.reader_jitter) * random_.Uniform());
+    return;
+  }
+  const RefreshIntervals& others = options_.others;
+  due_ = when + others.interval +
+         FromSeconds(ToSeconds(others.jitter) *
+                     std::pow(random_.Uniform(), 1 / std::max(others.jitter_power, 1.0)));
 }
 
 void RefreshSchedule::OnReadStarted(TimePoint /*now*/) {
@@ -25,6 +34,7 @@
 void RefreshSchedule::OnReadSucceeded(TimePoint now) {
   read_in_progress_ = false;
   failures_ = 0;
+  is_reader_ = true;
   last_current_ = now;
   ScheduleNext(now);
   if (reread_) due_ = now;
@@ -33,22 +43,25 @@
 void RefreshSchedule::OnReadFailed(TimePoint now) {
   read_in_progress_ = false;
   ++failures_;
-  const int doublings = std::min(failures_ - 1, 8);
-  const Duration wait =
-      std::min(options_.initial_retry_delay * (1 << doublings), options_.max_retry_delay);
+  Duration wait = options_.others.retry_delay;
+  if (is_reader_) {
+    const int doublings = std::min(failures_ - 1, 8);
+    wait = std::min(options_.reader_retry_delay * (1 << doublings), wait);
+  }
   due_ = now + FromSeconds(ToSeconds(wait) * (0.5 + random_.Uniform()));
 }
 
 bool RefreshSchedule::OnPeerRead(TimePoint when, TimePoint now) {
   if (when <= last_current_ + kSameReadWindow) return false;
   last_current_ = when;
+  is_reader_ = false;
   if (read_in_progress_) return true;
   if (failures_ == 0) {
     ScheduleNext(when);
   } else {
     // The store rejects this host but serves others, which report what they read.
-    due_ = std::max(
-        due_, now + FromSeconds(ToSeconds(options_.max_retry_delay) * (0.5 + random_.Uniform())));
+    due_ = std::max(due_, now + FromSeconds(ToSeconds(options_.others.retry_delay) *
+                                            (0.5 + random_.Uniform())));
   }
   return true;
 }
--- a/verbenaridge/directory/refresh_schedule.h
+++ b/verbenaridge/directory/refresh_schedule.h
@@ -7,9 +7,9 @@
 //   schedule.OnPeerRead(when, now);  // a peer read the same value at `when`
 //   schedule.OnPeerDiffers(now);     // a peer has a different value
 //
-// Each host waits for the interval plus a random jitter after the last read by any host. Usually
-// one host reads and the others postpone their own read. A host that learns of no read by a peer
-// reads the value itself. Used by one thread.
+// The host that read last is the reader: it reads again after the reader interval, and the others,
+// which learn of its reads, postpone their own. A host that learns of no read within its own
+// interval reads the value itself and becomes the reader. Used by one thread.
 #ifndef VERBENARIDGE_DIRECTORY_REFRESH_SCHEDULE_H_
 #define VERBENARIDGE_DIRECTORY_REFRESH_SCHEDULE_H_
 
@@ -18,12 +18,24 @@
 
 namespace verbenaridge::directory {
 
+// When a host reads that is not the reader. `jitter` is the maximum random addition.
+struct RefreshIntervals {
+  Duration interval = std::chrono::milliseconds(550);
+  Duration jitter = std::chrono::milliseconds(350);
+  // The jitter is distributed such that the share of hosts that have read after a part `x` of it is
+  // x to this power. Higher values start with fewer hosts.
+  double jitter_power = 1;
+  Duration retry_delay = std::chrono::milliseconds(1'000);  // after a failure
+};
+
 struct RefreshOptions {
-  Duration interval = std::chrono::milliseconds(400);
-  Duration jitter = std::chrono::milliseconds(400);  // maximum random addition to the interval
-  // Delay after the first failure. It doubles with each failure in a row, up to `max_retry_delay`.
-  Duration initial_retry_delay = std::chrono::milliseconds(200);
-  Duration max_retry_delay = std::chrono::milliseconds(1'000);
+  // Shorter than the interval of the other hosts by more than it takes to tell them of a read.
+  Duration reader_interval = std::chrono::milliseconds(450);
+  Duration reader_jitter = std::chrono::milliseconds(50);
+  // Delay of the reader after a failure. It doubles with each failure in a row, up to the delay of
+  // the other hosts, which may have taken over by then.
+  Duration reader_retry_delay = std::chrono::milliseconds(200);
+  RefreshIntervals others{};
 };
 
 class RefreshSchedule {
@@ -34,11 +46,7 @@
   TimePoint due() const { return due_; }
 
   // Takes effect when the next read is scheduled.
-  void SetIntervals(Duration interval, Duration jitter, Duration max_retry_delay) {
-    options_.interval = interval;
-    options_.jitter = jitter;
-    options_.max_retry_delay = max_retry_delay;
-  }
+  void SetIntervals(const RefreshIntervals& intervals) { options_.others = intervals; }
 
   void OnReadStarted(TimePoint now);
   void OnReadSucceeded(TimePoint now);
@@ -51,16 +59,20 @@
   // Time at which the value was last known to be current.
   TimePoint last_current() const { return last_current_; }
   int failures() const { return failures_; }
+  // Whether the last known read is one of this host.
+  bool is_reader() const { return is_reader_; }
 
  private:
-  void ScheduleNext(TimePoint now);
+  // Schedules the next read after one at `when`.
+  void ScheduleNext(TimePoint when);
 
   RefreshOptions options_;
   RandomSource& random_;
   TimePoint due_;
   TimePoint last_current_{};
   bool read_in_progress_ = false;
-  bool reread_ = false;  // a peer has a value that the read in progress may miss
+  bool reread_ = false;    // a peer has a value that the read in progress may miss
+  bool is_reader_ = true;  // a host that has just started reads without delay
   int failures_ = 0;
 };
 
--- a/verbenaridge/directory/refresh_schedule_test.cc
+++ b/verbenaridge/directory/refresh_schedule_test.cc
@@ -2,7 +2,9 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <memory>
+#include <optional>
 #include <vector>
 
 namespace verbenaridge::directory {
@@ -30,8 +32,7 @@
     CAPTURE(row.name);
     ManualClock clock;
     SeededRandom random(7);
-    std::vector<RefreshSchedule> hosts(
-        row.hosts, RefreshSchedule({.interval = milliseconds(400)}, random, clock.Now()));
+    std::vector<RefreshSchedule> hosts(row.hosts, RefreshSchedule({}, random, clock.Now()));
     constexpr int kSeconds = 20;
     int reads = 0;
     for (int i = 0; i < kSeconds * 1000; ++i) {
@@ -84,6 +85,77 @@
   }
 }
 
+// Guards against a store that serves a single host, which then waits for reads of all the others,
+// and against a fleet that calls a failing store without end.
+TEST_CASE("a host that is served takes over from the reader") {
+  struct Row {
+    const char* name;
+    std::size_t hosts;
+    std::size_t served;  // of them, after the reader has failed
+    Duration max_takeover;
+    std::size_t max_calls;  // in the first 10 s after the reader has failed
+  };
+  // A reader calls 21 times in 10 s. Every host tries once within the jitter, and hosts that were
+  // rejected try again every 125 ms together.
+  const Row rows[] = {
+      {"15 hosts, one served", 15, 1, milliseconds(1'500), 15 + 21 + 80},
+      {"295 hosts, one served", 295, 1, milliseconds(1'500), 295 + 21 + 80},
+      {"295 hosts, a tenth served", 295, 29, milliseconds(1'200), 40 + 21 + 80},
+      {"295 hosts, all served", 295, 295, milliseconds(1'000), 25 + 21},
+      {"295 hosts, none served", 295, 0, std::chrono::seconds(10), 295 + 80},
+  };
+  // From the read of a host to the moment at which the others know of it.
+  constexpr Duration kInformed = milliseconds(20);
+  for (const Row& row : rows) {
+    CAPTURE(row.name);
+    ManualClock clock;
+    clock.Advance(std::chrono::seconds(10));
+    SeededRandom random(11);
+    std::vector<RefreshSchedule> hosts(row.hosts, RefreshSchedule({}, random, clock.Now()));
+    for (RefreshSchedule& host : hosts) {
+      host.SetIntervals({.interval = milliseconds(750),
+                         .jitter = milliseconds(750),
+                         .jitter_power = 3,
+                         .retry_delay = row.hosts * milliseconds(125)});
+      host.OnReadStarted(clock.Now());
+      host.OnReadSucceeded(clock.Now());
+      host.OnPeerRead(clock.Now() + milliseconds(100), clock.Now());
+    }
+    const TimePoint start = clock.Now() + milliseconds(100);  // the last read
+    std::optional<TimePoint> first_read;
+    TimePoint last_read = start;
+    Duration longest_pause{};
+    std::size_t calls = 0;
+    std::vector<TimePoint> reported;  // reads that the others do not know of yet
+    while (clock.Now() - start < std::chrono::seconds(10)) {
+      for (std::size_t i = 0; i < row.hosts; ++i) {
+        if (!hosts[i].IsDue(clock.Now())) continue;
+        ++calls;
+        hosts[i].OnReadStarted(clock.Now());
+        if (i + row.served < row.hosts) {
+          hosts[i].OnReadFailed(clock.Now());
+          continue;
+        }
+        hosts[i].OnReadSucceeded(clock.Now());
+        if (first_read) longest_pause = std::max(longest_pause, clock.Now() - last_read);
+        if (!first_read) first_read = clock.Now();
+        last_read = clock.Now();
+        reported.push_back(clock.Now());
+      }
+      std::erase_if(reported, [&](TimePoint read) {
+        if (clock.Now() - read < kInformed) return false;
+        for (RefreshSchedule& host : hosts) host.OnPeerRead(read, clock.Now());
+        return true;
+      });
+      clock.Advance(milliseconds(1));
+    }
+    CHECK(first_read.has_value() == (row.served > 0));
+    CHECK(first_read.value_or(start) - start <= row.max_takeover);
+    CHECK(longest_pause <= milliseconds(510));
+    CHECK(calls <= row.max_calls);
+  }
+}
+
 // Guards against hosts that keep calling a store that rejects them although their peers inform
 // them.
 TEST_CASE("a rejected host retries with the maximum delay while peers report reads") {
@@ -118,7 +190,10 @@
     ManualClock clock;
     clock.Advance(std::chrono::seconds(10));
     SeededRandom random(3);
-    RefreshSchedule schedule({.jitter = {}}, random, clock.Now());
+    RefreshSchedule schedule({.reader_interval = milliseconds(400),
+                              .reader_jitter = {},
+                              .others = {.interval = milliseconds(400), .jitter = {}}},
+                             random, clock.Now());
     schedule.OnReadStarted(clock.Now());
     schedule.OnReadSucceeded(clock.Now());
     clock.Advance(milliseconds(300));
--- a/verbenaridge/ingress/directory_service.cc
+++ b/verbenaridge/ingress/directory_service.cc
@@ -27,9 +27,10 @@
 // Age of a value that was never read.
 constexpr Duration kNeverReadAge = std::chrono::hours(1);
 // Gossip is sent right after a read. Relayed values count as newer only with a margin, because
-// their age does not include the time that they waited on slow hosts.
+// their age does not include the time that they waited on slow hosts. The margin is shorter than
+// the time between two reads.
 constexpr Duration kFreshReadAge = std::chrono::milliseconds(20);
-constexpr Duration kRelayMargin = std::chrono::milliseconds(500);
+constexpr Duration kRelayMargin = std::chrono::milliseconds(250);
 
 double Milliseconds(Duration duration) { return ToSeconds(duration) * 1000; }
 
@@ -115,7 +116,7 @@
 void DirectoryService::Start() {
   started_ = true;
   last_tick_ = clock_.Now();
-  SendGossip(nullptr);
+  SendGossip();
   Tick();
 }
 
@@ -133,7 +134,9 @@
     Log(Level::kInfo, "peer_silent", {{"peer", host.value()}, {"hosts", peers_.live_hosts()}});
     outputs_.peer_gone(incarnation);
   }
-  if (now - last_gossip_ >= options_.gossip_interval) SendGossip(nullptr);
+  if (now - last_gossip_ >= options_.gossip_interval) SendGossip();
+  if (newer_ && !IsNewer(*newer_)) newer_.reset();
+  if (newer_ && now - newer_->first_reported >= options_.local_wait) Fetch();
   SetIntervals();
   std::pair<bool, std::vector<std::string>> schedulers{peers_.IsScheduler(), peers_.Schedulers()};
   if (schedulers == published_schedulers_) return;
@@ -154,16 +157,11 @@
   const bool scheduler = published_schedulers_.first;
   const std::size_t readers =
       scheduler ? 1 + published_schedulers_.second.size() : peers_.live_hosts();
-  const Duration shared_interval = options_.outage_interval * readers;
-  const Duration retry =
-      std::clamp<Duration>(shared_interval, std::chrono::seconds(1), options_.max_retry_delay);
-  for (directory::RefreshSchedule* schedule : {&configuration_schedule_, &endpoints_schedule_}) {
-    if (scheduler) {
-      schedule->SetIntervals(options_.refresh.interval, options_.refresh.jitter, retry);
-    } else {
-      schedule->SetIntervals(options_.passive_interval, shared_interval, retry);
-    }
-  }
+  directory::RefreshIntervals intervals = scheduler ? options_.refresh.others : options_.passive;
+  intervals.retry_delay = std::clamp<Duration>(options_.outage_interval * readers,
+                                               std::chrono::seconds(1), options_.max_retry_delay);
+  configuration_schedule_.SetIntervals(intervals);
+  endpoints_schedule_.SetIntervals(intervals);
 }
 
 void DirectoryService::DetectStall(TimePoint now) {
@@ -197,7 +195,7 @@
   SetStoreWorks(true, {});
   configuration_schedule_.OnReadSucceeded(clock_.Now());
   OnNewConfiguration(std::move(stored).value());
-  SendGossip(nullptr);
+  SendGossip();
 }
 
 void DirectoryService::OnConfigurationPolled(
@@ -210,7 +208,7 @@
   SetStoreWorks(true, {});
   configuration_schedule_.OnReadSucceeded(clock_.Now());
   if (stored.value()) OnNewConfiguration(std::move(*stored.value()));
-  SendGossip(nullptr);
+  SendGossip();
 }
 
 void DirectoryService::OnNewConfiguration(directory::StoredConfiguration stored) {
@@ -228,7 +226,6 @@
         {{"version", configuration->version()}, {"known", known}, {"source", source}});
     return false;
   }
-  differs_since_.reset();
   if (configuration->version() == known) return false;
   configuration_ = std::move(configuration);
   Log(Level::kInfo, "configuration_in_force",
@@ -271,7 +268,7 @@
   SetStoreWorks(true, {});
   endpoints_schedule_.OnReadSucceeded(clock_.Now());
   ApplyEndpoints(std::move(stored.value().endpoints), "store");
-  SendGossip(nullptr);
+  SendGossip();
 }
 
 void DirectoryService::ApplyEndpoints(std::vector<directory::Endpoint> entries,
@@ -287,14 +284,12 @@
 bool DirectoryService::HandleUnchangedEndpoints() {
   const TimePoint now = clock_.Now();
   if (!table_.OnEntriesUnchanged(now)) return false;
-  differs_since_.reset();
   if (now - last_published_ >= kPublishPeriod) Publish();
   return true;
 }
 
 void DirectoryService::ApplyToTable(std::vector<directory::Endpoint> entries,
                                     std::string_view source) {
-  differs_since_.reset();
   for (const auto& change : table_.OnEntriesRead(std::move(entries), clock_.Now())) {
     Log(Level::kInfo, "endpoint_changed",
         {{"endpoint", change.endpoint.id.value()},
@@ -327,7 +322,7 @@
         {{"peer", gossip.sender.value()},
          {"restarted", result.change == PeerList::Change::kRestarted},
          {"hosts", peers_.live_hosts()}});
-    SendGossip(&ip);
+    SendGossip({&ip, 1});
     outputs_.peer_started();
   }
   OnConfigurationGossip(gossip, ip);
@@ -338,7 +333,7 @@
                                              const std::string& ip) {
   const TimePoint now = clock_.Now();
   if (gossip.configuration_version > version()) {
-    OnPeerHasNewer(gossip, ip, configuration_schedule_);
+    OnPeerHasNewer(gossip, ip);
   } else if (gossip.configuration_version == version() && gossip.configuration_age <= kMaxPeerAge) {
     if (configuration_schedule_.OnPeerRead(now - gossip.configuration_age, now)) RelayGossip();
   }
@@ -356,34 +351,53 @@
     return;
   }
   const Duration margin = gossip.endpoints_age < kFreshReadAge ? Duration{} : kRelayMargin;
-  if (!table_.loaded() || read > endpoints_schedule_.last_current() + margin) {
-    OnPeerHasNewer(gossip, ip, endpoints_schedule_);
+  const bool reported_before = newer_ && newer_->endpoints_digest == gossip.endpoints_digest;
+  if (!table_.loaded() || reported_before || read > endpoints_schedule_.last_current() + margin) {
+    OnPeerHasNewer(gossip, ip);
   }
 }
 
 void DirectoryService::RelayGossip() {
   if (!peers_.IsScheduler()) return;
   if (configuration_schedule_.failures() == 0 && endpoints_schedule_.failures() == 0) return;
-  SendGossip(nullptr);
+  SendGossip();
 }
 
-void DirectoryService::OnPeerHasNewer(const wire::DirectoryGossip& gossip, const std::string& ip,
-                                      directory::RefreshSchedule& schedule) {
-  newer_peer_ = ip;
-  if (peers_.IsScheduler()) {
-    schedule.OnPeerDiffers(clock_.Now());
-    if (schedule.failures() > 0) Fetch();
-    return;
+void DirectoryService::RelayChange() {
+  if (!peers_.IsScheduler()) return;
+  if (configuration_schedule_.failures() > 0 || endpoints_schedule_.failures() > 0) {
+    SendGossip();
+  } else {
+    SendGossip(peers_.LocalTargets());
   }
-  // Hosts that are not schedulers do not read changes from the store, to limit its load. They fetch
-  // them from a scheduler, and from one of their data centre if it reports the change in time.
+}
+
+void DirectoryService::OnPeerHasNewer(const wire::DirectoryGossip& gossip, const std::string& ip) {
   const TimePoint now = clock_.Now();
-  if (!differs_since_) differs_since_ = now;
+  newer_ = NewerValue{.ip = ip,
+                      .version = gossip.configuration_version,
+                      .endpoints_digest = gossip.endpoints_digest,
+                      .endpoints_read = now - gossip.endpoints_age,
+                      .first_reported = newer_ ? newer_->first_reported : now};
+  // Hosts that are not schedulers fetch from one of their data centre if it reports the change in
+  // time, since two hosts cannot send a large value to all others.
   const bool local = gossip.data_centre == options_.data_centre;
-  if (local || !peers_.HasLocalScheduler() || now - *differs_since_ >= options_.local_wait) Fetch();
+  if (peers_.IsScheduler() || local || !peers_.HasLocalScheduler()) Fetch();
+}
+
+bool DirectoryService::IsNewer(const NewerValue& value) const {
+  if (value.version > version()) return true;
+  if (!table_.loaded()) return true;
+  return value.endpoints_digest != last_digest_ &&
+         value.endpoints_read > endpoints_schedule_.last_current();
 }
 
-void DirectoryService::SendGossip(const std::string* to) {
+void DirectoryService::SendGossip() {
+  last_gossip_ = clock_.Now();
+  SendGossip(peers_.GossipTargets());
+}
+
+void DirectoryService::SendGossip(std::span<const std::string> addresses) {
   wire::DirectoryGossip gossip{.sender = options_.self,
                                .ip = options_.ip,
                                .incarnation = options_.incarnation,
@@ -397,18 +411,12 @@
                                .live_hosts = peers_.live_hosts()};
   for (auto& [host, ip] : peers_.Sample(random_)) gossip.peers.push_back({host, ip});
   const wire::Datagram datagram = std::move(gossip);
-  const auto send = [&](const std::string& ip) {
+  for (const std::string& ip : addresses) {
     const Status sent = socket_.Send({ip, options_.port}, datagram);
     if (sent.has_error()) {
       Log(Level::kDebug, "notice_dropped", {{"peer", ip}, {"error", sent.error().message()}});
     }
-  };
-  if (to != nullptr) {
-    send(*to);
-    return;
   }
-  last_gossip_ = clock_.Now();
-  for (const std::string& ip : peers_.GossipTargets()) send(ip);
 }
 
 void DirectoryService::AnnounceLeaving() {
@@ -424,18 +432,27 @@
 
 void DirectoryService::Fetch() {
   if (fetching_) return;
-  std::string ip = std::exchange(newer_peer_, {});
-  if (ip.empty()) {
+  std::string ip;
+  if (newer_) {
+    ip = newer_->ip;
+  } else {
     const auto sample = peers_.Sample(random_);
     if (sample.empty()) return;
     ip = sample.front().second;
   }
+  newer_.reset();
   fetching_ = true;
   const Digest endpoints = table_.loaded() ? last_digest_ : 0;
   peer_directory_.Fetch(ip, {.have_version = version(), .have_endpoints_digest = endpoints},
                         [this, ip](Result<wire::FetchDirectoryReply> reply) {
                           fetching_ = false;
                           OnFetched(std::move(reply), ip);
+                          // A peer may have reported another change during the call.
+                          if (newer_ && IsNewer(*newer_)) {
+                            Fetch();
+                          } else {
+                            newer_.reset();
+                          }
                         });
 }
 
@@ -447,25 +464,35 @@
     return;
   }
   wire::FetchDirectoryReply content = std::move(reply).value();
-  if (!content.configuration.empty() && content.configuration_version > version()) {
-    Result<std::shared_ptr<const directory::Configuration>> decoded =
-        DecodeDocument(content.configuration);
-    if (decoded.has_error()) {
-      Log(Level::kError, "configuration_malformed", {{"peer", ip}});
-    } else if (Adopt(std::move(decoded).value(), "peer")) {
-      compressed_document_ = std::move(content.configuration);
-      RelayGossip();
-    }
+  const bool new_configuration = AdoptFetchedConfiguration(content, ip);
+  const bool new_endpoints = AdoptFetchedEndpoints(content);
+  if (new_configuration || new_endpoints) RelayChange();
+}
+
+bool DirectoryService::AdoptFetchedConfiguration(wire::FetchDirectoryReply& content,
+                                                 const std::string& ip) {
+  if (content.configuration.empty() || content.configuration_version <= version()) return false;
+  Result<std::shared_ptr<const directory::Configuration>> decoded =
+      DecodeDocument(content.configuration);
+  if (decoded.has_error()) {
+    Log(Level::kError, "configuration_malformed", {{"peer", ip}});
+    return false;
   }
+  if (!Adopt(std::move(decoded).value(), "peer")) return false;
+  compressed_document_ = std::move(content.configuration);
+  return true;
+}
+
+bool DirectoryService::AdoptFetchedEndpoints(const wire::FetchDirectoryReply& content) {
   const bool newer = !table_.loaded() || content.endpoints_age < endpoints_age();
-  if (!content.has_endpoints || !newer || content.endpoints_age > kMaxPeerAge) return;
+  if (!content.has_endpoints || !newer || content.endpoints_age > kMaxPeerAge) return false;
   std::vector<directory::Endpoint> entries;
   entries.reserve(content.endpoints.size());
   for (const wire::EndpointEntry& entry : content.endpoints) entries.push_back(FromWire(entry));
   const TimePoint now = clock_.Now();
   endpoints_schedule_.OnPeerRead(now - content.endpoints_age, now);
   ApplyEndpoints(std::move(entries), "peer");
-  RelayGossip();
+  return true;
 }
 
 Result<std::shared_ptr<const directory::Configuration>> DirectoryService::DecodeDocument(
--- a/verbenaridge/ingress/directory_service.h
+++ b/verbenaridge/ingress/directory_service.h
@@ -4,9 +4,9 @@
 //   Status opened = directory.Open();
 //   directory.Start();
 //
-// In each interval one host reads from the store and informs the others by gossip. Hosts that have
-// the same values skip their own read. A host that the store rejects fetches changed values from
-// the peer that reported them. The version of the configuration never decreases.
+// One host reads from the store and informs the others by gossip. They fetch changed values from
+// the peer that reported them and read from the store only if no peer can send the values or nobody
+// reports reads. The version of the configuration never decreases.
 #ifndef VERBENARIDGE_INGRESS_DIRECTORY_SERVICE_H_
 #define VERBENARIDGE_INGRESS_DIRECTORY_SERVICE_H_
 
@@ -42,16 +42,16 @@
   std::vector<std::string> seeds;
   Incarnation incarnation = 0;
   Duration endpoint_heartbeat{};
-  // New versions must be in force, and draining endpoints must get no more requests, within 2 s.
-  directory::RefreshOptions refresh{.interval = std::chrono::milliseconds(450),
-                                    .jitter = std::chrono::milliseconds(450)};
-  // Read interval of a host that is not a scheduler. Gossip about the reads of schedulers arrives
-  // twice a second; without it the host reads from the store itself, as the store may reject only
-  // the schedulers.
-  Duration passive_interval = std::chrono::milliseconds(900);
-  // Interval, for each value, between the reads of all hosts that are not schedulers together while
-  // no gossip reports a read. Also the interval between the calls of all hosts together to a store
-  // that does not respond.
+  directory::RefreshOptions refresh{};
+  // Of hosts that are not schedulers. Gossip about the reads of schedulers arrives twice a second;
+  // without it they read from the store themselves, as the store may reject just the schedulers.
+  // All of them try within the jitter, few at first: the first one that succeeds informs the others
+  // before most of them have called a store that works.
+  directory::RefreshIntervals passive{.interval = std::chrono::milliseconds(750),
+                                      .jitter = std::chrono::milliseconds(750),
+                                      .jitter_power = 3};
+  // Interval between the calls, for each value, of all hosts together to a store that does not
+  // respond or rejects them.
   Duration outage_interval = std::chrono::milliseconds(125);
   Duration max_retry_delay = std::chrono::seconds(16);
   // Maximum time between two gossip datagrams, which also serve as heartbeats.
@@ -103,6 +103,15 @@
   Duration endpoints_age() const { return clock_.Now() - endpoints_schedule_.last_current(); }
 
  private:
+  // What gossip reported of a value that this host does not have.
+  struct NewerValue {
+    std::string ip;  // of the peer
+    std::uint64_t version = 0;
+    Digest endpoints_digest = 0;
+    TimePoint endpoints_read{};
+    TimePoint first_reported{};
+  };
+
   // DirectoryContent
   wire::FetchDirectoryReply Content(const wire::FetchDirectoryRequest& have) const override;
 
@@ -129,17 +138,23 @@
   void OnGossip(const wire::DirectoryGossip& gossip, const std::string& ip);
   void OnConfigurationGossip(const wire::DirectoryGossip& gossip, const std::string& ip);
   void OnEndpointsGossip(const wire::DirectoryGossip& gossip, const std::string& ip);
-  // Sends gossip to the address `to`, or to all gossip targets if it is null.
-  void SendGossip(const std::string* to);
+  // Sends gossip to all gossip targets.
+  void SendGossip();
+  void SendGossip(std::span<const std::string> addresses);
   // Relays what gossip reported if this host is a scheduler and cannot read from the store.
   void RelayGossip();
+  // Reports values that a scheduler fetched to the hosts that fetch from it.
+  void RelayChange();
   // Handles gossip of a peer that has a newer value than this host.
-  void OnPeerHasNewer(const wire::DirectoryGossip& gossip, const std::string& ip,
-                      directory::RefreshSchedule& schedule);
+  void OnPeerHasNewer(const wire::DirectoryGossip& gossip, const std::string& ip);
+  bool IsNewer(const NewerValue& value) const;
   void Fetch();
   Result<std::shared_ptr<const directory::Configuration>> DecodeDocument(
       std::string_view compressed) const;
   void OnFetched(Result<wire::FetchDirectoryReply> reply, const std::string& ip);
+  // Return true if the content is newer than what this host has.
+  bool AdoptFetchedConfiguration(wire::FetchDirectoryReply& content, const std::string& ip);
+  bool AdoptFetchedEndpoints(const wire::FetchDirectoryReply& content);
 
   void SetStoreWorks(bool works, std::error_code error);
   void Publish();
@@ -167,9 +182,8 @@
   directory::EndpointTable table_;
   std::vector<directory::Endpoint> last_entries_;
   Digest last_digest_ = 0;
-  std::string newer_peer_;  // last peer that reported a newer value
+  std::optional<NewerValue> newer_;  // last report of a value to fetch
   bool fetching_ = false;
-  std::optional<TimePoint> differs_since_;  // when a peer first reported a newer value
   bool store_works_ = true;
   TimePoint last_gossip_{};
   TimePoint last_published_{};
--- a/verbenaridge/ingress/hosts_test.cc
+++ b/verbenaridge/ingress/hosts_test.cc
@@ -4,6 +4,9 @@
 
 #include <asio/io_context.hpp>
 #include <asio/post.hpp>
+#include <asio/steady_timer.hpp>
+#include <cstdlib>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -58,8 +61,12 @@
   }
 
   bool rejects = false;
+  bool silent = false;  // rejected calls get no reply
 
  private:
+  // As the client of the platform's store.
+  static constexpr Duration kCallTimeout = milliseconds(700);
+
   directory::StoredConfiguration Read() {
     return {.revision = shared_.version,
             .configuration = directory::Configuration::Create({.version = shared_.version}),
@@ -69,6 +76,12 @@
   template <class Done, class Value>
   void Reply(Done done, Value value) {
     ++shared_.calls;
+    if (rejects && silent) {
+      auto timer = std::make_shared<asio::steady_timer>(io_context_, kCallTimeout);
+      timer->async_wait(
+          [timer, done = std::move(done)](std::error_code) { done(Errc::kUnavailable); });
+      return;
+    }
     asio::post(io_context_, [this, done = std::move(done), value = std::move(value)] {
       if (rejects) {
         done(Errc::kUnavailable);
@@ -96,23 +109,28 @@
 
 class Hosts {
  public:
-  explicit Hosts(std::size_t count, const PeerListOptions& peers = {}) {
+  // The first three hosts are in one data centre, the others are spread evenly over the rest.
+  explicit Hosts(std::size_t count, const PeerListOptions& peers = {}, std::size_t data_centres = 2,
+                 std::uint64_t seed = 5)
+      : random_(seed) {
     for (std::size_t i = 0; i < count; ++i) {
+      const std::size_t data_centre = i < 3 ? 0 : 1 + i % (data_centres - 1);
       auto host = std::make_unique<Host>();
       host->store = std::make_unique<FakeStore>(io_, shared);
       Host* const raw = host.get();
       host->service = std::make_unique<DirectoryService>(
           io_,
-          DirectoryOptions{.self = HostId(std::string("h").append(std::to_string(i))),
-                           .ip = Ip(i),
-                           .data_centre = DataCentreId(i < 3 ? "a" : "b"),
-                           .capacity = static_cast<double>(count - i),
-                           .port = port_,
-                           .keys = Keys(),
-                           .seeds = {Ip(0)},
-                           .incarnation = i + 1,
-                           .endpoint_heartbeat = milliseconds(1'200),
-                           .peers = peers},
+          DirectoryOptions{
+              .self = HostId(std::string("h").append(std::to_string(i))),
+              .ip = Ip(i),
+              .data_centre = DataCentreId(std::string(1, static_cast<char>('a' + data_centre))),
+              .capacity = static_cast<double>(count - i),
+              .port = port_,
+              .keys = Keys(),
+              .seeds = {Ip(0)},
+              .incarnation = i + 1,
+              .endpoint_heartbeat = milliseconds(1'200),
+              .peers = peers},
           *host->store, clock_, random_,
           DirectoryOutputs{.snapshot =
                                [raw](forwarding::SnapshotPtr s) {
@@ -159,7 +177,7 @@
   const std::uint16_t port_ = NextPort();
   asio::io_context io_;
   SystemClock clock_;
-  SeededRandom random_{5};
+  SeededRandom random_;
 
  public:
   SharedStore shared;
@@ -203,6 +221,78 @@
   }
 }
 
+// Time for which the host that is furthest behind has missed a version.
+class VersionLag {
+ public:
+  // The store has the version from `now` on.
+  void OnVersion(std::uint64_t version, TimePoint now) { stored_at_[version] = now; }
+
+  Duration Longest(const Hosts& fleet, TimePoint now) const {
+    Duration longest{};
+    for (const auto& host : fleet.hosts) {
+      const auto missed = stored_at_.upper_bound(host->service->version());
+      if (missed != stored_at_.end()) longest = std::max(longest, now - missed->second);
+    }
+    return longest;
+  }
+
+ private:
+  std::map<std::uint64_t, TimePoint> stored_at_;
+};
+
+// The seed of a run by hand, or a fixed one.
+std::uint64_t TestSeed() {
+  const char* const seed = std::getenv("VERBENARIDGE_TEST_SEED");
+  return seed == nullptr ? 5 : std::stoull(seed);
+}
+
+// Guards against versions that are in force too late while the store serves a single host: that
+// host waited for reads of all the others, which the store rejected.
+TEST_CASE("versions reach every host in time while the store serves one host") {
+  struct Row {
+    const char* name;
+    std::size_t served;  // index of the host
+    bool silent;         // rejected calls time out instead of failing at once
+  };
+  const Row rows[] = {{"a scheduler is served", 0, false},
+                      {"a host that is no scheduler is served", 14, false},
+                      {"a host that is no scheduler is served, the store is silent", 14, true}};
+  constexpr std::size_t kHosts = 15;
+  // Versions are due 2 s after they were stored. Once a host reads for all, half of it is margin.
+  constexpr Duration kBound = std::chrono::seconds(2);
+  constexpr Duration kTakeover = std::chrono::seconds(2);
+  constexpr Duration kVersionInterval = milliseconds(60);
+  constexpr Duration kStep = milliseconds(5);
+  const SystemClock clock;
+  for (const Row& row : rows) {
+    CAPTURE(row.name);
+    Hosts fleet(kHosts, {}, /*data_centres=*/3, TestSeed());
+    fleet.Run(milliseconds(1'500));
+    for (std::size_t i = 0; i < kHosts; ++i) {
+      fleet.hosts[i]->store->rejects = i != row.served;
+      fleet.hosts[i]->store->silent = row.silent;
+    }
+    VersionLag lag;
+    Duration during_takeover{};
+    Duration afterwards{};
+    const TimePoint start = clock.Now();
+    TimePoint next_version = start;
+    while (clock.Now() - start < std::chrono::seconds(6)) {
+      if (clock.Now() >= next_version) {
+        lag.OnVersion(++fleet.shared.version, clock.Now());
+        next_version += kVersionInterval;
+      }
+      fleet.Run(kStep);
+      Duration& longest = clock.Now() - start < kTakeover ? during_takeover : afterwards;
+      longest = std::max(longest, lag.Longest(fleet, clock.Now()));
+    }
+    MESSAGE(row.name << ": takeover " << ToSeconds(during_takeover) << " s, afterwards "
+                     << ToSeconds(afterwards) << " s");
+    CHECK(during_takeover < kBound);
+    CHECK(afterwards < kBound / 2);
+  }
+}
+
 // Guards against a host that needs seconds to send a large configuration to all others of its data
 // centre over a link of 14 Mbit/s while new versions follow each other.
 TEST_CASE("a large configuration is sent compressed") {
--- a/verbenaridge/ingress/peer_list.cc
+++ b/verbenaridge/ingress/peer_list.cc
@@ -109,6 +109,14 @@
   return addresses;
 }
 
+std::vector<std::string> PeerList::LocalTargets() const {
+  std::vector<std::string> addresses;
+  for (const auto& [host, peer] : peers_) {
+    if (peer.live && peer.info.data_centre == self_.data_centre) addresses.push_back(peer.info.ip);
+  }
+  return addresses;
+}
+
 std::vector<std::pair<HostId, std::string>> PeerList::Sample(RandomSource& random) const {
   std::vector<std::pair<HostId, std::string>> sample;
   std::vector<std::pair<HostId, std::string>> others;
--- a/verbenaridge/ingress/peer_list.h
+++ b/verbenaridge/ingress/peer_list.h
@@ -90,6 +90,9 @@
   // Addresses to which this host sends gossip.
   std::vector<std::string> GossipTargets() const;
 
+  // Addresses of the other live hosts of this data centre.
+  std::vector<std::string> LocalTargets() const;
+
   // Live hosts and their addresses for a gossip datagram, chosen at random, schedulers first.
   std::vector<std::pair<HostId, std::string>> Sample(RandomSource& random) const;
 
