Believe a refusal only if it is one of this request

Cause: a response that says that the endpoint has not run the request was believed before its id was compared. A late refusal of another request made an order that may run once go to a second endpoint. Interim responses without end kept an exchange busy until its deadline. Change: the id is compared first; more than 16 interim responses are malformed. Tests: rows for the refusal, which failed before (200 after two requests instead of 502 after one); for copies of a response before, after and instead of the next one on a kept connection; for bytes without end in status line, headers, interim responses, chunk extension, trailers, body and events, bounded at 16 MB including the kernel's buffers; and for endpoints that send a byte now and then.

--- a/verbenaridge/forwarding/request_run_answer.cc
+++ b/verbenaridge/forwarding/request_run_answer.cc
@@ -119,13 +119,14 @@
 
 void RequestRun::OnCompleteResponse() {
   const int status = response_->status;
-  if (response_metadata_.not_executed || status == 421) {
+  const bool wrong_id = !response_metadata_.attempt_id.empty() &&
+                        response_metadata_.attempt_id != request_metadata_.attempt_id;
+  // A refusal of another request says nothing about this one, which may be running.
+  if (!wrong_id && (response_metadata_.not_executed || status == 421)) {
     AttemptFailed(AttemptFailure::kRefused, std::to_string(status));
     return;
   }
   const bool ok = status >= 200 && status < 300;
-  const bool wrong_id = !response_metadata_.attempt_id.empty() &&
-                        response_metadata_.attempt_id != request_metadata_.attempt_id;
   const bool unverified = ok && (response_metadata_.attempt_id.empty() ||
                                  !response_metadata_.sealed || response_metadata_.encoded);
   if (wrong_id || unverified || response_started_) {
--- a/verbenaridge/http1/message_parser.cc
+++ b/verbenaridge/http1/message_parser.cc
@@ -5,6 +5,13 @@
 #include <utility>
 
 namespace verbenaridge::http1 {
+namespace {
+
+// An endpoint that sends interim responses without end never responds.
+constexpr int kMaxInterimResponses = 16;
+
+}  // namespace
+
 namespace internal {
 
 // State and callbacks of both parsers. The callbacks of http_parser find it in `parser.data`.
@@ -20,11 +27,10 @@
   }
 
   void Reset(bool head_request) {
-    http_parser_init(&parser_, type_);
-    parser_.data = this;
     head_request_ = head_request;
-    started_ = head_complete_ = complete_ = too_large_ = interim_ = false;
-    ClearHead();
+    started_ = head_complete_ = complete_ = too_large_ = false;
+    interim_responses_ = 0;
+    BeginMessage();
   }
 
   Result<std::size_t> Feed(std::string_view data) {
@@ -37,7 +43,8 @@
       const auto error = HTTP_PARSER_ERRNO(&parser_);
       if (too_large_) return Errc::kTooLarge;
       if (interim_ && error == HPE_PAUSED) {
-        Reset(head_request_);
+        if (++interim_responses_ > kMaxInterimResponses) return Errc::kMalformed;
+        BeginMessage();
         continue;
       }
       if (error == HPE_PAUSED) break;
@@ -153,7 +160,10 @@
     return 0;
   }
 
-  void ClearHead() {
+  void BeginMessage() {
+    http_parser_init(&parser_, type_);
+    parser_.data = this;
+    interim_ = false;
     target_.clear();
     headers_.clear();
     last_was_value_ = false;
@@ -174,7 +184,8 @@
   bool head_complete_ = false;
   bool complete_ = false;
   bool too_large_ = false;
-  bool interim_ = false;
+  bool interim_ = false;  // the message being parsed has a status of 1xx
+  int interim_responses_ = 0;
 };
 
 }  // namespace internal
