Pack short prompts up to a share of the slots, and prefer the own data centre

Short prompts were packed up to ten tasks an engine, which are all of its slots there, so hosts that decided at the same time took the last slot twice and the request waited for a slot while other engines had room. Four of five requests also crossed to another data centre and were lost with either one. Change: packing ends at 0.6 of the slots, and each further slot costs more; an engine of another data centre costs as much as half of the gain of packing, an endpoint without timing model two slots. The memory of a group is divided by one function for the load table and the reservation; before, the table counted even shares and the engines reserved shares in proportion to their free memory.

--- a/verbenaridge/dispatch/endpoint_chooser.cc
+++ b/verbenaridge/dispatch/endpoint_chooser.cc
@@ -40,6 +40,7 @@
   double SaturationCost(const Demand& demand, const Candidate& candidate) const;
   double MemoryShortageCost(const Demand& demand, const Candidate& candidate,
                             std::size_t parts) const;
+  double PackingCost(const Candidate& candidate) const;
   Evaluation Evaluate(const Demand& demand, std::span<const Candidate> candidates,
                       std::size_t index, std::size_t parts) const;
   Choice Group(const Demand& demand, std::span<const Candidate> candidates, std::size_t parts,
@@ -109,6 +110,15 @@
   return options_.no_memory_cost * std::clamp(1 - free / needed, 0.0, 1.0);
 }
 
+double PredictiveChooser::PackingCost(const Candidate& candidate) const {
+  const double slots = static_cast<double>(std::max<std::size_t>(candidate.slots, 1));
+  const double used = std::min(static_cast<double>(candidate.load.tasks) / slots, 1.0);
+  if (used < options_.packed_share) {
+    return options_.scatter_cost * (1 - used / options_.packed_share);
+  }
+  return options_.crowd_cost * (used - options_.packed_share) / (1 - options_.packed_share);
+}
+
 PredictiveChooser::Evaluation PredictiveChooser::Evaluate(const Demand& demand,
                                                           std::span<const Candidate> candidates,
                                                           std::size_t index,
@@ -132,8 +142,7 @@
   evaluation.cost =
       evaluation.harm + demand.weight() * Lateness(ratio) + options_.latency_weight * ratio;
   if (parts == 1 && prefill < options_.short_prefill) {
-    const double neighbours = std::min(static_cast<double>(load.tasks), options_.gathered_tasks);
-    evaluation.cost += options_.scatter_cost * (1 - neighbours / options_.gathered_tasks);
+    evaluation.cost += PackingCost(candidate);
   }
   return evaluation;
 }
@@ -145,6 +154,7 @@
   for (std::size_t i = 0; i < candidates.size(); ++i) {
     Evaluation evaluation = Evaluate(demand, candidates, i, parts);
     evaluation.cost += options_.cost_jitter * random.Uniform();
+    if (candidates[i].remote) evaluation.cost += options_.remote_cost;
     if (reserve) evaluation.cost += MemoryShortageCost(demand, candidates[i], parts);
     evaluations.push_back(evaluation);
   }
@@ -216,8 +226,10 @@
   return best;
 }
 
-// As ChooserOptions::cost_jitter, for endpoints without a timing model.
+// As in ChooserOptions, for endpoints without a timing model.
 constexpr double kPlainCostJitter = 0.01;
+// About two slots of six: a service is as fast in the other data centre until its slots are full.
+constexpr double kPlainRemoteCost = 0.3;
 
 class LeastBusyChooser final : public EndpointChooser {
  public:
@@ -228,6 +240,7 @@
       const Candidate& candidate = candidates[i];
       const double slots = static_cast<double>(std::max<std::size_t>(candidate.slots, 1));
       const double cost = static_cast<double>(candidate.load.tasks) / slots + candidate.error_rate +
+                          (candidate.remote ? kPlainRemoteCost : 0) +
                           kPlainCostJitter * random.Uniform();
       if (best.kind == ChoiceKind::kDispatch && cost >= best.cost) continue;
       best = {.kind = ChoiceKind::kDispatch, .members = {i}, .cost = cost};
@@ -240,6 +253,7 @@
 
 ChooserOptions WithoutPeerLoad(ChooserOptions options) {
   options.scatter_cost = 0;
+  options.crowd_cost = 0;
   options.cost_jitter = 0.5;
   return options;
 }
--- a/verbenaridge/dispatch/endpoint_chooser.h
+++ b/verbenaridge/dispatch/endpoint_chooser.h
@@ -52,6 +52,7 @@
   std::size_t slots = 0;
   EndpointLoad load;
   double error_rate = 0;
+  bool remote = false;  // in another data centre than the host that decides
 };
 
 enum class ChoiceKind : std::uint8_t {
@@ -78,10 +79,12 @@
   // Weight of the predicted time, so that the faster of two harmless endpoints is chosen.
   double latency_weight = 0.1;
   // Short prompts are packed onto few engines, because a long prompt extends the gaps of all
-  // requests that decode on its engine and therefore needs an engine without them. This cost is
-  // added for a short prompt on an idle engine. It falls to zero at `gathered_tasks` tasks.
-  double scatter_cost = 0.1;
-  double gathered_tasks = 10;
+  // requests that decode on its engine and therefore needs an engine without them. Each engine is
+  // filled up to a share of its slots: hosts that decide at the same time would fill the last ones
+  // twice, and a request without a slot waits for another one to end.
+  double packed_share = 0.6;
+  double scatter_cost = 0.1;  // of an idle engine; falls to zero at the packed share
+  double crowd_cost = 0.1;    // of the last slot; rises from zero at the packed share
   Duration short_prefill = std::chrono::milliseconds(200);
   // Upper bound of the random cost added to each endpoint, so that hosts with the same view choose
   // different endpoints among those of similar cost.
@@ -90,6 +93,9 @@
   double no_memory_cost = 3;  // memory is short, so the engine would preempt its newest request
   double max_kv_fill = 0.95;  // usable share of the memory; output token counts are estimates
   double member_cost = 0.05;  // of each additional engine of a group
+  // Cost of an engine in another data centre: a partition of either one ends the stream, and its
+  // bytes cross between them. Outweighs the gain of packing, but not the lateness of a request.
+  double remote_cost = 0.05;
   std::size_t max_members = 8;
   // A request that does more harm than this is queued while waiting costs it nothing.
   double queue_above_harm = 0.4;
@@ -116,7 +122,8 @@
 
 std::unique_ptr<EndpointChooser> MakePredictiveChooser(const ChooserOptions& options);
 
-// For endpoints without a timing model. Minimizes the sum of slot utilization and error rate.
+// For endpoints without a timing model. Minimizes the sum of slot utilization and error rate, and
+// prefers endpoints of the same data centre.
 std::unique_ptr<EndpointChooser> MakeLeastBusyChooser();
 
 }  // namespace verbenaridge::dispatch
--- a/verbenaridge/dispatch/endpoint_chooser_test.cc
+++ b/verbenaridge/dispatch/endpoint_chooser_test.cc
@@ -2,7 +2,9 @@
 
 #include <doctest/doctest.h>
 
+#include <span>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "verbenaridge/dispatch/testing.h"
@@ -132,6 +134,95 @@
   }
 }
 
+// Guards against streams that end with the partition of another data centre although an engine of
+// their own one would have served them as well, and against requests that are late only because
+// their own data centre is full.
+TEST_CASE("an engine of the same data centre is preferred where nobody is late") {
+  struct Row {
+    const char* name;
+    Demand demand;
+    std::vector<EndpointLoad> local;
+    std::vector<EndpointLoad> remote;
+    bool chosen_remote;
+  };
+  const Row rows[] = {
+      {"equal engines", Short(), {Idle()}, {Idle()}, false},
+      {"more requests are packed elsewhere",
+       Short(),
+       {ShortDecoders(6)},
+       {ShortDecoders(9)},
+       false},
+      {"packed elsewhere before an idle engine is used",
+       Short(),
+       {Idle()},
+       {ShortDecoders(9)},
+       true},
+      {"the local engine prefills a long prompt",
+       Short(),
+       {LongPrefill(milliseconds(1'500))},
+       {Idle()},
+       true},
+      {"the local engine has no free slot", Short(), {ShortDecoders(16)}, {Idle()}, true},
+      {"a long prompt would make others late", Long(133'000), {ShortDecoders(6)}, {Idle()}, true},
+      {"a long prompt, equal engines", Long(133'000), {Idle()}, {Idle()}, false},
+  };
+  for (const Row& row : rows) {
+    CAPTURE(row.name);
+    std::vector<Candidate> candidates;
+    const auto add = [&](std::span<const EndpointLoad> loads, bool remote) {
+      for (const EndpointLoad& load : loads) {
+        candidates.push_back({.key = candidates.size(),
+                              .model = &Model(),
+                              .slots = 16,
+                              .load = load,
+                              .remote = remote});
+      }
+    };
+    add(row.remote, true);
+    add(row.local, false);
+    SeededRandom random(5);
+    const Choice choice = MakePredictiveChooser({})->Choose(row.demand, candidates, random);
+    REQUIRE(choice.kind == ChoiceKind::kDispatch);
+    CHECK(candidates[choice.members.front()].remote == row.chosen_remote);
+  }
+}
+
+// Guards against engines that are filled to their last slot while others have room: in a fleet with
+// ten slots for each engine, two hosts that decided at the same time took the same slot, and one of
+// ten short prompts waited for a slot.
+TEST_CASE("short prompts are packed up to a share of the slots") {
+  struct Row {
+    const char* name;
+    std::size_t slots;
+    std::vector<std::size_t> tasks;  // of each engine
+    std::size_t chosen;
+  };
+  const Row rows[] = {
+      {"joins the fuller of two emptier engines", 10, {2, 4}, 1},
+      {"not the last slot", 10, {9, 6}, 1},
+      {"not the last slot, the other engine is less packed", 10, {9, 5}, 1},
+      {"packed before empty", 10, {0, 6}, 1},
+      {"evenly above the share", 16, {13, 11}, 1},
+      {"a few tasks are not packed for more slots", 16, {3, 8}, 1},
+      {"before the idle engine while slots are left", 10, {8, 0}, 0},
+  };
+  for (const Row& row : rows) {
+    CAPTURE(row.name);
+    std::vector<Candidate> candidates;
+    for (const std::size_t tasks : row.tasks) {
+      EndpointLoad load = tasks == 0 ? Idle() : ShortDecoders(tasks);
+      candidates.push_back({.key = candidates.size(),
+                            .model = &Model(),
+                            .slots = row.slots,
+                            .load = std::move(load)});
+    }
+    SeededRandom random(5);
+    const Choice choice = MakePredictiveChooser({})->Choose(Short(), candidates, random);
+    REQUIRE(choice.kind == ChoiceKind::kDispatch);
+    CHECK(choice.members == std::vector<std::size_t>{row.chosen});
+  }
+}
+
 // Guards against prompts that are too slow or too large for their engines, and against groups for
 // prompts that need none.
 TEST_CASE("a prompt gets as many engines as it needs") {
@@ -221,6 +312,13 @@
       {"the one that fails less",
        {{.slots = 6, .error_rate = 0.8}, {.slots = 6, .load = {.tasks = 1}, .error_rate = 0.1}},
        1},
+      {"the local one", {{.slots = 6, .remote = true}, {.slots = 6, .load = {.tasks = 1}}}, 1},
+      {"a remote one while the local one is full",
+       {{.slots = 6, .remote = true}, {.slots = 6, .load = {.tasks = 6}}},
+       0},
+      {"a remote one while the local one fails",
+       {{.slots = 6, .remote = true}, {.slots = 6, .error_rate = 0.6}},
+       0},
   };
   for (const Row& row : rows) {
     CAPTURE(row.name);
--- a/verbenaridge/forwarding/dispatcher.cc
+++ b/verbenaridge/forwarding/dispatcher.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "verbenaridge/base/hash.h"
+#include "verbenaridge/dispatch/memory_shares.h"
 #include "verbenaridge/telemetry/log.h"
 
 namespace verbenaridge::forwarding {
@@ -131,7 +132,8 @@
                             .model = group.model.get(),
                             .slots = endpoint->slots,
                             .load = load_table_.Load(key, now),
-                            .error_rate = health_.ErrorRate(key)});
+                            .error_rate = health_.ErrorRate(key),
+                            .remote = endpoint->data_centre != options_.data_centre});
     }
   };
   collect(true, true);
@@ -149,16 +151,20 @@
   assignment.reserve = choice.reserve;
   assignment.predicted = choice.first_event;
   assignment.cost = choice.cost;
-  for (std::size_t i = 0; i < choice.members.size(); ++i) {
-    const std::size_t index = choice.members[i];
+  for (const std::size_t index : choice.members) {
     if (group.model != nullptr) {
       const auto memory = static_cast<TokenCount>(
           static_cast<double>(group.model->timing().kv_tokens) * options_.chooser.max_kv_fill);
       assignment.free_kv.push_back(memory - candidates[index].load.kv_tokens);
     }
     assignment.members.push_back(*endpoints[index]);
-    BeginTask(request, group, candidates[index].key, i, choice.members.size(), /*chosen_here=*/true,
-              assignment);
+  }
+  if (assignment.reserve) {
+    assignment.kv_shares = dispatch::MemoryShares(request.demand.kv_tokens(), assignment.free_kv);
+  }
+  for (std::size_t i = 0; i < choice.members.size(); ++i) {
+    BeginTask(request, group, candidates[choice.members[i]].key, i, choice.members.size(),
+              /*chosen_here=*/true, assignment);
   }
 }
 
@@ -179,7 +185,7 @@
     task.prefill_time = group.model->PrefillTime(request.demand.prompt_tokens, members);
     if (member == 0) task.target_gap = request.demand.target_gap;
     if (assignment.reserve) {
-      task.kv_tokens = request.demand.kv_tokens() / static_cast<TokenCount>(members);
+      if (member < assignment.kv_shares.size()) task.kv_tokens = assignment.kv_shares[member];
     } else if (member == 0) {
       task.kv_tokens = request.demand.kv_tokens();
     }
@@ -203,6 +209,9 @@
     }
   }
   if (assignment.members.size() != members.size()) return false;
+  if (assignment.reserve) {
+    assignment.kv_shares = dispatch::MemoryShares(request.demand.kv_tokens(), assignment.free_kv);
+  }
   DispatchRequest own = request;
   const dispatch::TaskId first = std::exchange(own.first_task, 0);
   const dispatch::TaskId next = std::exchange(next_task_, first);
--- a/verbenaridge/forwarding/dispatcher.h
+++ b/verbenaridge/forwarding/dispatcher.h
@@ -82,6 +82,7 @@
   std::vector<directory::Endpoint> members;  // the first one receives the request
   std::vector<dispatch::TaskId> tasks;       // one for each member; the receiver reports their end
   std::vector<TokenCount> free_kv;           // of each member, according to the load table
+  std::vector<TokenCount> kv_shares;         // to be reserved at each member; empty: none
   bool reserve = false;
   Duration predicted{};  // until the first event
   double cost = 0;
