Release reservations reliably and renew them only while responses progress

Change: a release is repeated until the endpoint responds or the reservation has expired; a response that has started and makes no progress for 0.6 s stops the renewal until its next event; members that refused a reservation get no release; the delay before the next attempt to reserve doubles up to 320 ms. Conclusion: by arithmetic, memory is free 0.6 s + 3.7 s after the last event if every release is lost, and some 0.2 s after the host learns of the end otherwise.

--- a/verbenaridge/forwarding/request_run.cc
+++ b/verbenaridge/forwarding/request_run.cc
@@ -13,6 +13,7 @@
 using telemetry::Level;
 
 constexpr int kLowestUrgency = 9;
+constexpr int kMaxReservationDoublings = 2;
 
 std::string_view PathOf(std::string_view target) { return target.substr(0, target.find('?')); }
 
@@ -196,32 +197,24 @@
 }
 
 void RequestRun::ReserveMemory() {
-  // Reserves memory in proportion to the free memory of each member.
-  TokenCount free = 0;
-  for (const TokenCount tokens : assignment_.free_kv) free += std::max<TokenCount>(tokens, 0);
-  const TokenCount needed = request_metadata_.prompt_tokens + request_metadata_.max_output_tokens;
-  std::vector<TokenCount> tokens;
-  for (const TokenCount part : assignment_.free_kv) {
-    const double share = static_cast<double>(std::max<TokenCount>(part, 0)) /
-                         static_cast<double>(std::max<TokenCount>(free, 1));
-    tokens.push_back(static_cast<TokenCount>(share * static_cast<double>(needed)) + 1);
-  }
-  if (free < needed) {  // not enough: some member would refuse its share
-    RetryReservation();
+  if (assignment_.kv_shares.empty()) {  // some member would refuse its share
+    RetryReservation({});
     return;
   }
-  reservations_ =
-      ReservationSet::Create(context_.io_context, context_.pool, context_.adapter, context_.metrics,
-                             context_.ticket_prefix + std::to_string(++context_.reservations_made),
-                             context_.options.reservations);
+  reservations_ = ReservationSet::Create(
+      context_.io_context, context_.clock, context_.pool, context_.adapter, context_.metrics,
+      context_.ticket_prefix + std::to_string(++context_.reservations_made),
+      context_.options.reservations);
   reservations_->Reserve(
-      assignment_.members, std::move(tokens), [self = shared_from_this()](bool reserved) {
+      assignment_.members, assignment_.kv_shares,
+      [self = shared_from_this()](const ReservationResult& result) {
         if (self->finished_) return;
-        if (!reserved) {
+        if (!result.reserved) {
           self->reservations_ = nullptr;
-          self->RetryReservation();
+          self->RetryReservation(result.refused_by);
           return;
         }
+        self->reservation_failures_ = 0;
         std::vector<Helper> helpers;
         for (const directory::Endpoint& member : self->assignment_.members) {
           helpers.push_back(
@@ -232,11 +225,16 @@
 }
 
 // No request was sent, so waiting for memory is as safe as waiting for an endpoint.
-void RequestRun::RetryReservation() {
+void RequestRun::RetryReservation(const EndpointId& refused_by) {
+  const int doublings = std::min(reservation_failures_++, kMaxReservationDoublings);
+  const Duration delay = context_.options.reservation_retry_delay * (1 << doublings);
   telemetry::Log(Level::kInfo, "memory_not_free",
-                 {{"id", request_metadata_.attempt_id}, {"members", assignment_.members.size()}});
+                 {{"id", request_metadata_.attempt_id},
+                  {"members", assignment_.members.size()},
+                  {"endpoint", refused_by.value()},
+                  {"retry_ms", Milliseconds(delay)}});
   EndTasks();
-  wait_timer_.expires_after(context_.options.reservation_retry_delay);
+  wait_timer_.expires_after(delay);
   wait_timer_.async_wait([self = shared_from_this()](std::error_code code) {
     if (!code && !self->finished_) self->FindEndpoint();
   });
--- a/verbenaridge/forwarding/request_run.h
+++ b/verbenaridge/forwarding/request_run.h
@@ -47,7 +47,8 @@
   // Maximum wait on a host without a configuration, and the interval between checks for one.
   Duration configuration_wait = std::chrono::milliseconds(900);
   Duration configuration_check = std::chrono::milliseconds(20);
-  // Delay between two attempts to reserve memory.
+  // Delay before the second attempt to reserve memory. It doubles with each failure in a row, since
+  // each attempt costs a call to every member, and the memory is in use until a request ends.
   Duration reservation_retry_delay = std::chrono::milliseconds(80);
   // An attempt at a plain service times out after this fraction of the time left, if the request
   // may be repeated.
@@ -121,7 +122,8 @@
   void FindEndpoint();
   void OnAssigned(Assignment assignment);
   void ReserveMemory();
-  void RetryReservation();
+  // `refused_by`: the member without enough memory; empty if no member was asked.
+  void RetryReservation(const EndpointId& refused_by);
   void StartAttempt(std::vector<Helper> helpers);
   void ArmAttemptTimeout(Duration limit);
   void EndTasks();
@@ -161,6 +163,7 @@
   DispatchId dispatch_id_ = 0;
   Assignment assignment_;
   std::shared_ptr<ReservationSet> reservations_;
+  int reservation_failures_ = 0;  // in a row
   std::shared_ptr<Exchange> exchange_;
   std::vector<Digest> excluded_;
   TimePoint attempt_started_{};
--- a/verbenaridge/forwarding/request_run_answer.cc
+++ b/verbenaridge/forwarding/request_run_answer.cc
@@ -66,6 +66,7 @@
   if (!first_event_seen_) OnFirstEvent();
   if (events_sent_ > 0) max_gap_ = std::max(max_gap_, now - last_event_at_);
   last_event_at_ = now;
+  if (reservations_ != nullptr) reservations_->OnProgress();
   last_event_ = event.id;
   ++events_sent_;
   sink_->Send(event.bytes);
--- a/verbenaridge/forwarding/reservation_set.cc
+++ b/verbenaridge/forwarding/reservation_set.cc
@@ -10,7 +10,7 @@
 class ReservationSet::Call final : public ExchangeObserver,
                                    public std::enable_shared_from_this<Call> {
  public:
-  Call(asio::io_context& io_context, std::function<void(bool)> done)
+  Call(asio::io_context& io_context, std::function<void(CallResult)> done)
       : timer_(io_context), done_(std::move(done)) {}
 
   void Start(EndpointPool& pool, const directory::Endpoint& endpoint, std::string bytes,
@@ -20,42 +20,45 @@
     timer_.async_wait([self = shared_from_this()](std::error_code code) {
       if (code || self->exchange_ == nullptr) return;
       self->exchange_->Cancel();
-      self->Finish(false);
+      self->Finish(CallResult::kUnknown);
     });
   }
 
   void OnResponseHead(http1::ResponseHead head) override { accepted_ = head.status == 200; }
   void OnResponseBody(std::string_view /*data*/) override {}
-  void OnResponseEnd() override { Finish(accepted_); }
-  void OnExchangeFailed(ExchangeFailure /*failure*/) override { Finish(false); }
+  void OnResponseEnd() override {
+    Finish(accepted_ ? CallResult::kAccepted : CallResult::kRefused);
+  }
+  void OnExchangeFailed(ExchangeFailure /*failure*/) override { Finish(CallResult::kUnknown); }
 
  private:
-  void Finish(bool accepted) {
+  void Finish(CallResult result) {
     const std::shared_ptr<Call> self = shared_from_this();
     exchange_ = nullptr;
     timer_.cancel();
-    if (const auto done = std::exchange(done_, nullptr)) done(accepted);
+    if (const auto done = std::exchange(done_, nullptr)) done(result);
   }
 
   asio::steady_timer timer_;
-  std::function<void(bool)> done_;
+  std::function<void(CallResult)> done_;
   std::shared_ptr<Exchange> exchange_;
   bool accepted_ = false;
 };
 
 std::shared_ptr<ReservationSet> ReservationSet::Create(asio::io_context& io_context,
-                                                       EndpointPool& pool,
+                                                       const Clock& clock, EndpointPool& pool,
                                                        const MessageAdapter& adapter,
                                                        RequestMetrics& metrics, std::string name,
                                                        const ReservationOptions& options) {
   return std::shared_ptr<ReservationSet>(
-      new ReservationSet(io_context, pool, adapter, metrics, std::move(name), options));
+      new ReservationSet(io_context, clock, pool, adapter, metrics, std::move(name), options));
 }
 
-ReservationSet::ReservationSet(asio::io_context& io_context, EndpointPool& pool,
+ReservationSet::ReservationSet(asio::io_context& io_context, const Clock& clock, EndpointPool& pool,
                                const MessageAdapter& adapter, RequestMetrics& metrics,
                                std::string name, const ReservationOptions& options)
     : io_context_(io_context),
+      clock_(clock),
       pool_(pool),
       adapter_(adapter),
       metrics_(metrics),
@@ -64,77 +67,120 @@
       timer_(io_context) {}
 
 void ReservationSet::Send(const directory::Endpoint& endpoint, std::string bytes,
-                          std::function<void(bool)> done) {
+                          std::function<void(CallResult)> done) {
   std::make_shared<Call>(io_context_, std::move(done))
       ->Start(pool_, endpoint, std::move(bytes), options_.call_timeout);
 }
 
 void ReservationSet::Reserve(std::vector<directory::Endpoint> members,
-                             std::vector<TokenCount> tokens, std::function<void(bool)> done) {
+                             std::vector<TokenCount> tokens,
+                             std::function<void(const ReservationResult&)> done) {
   members_ = std::move(members);
   tokens_ = std::move(tokens);
   done_ = std::move(done);
   pending_ = members_.size();
+  results_.assign(members_.size(), CallResult::kUnknown);
+  last_renewal_ = clock_.Now();
   for (std::size_t i = 0; i < members_.size(); ++i) {
     Send(members_[i],
          adapter_.WriteReservation(
              members_[i], {.ticket = name_, .tokens = tokens_[i], .lifetime = options_.lifetime}),
-         [self = shared_from_this()](bool accepted) { self->OnReserved(accepted); });
+         [self = shared_from_this(), i](CallResult result) { self->OnReserved(i, result); });
   }
 }
 
-void ReservationSet::OnReserved(bool reserved) {
-  refused_ = refused_ || !reserved;
-  metrics_.reservations.With({reserved ? "reserved" : "not_reserved"}).Add();
+void ReservationSet::OnReserved(std::size_t member, CallResult result) {
+  results_[member] = result;
+  const bool accepted = result == CallResult::kAccepted;
+  metrics_.reservations.With({accepted ? "reserved" : "not_reserved"}).Add();
   if (--pending_ > 0 || released_) return;
   const auto done = std::exchange(done_, nullptr);
-  if (refused_) {
-    Release();
-  } else {
+  ReservationResult outcome{.reserved = true};
+  for (std::size_t i = 0; i < members_.size(); ++i) {
+    outcome.reserved = outcome.reserved && results_[i] == CallResult::kAccepted;
+    if (results_[i] == CallResult::kRefused) outcome.refused_by = members_[i].id;
+  }
+  if (outcome.reserved) {
     granted_ = true;
     metrics_.active_reservations.Add(static_cast<double>(members_.size()));
     ArmRenewal();
+  } else {
+    Release();
   }
-  if (done) done(!refused_);
+  if (done) done(outcome);
 }
 
 void ReservationSet::ArmRenewal() {
   timer_.expires_after(options_.renewal_interval);
   timer_.async_wait([self = shared_from_this()](std::error_code code) {
     if (code || self->released_) return;
-    for (std::size_t i = 0; i < self->members_.size(); ++i) {
-      const directory::Endpoint& member = self->members_[i];
-      self->Send(member,
-                 self->adapter_.WriteReservation(member, {.ticket = self->name_,
-                                                          .tokens = self->tokens_[i],
-                                                          .lifetime = self->options_.lifetime}),
-                 [self, id = member.id.value()](bool accepted) {
-                   self->metrics_.reservations.With({accepted ? "renewed" : "not_renewed"}).Add();
-                   if (accepted || self->released_) return;
-                   telemetry::Log(telemetry::Level::kWarning, "ticket_not_renewed",
-                                  {{"ticket", self->name_}, {"endpoint", id}});
-                 });
+    const bool stalled = self->last_progress_ &&
+                         self->clock_.Now() - *self->last_progress_ > self->options_.stalled_after;
+    if (stalled) {
+      self->renewal_skipped_ = true;
+    } else {
+      self->Renew();
     }
     self->ArmRenewal();
   });
 }
 
+void ReservationSet::Renew() {
+  last_renewal_ = clock_.Now();
+  for (std::size_t i = 0; i < members_.size(); ++i) {
+    const directory::Endpoint& member = members_[i];
+    Send(member,
+         adapter_.WriteReservation(
+             member, {.ticket = name_, .tokens = tokens_[i], .lifetime = options_.lifetime}),
+         [self = shared_from_this(), id = member.id.value()](CallResult result) {
+           const bool accepted = result == CallResult::kAccepted;
+           self->metrics_.reservations.With({accepted ? "renewed" : "not_renewed"}).Add();
+           if (accepted || self->released_) return;
+           telemetry::Log(telemetry::Level::kWarning, "ticket_not_renewed",
+                          {{"ticket", self->name_}, {"endpoint", id}});
+         });
+  }
+}
+
+void ReservationSet::OnProgress() {
+  last_progress_ = clock_.Now();
+  if (released_ || !std::exchange(renewal_skipped_, false)) return;
+  Renew();
+  ArmRenewal();
+}
+
 void ReservationSet::Release() {
   if (std::exchange(released_, true)) return;
   done_ = nullptr;
   timer_.cancel();
   if (granted_) metrics_.active_reservations.Add(-static_cast<double>(members_.size()));
-  for (const directory::Endpoint& member : members_) {
-    Send(member, adapter_.WriteRelease(member, name_),
-         [&metrics = metrics_, name = name_, id = member.id.value()](bool accepted) {
-           metrics.reservations.With({accepted ? "released" : "not_released"}).Add();
-           if (accepted) return;
-           telemetry::Log(telemetry::Level::kWarning, "ticket_not_released",
-                          {{"ticket", name},
-                           {"endpoint", id},
-                           {"reason", "the reservation expires by itself"}});
-         });
+  for (std::size_t i = 0; i < members_.size(); ++i) {
+    if (results_[i] != CallResult::kRefused) ReleaseAt(i);  // else it reserved nothing
   }
 }
 
+void ReservationSet::ReleaseAt(std::size_t member) {
+  Send(members_[member], adapter_.WriteRelease(members_[member], name_),
+       [self = shared_from_this(), member](CallResult result) {
+         const bool accepted = result == CallResult::kAccepted;
+         self->metrics_.reservations.With({accepted ? "released" : "not_released"}).Add();
+         if (result == CallResult::kUnknown) self->OnReleaseFailed(member);
+       });
+}
+
+void ReservationSet::OnReleaseFailed(std::size_t member) {
+  const Duration left = last_renewal_ + options_.lifetime - clock_.Now();
+  const bool expires_first = left <= options_.release_retry_delay;
+  telemetry::Log(telemetry::Level::kWarning, "ticket_not_released",
+                 {{"ticket", name_},
+                  {"endpoint", members_[member].id.value()},
+                  {"reason", expires_first ? std::string_view("the reservation expires by itself")
+                                           : std::string_view("the call is repeated")}});
+  if (expires_first) return;
+  auto timer = std::make_shared<asio::steady_timer>(io_context_, options_.release_retry_delay);
+  timer->async_wait([self = shared_from_this(), member, timer](std::error_code code) {
+    if (!code) self->ReleaseAt(member);
+  });
+}
+
 }  // namespace verbenaridge::forwarding
