--- a/verbenaridge/directory/refresh_schedule.h
+++ b/verbenaridge/directory/refresh_schedule.h
@@ -71,7 +71,7 @@
   TimePoint due_;
   TimePoint last_current_{};
   bool read_in_progress_ = false;
-  bool reread_ = false;    // a peer has a value that the read in progress may miss
+  bool reread_ = false;  // a peer has a value that the read in progress may miss
   bool is_reader_ = false;
   int failures_ = 0;
 };
