Keep connections that were accepted before a stop until their first request

The start of a drain closed every connection on which no byte had been read, also those that had just been accepted and whose first request was on its way or in the kernel. Ruled out: a pause or kill of that host (its log has neither), the end of the drain 3.9 s later (its neighbours by number were served within 0.2 s of the signal). Change: the start of a drain closes only connections that have carried a request and have nothing unread; all others without a request are closed when the daemon ends, after the balancer has removed it. Tests: daemon_test, a connection accepted before the stop whose request follows after it; failed before (no answer).

--- a/verbenaridge/forwarding/client_server.cc
+++ b/verbenaridge/forwarding/client_server.cc
@@ -1,6 +1,5 @@
 #include "verbenaridge/forwarding/client_server.h"
 
-#include <algorithm>
 #include <array>
 #include <asio/buffer.hpp>
 #include <asio/ip/tcp.hpp>
@@ -39,7 +38,7 @@
   Status Open();
   void Accept();
   void Close();
-  void BeginDrain();
+  void CloseIdle(bool also_new);
 
   asio::io_context& io_context_;
   const ServerOptions options_;
@@ -74,8 +73,14 @@
   bool busy() const { return awaiting_response_ || response_queued_; }
   bool unfinished() const { return busy() || parser_.started(); }
 
-  void BeginDrain() {
-    if (!unfinished()) Close();
+  // Closes the connection if no request is in progress or has arrived. `also_new`: even if it has
+  // not carried a request yet; its client may have sent the first one already.
+  void CloseIfIdle(bool also_new) {
+    if (unfinished() || (!also_new && !has_served_)) return;
+    std::error_code error;
+    const std::size_t unread = socket_.available(error);
+    if (!error && unread > 0) return;
+    Close();
   }
 
   void Close() {
@@ -219,6 +224,7 @@
 
   void Handle() {
     timer_.cancel();
+    has_served_ = true;
     awaiting_response_ = true;
     head_request_ = head_.method == "HEAD";
     const std::shared_ptr<Connection> self = shared_from_this();
@@ -316,6 +322,7 @@
   bool body_too_large_ = false;
   bool reading_ = false;
   bool write_in_progress_ = false;
+  bool has_served_ = false;         // a complete request was received
   bool awaiting_response_ = false;  // a request waits for its response
   bool response_queued_ = false;    // the response is complete, but not yet written
   bool close_after_ = false;
@@ -357,10 +364,9 @@
       });
 }
 
-void ClientServer::Impl::BeginDrain() {
-  draining_ = true;
+void ClientServer::Impl::CloseIdle(bool also_new) {
   const std::vector<std::shared_ptr<Connection>> all(connections_.begin(), connections_.end());
-  for (const auto& connection : all) connection->BeginDrain();
+  for (const auto& connection : all) connection->CloseIfIdle(also_new);
 }
 
 void ClientServer::Impl::Close() {
@@ -388,7 +394,12 @@
   return impl_->acceptor_.local_endpoint(ignored).port();
 }
 
-void ClientServer::BeginDrain() { impl_->BeginDrain(); }
+void ClientServer::BeginDrain() {
+  impl_->draining_ = true;
+  impl_->CloseIdle(/*also_new=*/false);
+}
+
+void ClientServer::CloseIdle() { impl_->CloseIdle(/*also_new=*/true); }
 
 void ClientServer::StopAccepting() { impl_->Close(); }
 
@@ -400,10 +411,4 @@
   return count;
 }
 
-std::size_t ClientServer::unfinished() const {
-  return static_cast<std::size_t>(
-      std::count_if(impl_->connections_.begin(), impl_->connections_.end(),
-                    [](const auto& connection) { return connection->unfinished(); }));
-}
-
 }  // namespace verbenaridge::forwarding
--- a/verbenaridge/forwarding/client_server.h
+++ b/verbenaridge/forwarding/client_server.h
@@ -95,18 +95,17 @@
   Status Open();
   std::uint16_t port() const;
 
-  // Closes each connection after its next response and idle ones at once. New ones are still
-  // served. Called again, it closes the connections that have become idle since.
+  // Closes each connection after its next response, and those that wait for another request at
+  // once. New ones are still served, also those that were accepted before.
   void BeginDrain();
+  // Closes all connections on which no request is in progress or has arrived.
+  void CloseIdle();
   // Accepts no new connections.
   void StopAccepting();
 
   std::size_t connections() const;
   // Requests whose response is not completely written.
   std::size_t busy() const;
-  // Connections that are busy, have received a part of a request, or wait for the client to read
-  // the last response.
-  std::size_t unfinished() const;
 
  private:
   class Connection;
--- a/verbenaridge/ingress/ingress.cc
+++ b/verbenaridge/ingress/ingress.cc
@@ -240,8 +240,8 @@
     ArmDrainCheck();
     return;
   }
-  traffic_->CloseIdle([this](std::size_t unfinished) {
-    control_.Post([this, unfinished] { unfinished == 0 ? FinishDrain() : ArmDrainCheck(); });
+  traffic_->CloseIdle([this](std::size_t left) {
+    control_.Post([this, left] { left == 0 ? FinishDrain() : ArmDrainCheck(); });
   });
 }
 
--- a/verbenaridge/ingress/traffic.cc
+++ b/verbenaridge/ingress/traffic.cc
@@ -137,8 +137,8 @@
 
 void Traffic::CloseIdle(std::function<void(std::size_t)> done) {
   loop_.Post([this, done = std::move(done)] {
-    server_.BeginDrain();
-    done(server_.unfinished());
+    server_.CloseIdle();
+    done(server_.connections());
   });
 }
 
--- a/verbenaridge/ingress/traffic.h
+++ b/verbenaridge/ingress/traffic.h
@@ -55,8 +55,8 @@
 
   void BeginDrain();
   void StopAccepting();
-  // Closes idle connections and calls `done` on the traffic thread with the number of connections
-  // that are left. If there are none and StopAccepting was called, no request can arrive any more.
+  // Closes idle connections and calls `done` on the traffic thread with the number of the others.
+  // If there are none and StopAccepting was called, no request can arrive any more.
   void CloseIdle(std::function<void(std::size_t)> done);
 
   // Requests in progress.
