Never refuse a prompt that has run as too large

Change: both outcomes without an endpoint look at the runs first. Tests: request_path_test, a prompt over two engines whose engine fails (503 before, 502 after) or breaks off.

--- a/verbenaridge/forwarding/request_run.cc
+++ b/verbenaridge/forwarding/request_run.cc
@@ -172,14 +172,10 @@
     case Assignment::Outcome::kAssigned:
       break;
     case Assignment::Outcome::kNoEndpoint:
-      if (runs_ > 0) {
-        FailRequest(AttemptFailure::kBroken);
-      } else {
-        Refuse(503, "no_endpoint");
-      }
+      RefuseUnplaced("no_endpoint");
       return;
     case Assignment::Outcome::kTooLarge:
-      Refuse(503, "prompt_too_large_now");
+      RefuseUnplaced("prompt_too_large_now");
       return;
     case Assignment::Outcome::kDeadlineExceeded:
       OnDeadline();
@@ -196,6 +192,15 @@
   StartAttempt(std::move(helpers));
 }
 
+// A request that may have run cannot be refused as not run, and its response may have started.
+void RequestRun::RefuseUnplaced(std::string_view reason) {
+  if (runs_ > 0) {
+    FailRequest(AttemptFailure::kBroken);
+  } else {
+    Refuse(503, reason);
+  }
+}
+
 void RequestRun::ReserveMemory() {
   if (assignment_.kv_shares.empty()) {  // some member would refuse its share
     RetryReservation({});
--- a/verbenaridge/forwarding/request_run.h
+++ b/verbenaridge/forwarding/request_run.h
@@ -121,6 +121,7 @@
 
   void FindEndpoint();
   void OnAssigned(Assignment assignment);
+  void RefuseUnplaced(std::string_view reason);
   void ReserveMemory();
   // `refused_by`: the member without enough memory; empty if no member was asked.
   void RetryReservation(const EndpointId& refused_by);
