--- a/verbenaridge/directory/refresh_schedule.h
+++ b/verbenaridge/directory/refresh_schedule.h
@@ -59,8 +59,6 @@
   // Time at which the value was last known to be current.
   TimePoint last_current() const { return last_current_; }
   int failures() const { return failures_; }
-  // Whether the last known read is one of this host.
-  bool is_reader() const { return is_reader_; }
 
  private:
   // Schedules the next read after one at `when`.
@@ -71,8 +69,8 @@
   TimePoint due_;
   TimePoint last_current_{};
   bool read_in_progress_ = false;
-  bool reread_ = false;  // a peer has a value that the read in progress may miss
-  bool is_reader_ = false;
+  bool reread_ = false;     // a peer has a value that the read in progress may miss
+  bool is_reader_ = false;  // the last known read is one of this host
   int failures_ = 0;
 };
 
--- a/verbenaridge/dispatch/endpoint_chooser.h
+++ b/verbenaridge/dispatch/endpoint_chooser.h
@@ -9,7 +9,8 @@
 // requests, where a long prompt has more weight than a short one, and the endpoint with the lowest
 // sum is chosen. A request that would harm others everywhere is queued while it can still meet its
 // target later, or while it is late anyway and its deadline is far. Long prompts are shared evenly
-// by several engines where that lets them meet their target.
+// by several engines where that lets them meet their target. Among engines where nobody is late,
+// short prompts are packed up to a share of the slots, and the own data centre is preferred.
 #ifndef VERBENARIDGE_DISPATCH_ENDPOINT_CHOOSER_H_
 #define VERBENARIDGE_DISPATCH_ENDPOINT_CHOOSER_H_
 
@@ -94,7 +95,8 @@
   double max_kv_fill = 0.95;  // usable share of the memory; output token counts are estimates
   double member_cost = 0.05;  // of each additional engine of a group
   // Cost of an engine in another data centre: a partition of either one ends the stream, and its
-  // bytes cross between them. Outweighs the gain of packing, but not the lateness of a request.
+  // bytes cross between them. Half of the scatter cost, so that a packed engine there is used
+  // before an idle one here.
   double remote_cost = 0.05;
   std::size_t max_members = 8;
   // A request that does more harm than this is queued while waiting costs it nothing.
--- a/verbenaridge/forwarding/reservation_set.cc
+++ b/verbenaridge/forwarding/reservation_set.cc
@@ -117,7 +117,10 @@
     const bool stalled = self->last_progress_ &&
                          self->clock_.Now() - *self->last_progress_ > self->options_.stalled_after;
     if (stalled) {
-      self->renewal_skipped_ = true;
+      if (!std::exchange(self->renewal_skipped_, true)) {
+        telemetry::Log(telemetry::Level::kInfo, "ticket_renewal_paused",
+                       {{"ticket", self->name_}, {"reason", "the response makes no progress"}});
+      }
     } else {
       self->Renew();
     }
