Use a new connection after the peer closed the old one, and survive own pauses

A call that starts before the event loop has processed the end of an idle connection was sent on it and failed. The server may close first because a process that has been paused, here by load, took pings that were not read yet for unanswered ones. Ruled out: an idle limit that is shorter at the server (it is twice the client's). Change: before a call an idle connection processes what the peer has sent. A limit of the peer that has passed is confirmed after a further quarter of the ping limit, and again if that timer is late. Tests: a server that is replaced while the client does not run; pauses at each step of a ping.

--- a/verbenaridge/wire/internal/client_connection.h
+++ b/verbenaridge/wire/internal/client_connection.h
@@ -62,6 +62,7 @@
   void Detach();
 
   const PeerAddress& peer() const { return peer_; }
+  bool idle() const { return waiting_.empty() && streams_.empty(); }
 
  private:
   HandshakeStep OnHandshakeMessage(std::string_view message) override;
--- a/verbenaridge/wire/internal/h2_connection.cc
+++ b/verbenaridge/wire/internal/h2_connection.cc
@@ -161,27 +161,44 @@
                      [self = shared_from_this()](std::error_code error) {
                        if (self->closed_) return;
                        if (error) return self->Close(Errc::kUnavailable);
-                       self->ReadAvailable();
+                       self->OnReadable();
                      });
 }
 
-void H2Connection::ReadAvailable() {
+void H2Connection::OnReadable() {
+  ReadAvailable();
+  if (closed_) return;
+  Send();
+  if (!closed_) WaitReadable();
+}
+
+void H2Connection::ProcessReceived() {
+  if (closed_ || !ready()) return;
+  // The end of a connection may follow its last bytes.
+  if (ReadAvailable()) ReadAvailable();
+  if (!closed_) ScheduleSend();
+}
+
+bool H2Connection::ReadAvailable() {
   // Shared by all connections of the thread, so that idle connections hold no buffer.
   thread_local std::array<char, kReadBufferBytes> buffer;
+  bool received = false;
   for (int reads = 0; reads < kMaxReadsPerTurn && !closed_; ++reads) {
     std::error_code error;
     const std::size_t size = socket_.read_some(asio::buffer(buffer), error);
     if (error == asio::error::would_block) break;
-    if (error) return Close(Errc::kUnavailable);
+    if (error) {
+      Close(Errc::kUnavailable);
+      return false;
+    }
+    received = true;
     counters_.bytes_in += size;
     last_received_ = std::chrono::steady_clock::now();
     ping_outstanding_ = false;
     Consume({buffer.data(), size});
     if (size < buffer.size()) break;
   }
-  if (closed_) return;
-  Send();
-  if (!closed_) WaitReadable();
+  return received && !closed_;
 }
 
 void H2Connection::Consume(std::string_view data) {
@@ -294,6 +311,7 @@
 }
 
 H2Connection::SteadyTime H2Connection::NextCheck() const {
+  if (confirm_at_ != SteadyTime::max()) return confirm_at_;
   if (!ready()) return handshake_deadline_;
   SteadyTime next = last_stream_ + timeouts_.idle * (role_ == Role::kServer ? 2 : 1);
   if (HasStreams()) next = last_received_ + timeouts_.silence;
@@ -313,27 +331,18 @@
 
 void H2Connection::OnTimer() {
   if (closed_) return;
-  timer_at_ = SteadyTime::max();
   const SteadyTime now = std::chrono::steady_clock::now();
-  CheckTimes(now);
+  CheckTimes(now, now - std::exchange(timer_at_, SteadyTime::max()));
   if (closed_) return;
   if (HasStreams()) OnCheck(now);
   // A check that finds nothing to do in the past must not repeat at once.
   EnsureTimer(std::max(NextCheck(), now + std::chrono::milliseconds(10)));
 }
 
-void H2Connection::CheckTimes(SteadyTime now) {
-  if (!ready()) {
-    if (now < handshake_deadline_) return;
-    ++counters_.handshake_failures;
-    return Close(Errc::kUnavailable);
-  }
-  const bool stalled = writing_ && now - write_started_ >= timeouts_.write;
-  const bool silent = ping_outstanding_ && now - ping_sent_ >= timeouts_.ping_answer;
-  if (stalled || silent) {
-    ++counters_.silent_closes;
-    return Close(Errc::kUnavailable);
-  }
+void H2Connection::CheckTimes(SteadyTime now, SteadyTime::duration delay) {
+  if (LimitPassed(now)) return CloseIfConfirmed(now, delay);
+  confirm_at_ = SteadyTime::max();
+  if (!ready()) return;
   if (HasStreams()) {
     last_stream_ = now;
     if (!ping_outstanding_ && now - last_received_ >= timeouts_.silence) SendPing(now);
@@ -342,4 +351,22 @@
   }
 }
 
+bool H2Connection::LimitPassed(SteadyTime now) const {
+  if (!ready()) return now >= handshake_deadline_;
+  const bool stalled = writing_ && now - write_started_ >= timeouts_.write;
+  const bool silent = ping_outstanding_ && now - ping_sent_ >= timeouts_.ping_answer;
+  return stalled || silent;
+}
+
+// After a pause of this process a limit has passed while the answer of the peer is not read yet. So
+// the connection is closed only after a further time in which the event loop has run.
+void H2Connection::CloseIfConfirmed(SteadyTime now, SteadyTime::duration delay) {
+  if (confirm_at_ == SteadyTime::max() || delay > ConfirmTime()) {
+    confirm_at_ = now + ConfirmTime();
+  } else if (now >= confirm_at_) {
+    ++(ready() ? counters_.silent_closes : counters_.handshake_failures);
+    Close(Errc::kUnavailable);
+  }
+}
+
 }  // namespace verbenaridge::wire::internal
--- a/verbenaridge/wire/internal/h2_connection.h
+++ b/verbenaridge/wire/internal/h2_connection.h
@@ -54,6 +54,10 @@
   // Runs the task on a later turn of the event loop.
   void PostTask(std::function<void()> task);
 
+  // Processes what the peer has already sent, so that a connection that it has closed is not used
+  // for another message. To be called between turns of the event loop, without open streams.
+  void ProcessReceived();
+
   bool closed() const { return closed_; }
   bool ready() const { return session_ != nullptr; }
 
@@ -99,7 +103,9 @@
 
   void OpenSession();
   void WaitReadable();
-  void ReadAvailable();
+  void OnReadable();
+  // Returns true if bytes were received and the connection is still open.
+  bool ReadAvailable();
   void Consume(std::string_view data);
   std::size_t ConsumeHandshake(std::string_view data);
   void QueueHandshakeMessage(std::string_view message);
@@ -109,7 +115,12 @@
 
   void EnsureTimer(SteadyTime when);
   void OnTimer();
-  void CheckTimes(SteadyTime now);
+  // `delay`: how late the timer is.
+  void CheckTimes(SteadyTime now, SteadyTime::duration delay);
+  // Whether the peer has not done in time what it owes.
+  bool LimitPassed(SteadyTime now) const;
+  void CloseIfConfirmed(SteadyTime now, SteadyTime::duration delay);
+  SteadyTime::duration ConfirmTime() const { return timeouts_.ping_answer / 4; }
   SteadyTime NextCheck() const;
   void SendPing(SteadyTime now);
 
@@ -134,6 +145,7 @@
   SteadyTime last_stream_{};
   SteadyTime ping_sent_{};
   SteadyTime write_started_{};
+  SteadyTime confirm_at_ = SteadyTime::max();  // when a passed limit ends the connection
   SteadyTime timer_at_ = SteadyTime::max();
 };
 
--- a/verbenaridge/wire/nghttp2_transport.cc
+++ b/verbenaridge/wire/nghttp2_transport.cc
@@ -92,8 +92,13 @@
 
  private:
   std::shared_ptr<ClientConnection> ConnectionTo(const PeerAddress& peer) {
+    const auto found = connections_.find(KeyOf(peer));
+    if (found != connections_.end()) {
+      const std::shared_ptr<ClientConnection> existing = found->second;
+      if (existing->idle()) existing->ProcessReceived();  // may remove it from connections_
+      if (connections_.contains(KeyOf(peer))) return existing;
+    }
     auto& connection = connections_[KeyOf(peer)];
-    if (connection != nullptr) return connection;
     connection = std::make_shared<ClientConnection>(executor_, *this, peer, options_.keys,
                                                     options_.self, options_.timeouts, counters_);
     all_connections_.insert(connection);
--- a/verbenaridge/wire/nghttp2_transport_test.cc
+++ b/verbenaridge/wire/nghttp2_transport_test.cc
@@ -2,7 +2,9 @@
 
 #include <doctest/doctest.h>
 
+#include <memory>
 #include <optional>
+#include <thread>
 
 #include "verbenaridge/wire/testing.h"
 
@@ -192,6 +194,57 @@
   CHECK(fixture.server.counters().connections_opened == 2);
 }
 
+// Guards against a call that fails because the peer closed the idle connection before, when this
+// process has not yet processed the end of that connection.
+TEST_CASE("a call after the peer closed its connection uses a new one") {
+  Fixture fixture;
+  const auto serve = [&fixture](std::uint16_t port) {
+    auto server = std::make_unique<Nghttp2Server>(
+        fixture.context,
+        ServerOptions{.listen = {"127.0.0.1", port}, .self = HostId("peer"), .keys = Keys()},
+        fixture.service);
+    REQUIRE(server->Listen().has_value());
+    return server;
+  };
+  auto server = serve(0);
+  const PeerAddress address{"127.0.0.1", server->port()};
+  const auto call = [&] {
+    fixture.transport.Call(address, StatusRequest{}, seconds(5), fixture.Record());
+    REQUIRE(fixture.RunUntilReplies(fixture.replies.size() + 1));
+    CHECK(fixture.replies.back().has_value());
+  };
+  call();
+  server.reset();
+  server = serve(address.port);
+  call();
+  CHECK(server->counters().connections_opened == 1);
+}
+
+// Guards against a process that has been paused and takes the pings that it sent before for
+// unanswered ones, so that it closes sound connections with open calls.
+TEST_CASE("a pause of this process is not a silence of its peers") {
+  // The pause follows this many steps of the event loop after the peers have become silent, so that
+  // it comes at each step of a ping of one side or the other.
+  constexpr int kSteps = 10;
+  for (int steps = 0; steps < kSteps; ++steps) {
+    CAPTURE(steps);
+    Fixture fixture(kShort);
+    fixture.Start(AdmitRequest{});
+    REQUIRE(RunUntil(fixture.context, [&] { return fixture.service.held.size() == 1; }));
+    CHECK(!RunUntil(
+        fixture.context, [&] { return !fixture.replies.empty(); }, kShort.silence * 9 / 10));
+    for (int step = 0; step < steps; ++step) fixture.context.run_one_for(kShort.silence);
+    std::this_thread::sleep_for(2 * kShort.ping_answer);
+    CHECK(!RunUntil(
+        fixture.context, [&] { return !fixture.replies.empty(); }, kShort.silence));
+    fixture.service.held[0]->Answer(AdmitReply{});
+    REQUIRE(fixture.RunUntilReplies(1));
+    CHECK(fixture.replies[0].has_value());
+    CHECK(fixture.server.counters().silent_closes == 0);
+    CHECK(fixture.transport.counters().silent_closes == 0);
+  }
+}
+
 // Guards against a server that serves strangers or lets them hold connections.
 TEST_CASE("peers that do not speak the protocol") {
   struct Row {
--- a/verbenaridge/wire/transport_options.h
+++ b/verbenaridge/wire/transport_options.h
@@ -9,7 +9,8 @@
 
 namespace verbenaridge::wire {
 
-// Tests shorten these; the daemon uses the defaults.
+// Tests shorten these; the daemon uses the defaults. A limit of the peer that has passed is
+// confirmed after a further quarter of `ping_answer`, since this process may have been paused.
 struct ConnectionTimeouts {
   // From opening the connection to the end of the handshake.
   Duration handshake = std::chrono::seconds(2);
