--- a/verbenaridge/wire/nghttp2_transport.cc
+++ b/verbenaridge/wire/nghttp2_transport.cc
@@ -94,7 +94,7 @@
   std::shared_ptr<ClientConnection> ConnectionTo(const PeerAddress& peer) {
     const auto found = connections_.find(KeyOf(peer));
     if (found != connections_.end()) {
-      const std::shared_ptr<ClientConnection> existing = found->second;
+      std::shared_ptr<ClientConnection> existing = found->second;
       if (existing->idle()) existing->ProcessReceived();  // may remove it from connections_
       if (connections_.contains(KeyOf(peer))) return existing;
     }
