Agree on the schedulers within a second of a common start

A host gave way only to hosts whose own gossip it had received, with rounds of one second, and schedulers told other data centres after two seconds. Change: samples in gossip name the two highest-ranked schedulers of each data centre with their rank; a host counts a mentioned scheduler that it has never heard for 2.5 s; gossip that shows a wrong view of the schedulers is answered once; rounds last 200 ms for the first second, and only these and one in four seconds have a sample. Decoders accept messages of the last release, whose decoders ignore the added fields. Tests: peer_list_test, fleets of 18 to 295 hosts that start within 0.4 s, with seeds of low rank and one that is dead; all agree within DispatcherOptions::warm_up.

--- a/verbenaridge/ingress/directory_service.cc
+++ b/verbenaridge/ingress/directory_service.cc
@@ -121,7 +121,7 @@
     Log(Level::kInfo, "peer_silent", {{"peer", host.value()}, {"hosts", peers_.live_hosts()}});
     outputs_.peer_gone(incarnation);
   }
-  if (now - last_gossip_ >= options_.gossip_interval) SendGossip(/*news=*/false);
+  if (now - last_gossip_ >= peers_.RoundInterval(now)) SendGossip(/*news=*/false);
   if (newer_ && !IsNewer(*newer_)) newer_.reset();
   if (newer_ && now - newer_->first_reported >= options_.local_wait) Fetch();
   SetIntervals();
@@ -304,9 +304,14 @@
                                                          .incarnation = gossip.incarnation,
                                                          .is_scheduler = gossip.is_scheduler,
                                                          .live_hosts = gossip.live_hosts},
-                                                        now);
+                                                        gossip.is_reply, now);
   for (const wire::PeerEntry& peer : gossip.peers) {
-    peers_.OnMentioned({.host = peer.host, .ip = peer.ip, .data_centre = peer.data_centre}, now);
+    peers_.OnMentioned({.host = peer.host,
+                        .ip = peer.ip,
+                        .data_centre = peer.data_centre,
+                        .capacity = peer.capacity,
+                        .is_scheduler = peer.is_scheduler},
+                       now);
   }
   if (result.change == PeerList::Change::kRestarted) outputs_.peer_gone(result.previous);
   if (result.change != PeerList::Change::kNone) {
@@ -314,9 +319,9 @@
         {{"peer", gossip.sender.value()},
          {"restarted", result.change == PeerList::Change::kRestarted},
          {"hosts", peers_.live_hosts()}});
-    SendGossip({.addresses = {ip}, .with_sample = true});
     outputs_.peer_started();
   }
+  if (result.reply) SendGossip({.addresses = {ip}, .with_sample = true, .is_reply = true});
   OnConfigurationGossip(gossip, ip);
   OnEndpointsGossip(gossip, ip);
 }
@@ -400,10 +405,12 @@
                                .data_centre = options_.data_centre,
                                .capacity = options_.capacity,
                                .is_scheduler = peers_.IsScheduler(),
-                               .live_hosts = peers_.live_hosts()};
+                               .live_hosts = peers_.live_hosts(),
+                               .is_reply = round.is_reply};
   if (round.with_sample) {
     for (const KnownHost& peer : peers_.Sample(random_)) {
-      gossip.peers.push_back({peer.host, peer.ip, peer.data_centre});
+      gossip.peers.push_back(
+          {peer.host, peer.ip, peer.data_centre, peer.capacity, peer.is_scheduler});
     }
   }
   const wire::Datagram datagram = std::move(gossip);
@@ -434,7 +441,7 @@
   } else {
     const auto sample = peers_.Sample(random_);
     if (sample.empty()) return;
-    ip = sample.front().ip;
+    ip = sample[random_.Below(sample.size())].ip;
   }
   newer_.reset();
   fetching_ = true;
--- a/verbenaridge/ingress/directory_service.h
+++ b/verbenaridge/ingress/directory_service.h
@@ -55,8 +55,6 @@
   // respond or rejects them.
   Duration outage_interval = std::chrono::milliseconds(125);
   Duration max_retry_delay = std::chrono::seconds(16);
-  // Maximum time between two gossip datagrams, which also serve as heartbeats.
-  Duration gossip_interval = std::chrono::seconds(1);
   // A host that is not a scheduler waits this long for a scheduler of its data centre to report a
   // change before it asks one of another data centre. The local one may have died and not timed
   // out yet.
--- a/verbenaridge/ingress/peer_list.cc
+++ b/verbenaridge/ingress/peer_list.cc
@@ -13,16 +13,25 @@
   if (ip != self_.ip && !known) seeds_.emplace_back(ip);
 }
 
-PeerList::GossipResult PeerList::OnGossip(const PeerInfo& info, TimePoint now) {
+PeerList::GossipResult PeerList::OnGossip(const PeerInfo& info, bool is_reply, TimePoint now) {
   if (info.host == self_.host) return {};
   Peer& peer = peers_[info.host];
   const bool was_live = std::exchange(peer.live, true);
   const Incarnation previous = peer.info.incarnation;
   peer.info = info;
   peer.last_seen = now;
-  if (!was_live) return {.change = Change::kNew};
-  if (previous != info.incarnation) return {.change = Change::kRestarted, .previous = previous};
-  return {};
+  peer.presumed = false;
+  GossipResult result;
+  if (!was_live) {
+    result.change = Change::kNew;
+  } else if (previous != info.incarnation) {
+    result = {.change = Change::kRestarted, .previous = previous};
+  }
+  // Hosts that are no schedulers send gossip to schedulers only.
+  const bool misdirected = !info.is_scheduler && !IsScheduler();
+  const bool wrong_claim = info.is_scheduler && IsOutranked(info);
+  result.reply = result.change != Change::kNone || (!is_reply && (misdirected || wrong_claim));
+  return result;
 }
 
 void PeerList::OnMentioned(const KnownHost& host, TimePoint now) {
@@ -33,6 +42,12 @@
   peer.info.ip = host.ip;
   if (!host.data_centre.empty()) peer.info.data_centre = host.data_centre;
   peer.last_seen = now;
+  const bool never_heard = peer.info.incarnation == 0;
+  if (!host.is_scheduler || !never_heard) return;
+  peer.info.capacity = host.capacity;
+  peer.info.is_scheduler = true;
+  peer.presumed = true;
+  peer.presumed_until = now + options_.presumption;
 }
 
 std::optional<Incarnation> PeerList::OnLeaving(const HostId& host) {
@@ -46,6 +61,7 @@
 std::vector<std::pair<HostId, Incarnation>> PeerList::RemoveTimedOut(TimePoint now) {
   std::vector<std::pair<HostId, Incarnation>> timed_out;
   for (auto& [host, peer] : peers_) {
+    if (now >= peer.presumed_until) peer.presumed = false;
     if (!peer.live || now - peer.last_seen <= TimeoutOf(peer.info)) continue;
     peer.live = false;
     timed_out.emplace_back(host, peer.info.incarnation);
@@ -66,43 +82,54 @@
   return {info.capacity, RendezvousScore(rank_key, HashOf(info.host.value()), 1)};
 }
 
-bool PeerList::IsScheduler() const {
-  const Rank own = RankOf(self_);
-  const auto ranked_before = std::count_if(peers_.begin(), peers_.end(), [&](const auto& entry) {
-    const Peer& peer = entry.second;
-    return peer.live && peer.info.is_scheduler && IsLocal(peer.info) && RankOf(peer.info) > own;
+std::size_t PeerList::SchedulersBefore(const PeerInfo& info) const {
+  const Rank rank = RankOf(info);
+  const auto ranked_before = [&](const PeerInfo& other) {
+    return other.data_centre == info.data_centre && RankOf(other) > rank;
+  };
+  const auto peers = std::count_if(peers_.begin(), peers_.end(), [&](const auto& entry) {
+    return entry.second.claims_scheduler() && ranked_before(entry.second.info);
   });
-  return static_cast<std::size_t>(ranked_before) < options_.schedulers_per_data_centre;
+  const bool own = info.host != self_.host && ranked_before(self_) && IsScheduler();
+  return static_cast<std::size_t>(peers) + (own ? 1 : 0);
 }
 
-std::vector<const PeerInfo*> PeerList::RankedSchedulers() const {
-  std::vector<const PeerInfo*> claiming;
+bool PeerList::IsScheduler() const { return !IsOutranked(self_); }
+
+std::vector<const PeerList::Peer*> PeerList::RankedSchedulers() const {
+  std::vector<const Peer*> claiming;
   for (const auto& [host, peer] : peers_) {
-    if (peer.live && peer.info.is_scheduler) claiming.push_back(&peer.info);
+    if (peer.claims_scheduler()) claiming.push_back(&peer);
   }
-  std::sort(claiming.begin(), claiming.end(), [&](const PeerInfo* a, const PeerInfo* b) {
-    return IsLocal(*a) != IsLocal(*b) ? IsLocal(*a) : RankOf(*a) > RankOf(*b);
+  std::sort(claiming.begin(), claiming.end(), [&](const Peer* a, const Peer* b) {
+    return IsLocal(a->info) != IsLocal(b->info) ? IsLocal(a->info)
+                                                : RankOf(a->info) > RankOf(b->info);
   });
   std::map<DataCentreId, std::size_t> taken;
-  std::erase_if(claiming, [&](const PeerInfo* info) {
-    return ++taken[info->data_centre] > options_.schedulers_per_data_centre;
+  std::erase_if(claiming, [&](const Peer* peer) {
+    return ++taken[peer->info.data_centre] > options_.schedulers_per_data_centre;
   });
   return claiming;
 }
 
 std::vector<std::string> PeerList::Schedulers() const {
   std::vector<std::string> addresses;
-  for (const PeerInfo* scheduler : RankedSchedulers()) addresses.push_back(scheduler->ip);
+  for (const Peer* scheduler : RankedSchedulers()) addresses.push_back(scheduler->info.ip);
   return addresses;
 }
 
 bool PeerList::HasLocalScheduler() const {
   return std::any_of(peers_.begin(), peers_.end(), [&](const auto& entry) {
     const Peer& peer = entry.second;
-    return peer.live && peer.info.is_scheduler && IsLocal(peer.info);
+    return peer.claims_scheduler() && IsLocal(peer.info);
   });
 }
 
+Duration PeerList::RoundInterval(TimePoint now) const {
+  const bool starting = !first_round_ || now - *first_round_ < options_.start_period;
+  return starting ? options_.start_interval : options_.interval;
+}
+
 PeerList::GossipRound PeerList::StartRound(TimePoint now, bool news) {
   if (!first_round_) first_round_ = now;
   const bool scheduler = IsScheduler();
@@ -110,7 +137,7 @@
   if (scheduler && !scheduler_since_) scheduler_since_ = now;
   const bool far_due = news || !last_far_round_ || now - *last_far_round_ >= options_.far_interval;
   const bool far = scheduler ? now - *scheduler_since_ >= options_.settle_time : far_due;
-  const bool with_sample = now - *first_round_ < options_.discovery_time || !last_sample_ ||
+  const bool with_sample = now - *first_round_ < options_.start_period || !last_sample_ ||
                            now - *last_sample_ >= options_.sample_interval;
   if (far) last_far_round_ = now;
   if (with_sample) last_sample_ = now;
@@ -127,8 +154,8 @@
 std::vector<std::string> PeerList::NearTargets() const {
   const bool scheduler = IsScheduler();
   std::set<std::string> addresses;
-  for (const PeerInfo* info : RankedSchedulers()) {
-    if (scheduler || IsLocal(*info)) addresses.insert(info->ip);
+  for (const Peer* peer : RankedSchedulers()) {
+    if (scheduler || IsLocal(peer->info)) addresses.insert(peer->info.ip);
   }
   if (scheduler) {
     addresses.insert(seeds_.begin(), seeds_.end());
@@ -149,23 +176,30 @@
 
 std::vector<KnownHost> PeerList::Sample(RandomSource& random) const {
   std::vector<KnownHost> sample;
+  const auto add = [](std::vector<KnownHost>& list, const PeerInfo& info) {
+    list.push_back({.host = info.host,
+                    .ip = info.ip,
+                    .data_centre = info.data_centre,
+                    .capacity = info.capacity,
+                    .is_scheduler = info.is_scheduler});
+  };
+  // Only what a host has told itself is passed on, so that a mention of a dead one ends.
+  for (const Peer* scheduler : RankedSchedulers()) {
+    if (scheduler->live) add(sample, scheduler->info);
+  }
   std::vector<KnownHost> others;
   for (const auto& [host, peer] : peers_) {
-    if (!peer.live) continue;
-    (peer.info.is_scheduler ? sample : others)
-        .push_back({.host = host, .ip = peer.info.ip, .data_centre = peer.info.data_centre});
+    const bool sampled = std::any_of(sample.begin(), sample.end(),
+                                     [&](const KnownHost& known) { return known.host == host; });
+    if (peer.live && !sampled) add(others, peer.info);
+  }
+  const std::size_t wanted =
+      std::max(options_.sample_size - std::min(options_.sample_size, sample.size()),
+               options_.min_sampled_others);
+  for (std::size_t i = 0; i < std::min(wanted, others.size()); ++i) {
+    std::swap(others[i], others[i + random.Below(others.size() - i)]);
+    sample.push_back(others[i]);
   }
-  // A partial shuffle: the first entries are a uniform sample.
-  const auto shuffle = [&](auto& list, std::size_t count) {
-    count = std::min(count, list.size());
-    for (std::size_t i = 0; i < count; ++i) {
-      std::swap(list[i], list[i + random.Below(list.size() - i)]);
-    }
-    list.resize(count);
-  };
-  shuffle(sample, others.empty() ? options_.sample_size : options_.sample_size / 2);
-  shuffle(others, options_.sample_size - sample.size());
-  sample.insert(sample.end(), others.begin(), others.end());
   return sample;
 }
 
--- a/verbenaridge/ingress/peer_list.h
+++ b/verbenaridge/ingress/peer_list.h
@@ -8,8 +8,10 @@
 //
 // Hosts discover each other through the seeds and through samples of hosts in gossip datagrams. A
 // few hosts of each data centre are schedulers, those with the largest processor share first. A
-// host is a scheduler unless it receives gossip from enough higher-ranked schedulers of its data
-// centre, so no agreement protocol is needed.
+// host is a scheduler unless it knows enough higher-ranked schedulers of its data centre, so no
+// agreement protocol is needed. A host knows those that send it gossip and, until it first hears
+// from them, those that others mention as schedulers. A host whose gossip shows that it does not
+// know the schedulers gets a reply that mentions them.
 //
 // Schedulers send gossip to all hosts. The others send it to the schedulers, less often to those of
 // other data centres. A host that has just become a scheduler, as each host does when it starts,
@@ -34,7 +36,12 @@
 namespace verbenaridge::ingress {
 
 struct PeerListOptions {
-  // Hosts send gossip every second. A host that sends none for this long counts as dead.
+  Duration interval = std::chrono::seconds(1);  // between two rounds of gossip
+  // A host that has just started sends gossip more often: while hosts that start together do not
+  // know the schedulers, each decides alone.
+  Duration start_interval = std::chrono::milliseconds(200);
+  Duration start_period = std::chrono::seconds(1);
+  // A host that sends no gossip for this long counts as dead.
   Duration peer_timeout = std::chrono::milliseconds(3'500);
   // A host that is no scheduler sends gossip to other data centres at this interval, unless it has
   // read from the store, and counts as dead there after the timeout.
@@ -43,11 +50,16 @@
   // A host that has been a scheduler for this long sends gossip to all hosts. Until then it may
   // hear of higher-ranked ones.
   Duration settle_time = std::chrono::seconds(2);
-  // Time between two rounds with a sample of hosts after `discovery_time`, when most are known.
+  // Time between two rounds with a sample of hosts after `start_period`, when most are known.
   Duration sample_interval = std::chrono::seconds(4);
+  // A host that others mention as a scheduler and that has never sent gossip to this one counts as
+  // a scheduler for this long. Longer than `settle_time`, after which it sends gossip to all hosts.
+  Duration presumption = std::chrono::milliseconds(2'500);
   // How long the address of a host is kept after it was last mentioned or the host timed out.
   Duration address_retention = std::chrono::seconds(40);
-  std::size_t sample_size = 8;  // hosts in one gossip datagram
+  // Hosts in one gossip datagram: the schedulers, and at least `min_sampled_others` others.
+  std::size_t sample_size = 8;
+  std::size_t min_sampled_others = 3;
   // Two, so that one may fail. Few, because placements decided at one host do not conflict, and
   // each request costs a datagram to every scheduler.
   std::size_t schedulers_per_data_centre = 2;
@@ -63,6 +75,8 @@
   HostId host;
   std::string ip;
   DataCentreId data_centre;  // empty: unknown
+  double capacity = 0;       // share of a processor
+  bool is_scheduler = false;
 };
 
 // What a host tells its peers about itself.
@@ -87,8 +101,11 @@
   struct GossipResult {
     Change change = Change::kNone;
     Incarnation previous = 0;  // incarnation of a restarted host before its restart
+    // The peer should be told the schedulers: it is new, or wrong about who they are.
+    bool reply = false;
   };
-  GossipResult OnGossip(const PeerInfo& info, TimePoint now);
+  // `is_reply`: the gossip answers one of this host.
+  GossipResult OnGossip(const PeerInfo& info, bool is_reply, TimePoint now);
 
   // Records a host that another host mentioned.
   void OnMentioned(const KnownHost& host, TimePoint now);
@@ -112,7 +129,11 @@
   struct GossipRound {
     std::vector<std::string> addresses;
     bool with_sample = false;
+    bool is_reply = false;  // to gossip of the only address
   };
+  // Time from the last round to the next one.
+  Duration RoundInterval(TimePoint now) const;
+
   // Returns to whom this host sends gossip now. `news`: it has just read from the store.
   GossipRound StartRound(TimePoint now, bool news);
 
@@ -122,7 +143,7 @@
   // Addresses of the other live hosts of this data centre.
   std::vector<std::string> LocalTargets() const;
 
-  // Live hosts for a gossip datagram, chosen at random, schedulers first.
+  // Live hosts for a gossip datagram: the schedulers of each data centre, then others at random.
   std::vector<KnownHost> Sample(RandomSource& random) const;
 
   // Peers that have not timed out.
@@ -140,14 +161,25 @@
     PeerInfo info;
     bool live = false;      // has not timed out
     TimePoint last_seen{};  // last gossip or mention
+    // Mentioned as a scheduler before its first gossip. Not set after a timeout: the hosts that
+    // mention a dead one notice its end later than this host.
+    bool presumed = false;
+    TimePoint presumed_until{};
+
+    bool claims_scheduler() const { return info.is_scheduler && (live || presumed); }
   };
   // Larger ranks first.
   using Rank = std::pair<double, double>;
 
   static Rank RankOf(const PeerInfo& info);
+  bool IsOutranked(const PeerInfo& info) const {
+    return SchedulersBefore(info) >= options_.schedulers_per_data_centre;
+  }
   bool IsLocal(const PeerInfo& info) const { return info.data_centre == self_.data_centre; }
   Duration TimeoutOf(const PeerInfo& info) const;
-  std::vector<const PeerInfo*> RankedSchedulers() const;
+  // Number of schedulers of the data centre that rank before `info`, this host included.
+  std::size_t SchedulersBefore(const PeerInfo& info) const;
+  std::vector<const Peer*> RankedSchedulers() const;
   std::vector<std::string> NearTargets() const;
   std::size_t live_peers() const;
 
--- a/verbenaridge/ingress/peer_list_test.cc
+++ b/verbenaridge/ingress/peer_list_test.cc
@@ -2,14 +2,21 @@
 
 #include <doctest/doctest.h>
 
+#include <array>
 #include <memory>
+#include <optional>
 #include <set>
+#include <span>
+#include <vector>
 
 namespace verbenaridge::ingress {
 namespace {
 
+using std::chrono::milliseconds;
 using std::chrono::seconds;
 
+constexpr std::array<int, 1> kOneSeed = {0};
+
 HostId Host(int i) { return HostId(std::string("h").append(std::to_string(i))); }
 std::string Ip(int i) { return std::string("10.0.0.").append(std::to_string(i)); }
 
@@ -23,13 +30,14 @@
           .incarnation = 1};
 }
 
-// Hosts that exchange gossip in rounds of one second.
+// Hosts that exchange gossip. Datagrams arrive at once.
 class Fleet {
  public:
-  explicit Fleet(int size) : dead_(static_cast<std::size_t>(size), false) {
+  explicit Fleet(int size, std::span<const int> seeds = kOneSeed)
+      : dead_(static_cast<std::size_t>(size), false) {
     for (int i = 0; i < size; ++i) {
       hosts.push_back(std::make_unique<PeerList>(Info(i)));
-      hosts.back()->AddSeed(Ip(0));
+      for (const int seed : seeds) hosts.back()->AddSeed(Ip(seed));
     }
   }
 
@@ -38,46 +46,69 @@
     std::size_t between_data_centres = 0;
   };
 
-  // Returns what was sent in the round.
+  // Lets all hosts send gossip once and returns what was sent.
   Traffic Round() {
     Traffic traffic;
     for (std::size_t from = 0; from < hosts.size(); ++from) {
-      if (dead_[from]) continue;
-      hosts[from]->RemoveTimedOut(clock_.Now());
-      const PeerList::GossipRound round = hosts[from]->StartRound(clock_.Now(), /*news=*/false);
-      for (const std::string& ip : round.addresses) {
-        const auto to = static_cast<std::size_t>(std::stoi(ip.substr(ip.rfind('.') + 1)));
-        Send(from, to, round.with_sample, traffic);
-      }
+      if (!dead_[from]) SendRound(from, traffic);
     }
     clock_.Advance(seconds(1));
     return traffic;
   }
 
+  // Lets each host send gossip when it is due, for `time` in steps of `step`.
+  Traffic Run(Duration time, Duration step) {
+    Traffic traffic;
+    last_rounds_.resize(hosts.size());
+    for (Duration done{}; done < time; done += step) {
+      for (std::size_t host = 0; host < hosts.size(); ++host) {
+        std::optional<TimePoint>& last = last_rounds_[host];
+        if (dead_[host]) continue;
+        hosts[host]->RemoveTimedOut(clock_.Now());
+        if (last && clock_.Now() - *last < hosts[host]->RoundInterval(clock_.Now())) continue;
+        last = clock_.Now();
+        SendRound(host, traffic);
+      }
+      clock_.Advance(step);
+    }
+    return traffic;
+  }
+
+  void Start(std::size_t host) { dead_[host] = false; }
+
   void Kill(std::size_t host) { dead_[host] = true; }
   bool dead(std::size_t host) const { return dead_[host]; }
 
   std::vector<std::unique_ptr<PeerList>> hosts;
 
  private:
-  void Send(std::size_t from, std::size_t to, bool with_sample, Traffic& traffic) {
+  void SendRound(std::size_t from, Traffic& traffic) {
+    hosts[from]->RemoveTimedOut(clock_.Now());
+    const PeerList::GossipRound round = hosts[from]->StartRound(clock_.Now(), /*news=*/false);
+    for (const std::string& ip : round.addresses) {
+      const auto to = static_cast<std::size_t>(std::stoi(ip.substr(ip.rfind('.') + 1)));
+      Send(from, to, round.with_sample, /*is_reply=*/false, traffic);
+    }
+  }
+
+  void Send(std::size_t from, std::size_t to, bool with_sample, bool is_reply, Traffic& traffic) {
     PeerInfo info = Info(static_cast<int>(from));
     info.is_scheduler = hosts[from]->IsScheduler();
     info.live_hosts = hosts[from]->live_hosts();
     ++traffic.datagrams;
     if (info.data_centre != Info(static_cast<int>(to)).data_centre) ++traffic.between_data_centres;
     if (dead_[to]) return;
-    const PeerList::GossipResult result = hosts[to]->OnGossip(info, clock_.Now());
+    const PeerList::GossipResult result = hosts[to]->OnGossip(info, is_reply, clock_.Now());
     if (with_sample) {
       for (const KnownHost& host : hosts[from]->Sample(random_)) {
         hosts[to]->OnMentioned(host, clock_.Now());
       }
     }
-    // A host replies to a peer that it hears for the first time.
-    if (result.change == PeerList::Change::kNew) Send(to, from, /*with_sample=*/true, traffic);
+    if (result.reply) Send(to, from, /*with_sample=*/true, /*is_reply=*/true, traffic);
   }
 
   std::vector<bool> dead_;
+  std::vector<std::optional<TimePoint>> last_rounds_;
   ManualClock clock_;
   SeededRandom random_{11};
 };
@@ -125,6 +156,54 @@
   }
 }
 
+// Guards against hosts that restart together and each decide alone for seconds, with a load table
+// that has only their own requests: the most loaded engines got further prompts meanwhile.
+TEST_CASE("hosts that start together soon agree on the schedulers") {
+  struct Row {
+    const char* name;
+    int hosts;
+    std::vector<int> seeds;
+    Duration start_spread;  // from the start of the first host to that of the last one
+  };
+  const Row rows[] = {
+      {"18", 18, {0, 1, 2}, milliseconds(200)},
+      {"120, at once", 120, {0, 1, 2}, milliseconds(0)},
+      {"295", 295, {0, 1, 2}, milliseconds(400)},
+      {"295, the highest-ranked hosts are no seeds", 295, {3, 7, 11}, milliseconds(400)},
+      {"295, one seed does not run", 295, {294, 8, 13}, milliseconds(400)}};
+  // DispatcherOptions::warm_up: by then a scheduler counts on knowing the tasks of its peers.
+  constexpr Duration kWarmUp = milliseconds(1'500);
+  for (const Row& row : rows) {
+    CAPTURE(row.name);
+    Fleet fleet(row.hosts, row.seeds);
+    const auto size = static_cast<std::size_t>(row.hosts);
+    const Duration step = milliseconds(20);
+    const bool seed_is_dead = row.seeds.front() == row.hosts - 1;
+    for (std::size_t i = 0; i < size; ++i) fleet.Kill(i);
+    SeededRandom random(7);
+    std::vector<Duration> starts;
+    for (std::size_t i = 0; i < size; ++i) {
+      starts.push_back(FromSeconds(ToSeconds(row.start_spread) * random.Uniform()));
+    }
+    Fleet::Traffic traffic;
+    for (Duration now{}; now < row.start_spread + kWarmUp; now += step) {
+      for (std::size_t i = 0; i < size; ++i) {
+        if (starts[i] <= now && !(seed_is_dead && i == size - 1)) fleet.Start(i);
+      }
+      const Fleet::Traffic sent = fleet.Run(step, step);
+      traffic.between_data_centres += sent.between_data_centres;
+    }
+    std::size_t schedulers = 0;
+    for (std::size_t i = 0; i < size; ++i) {
+      if (fleet.dead(i)) continue;
+      schedulers += fleet.hosts[i]->IsScheduler() ? 1 : 0;
+      CHECK(fleet.hosts[i]->Schedulers().size() >= 5);
+    }
+    CHECK(schedulers == 6);
+    CHECK(traffic.between_data_centres <= 150 * size);
+  }
+}
+
 // Guards against a system without schedulers after the previous ones have died.
 TEST_CASE("dead schedulers are replaced") {
   struct Row {
@@ -180,11 +259,11 @@
     PeerList peers(Info(0));
     PeerInfo other = Info(row.local ? 3 : 1);
     other.is_scheduler = row.is_scheduler;
-    CHECK(peers.OnGossip(other, clock.Now()).change == PeerList::Change::kNew);
+    CHECK(peers.OnGossip(other, /*is_reply=*/false, clock.Now()).change == PeerList::Change::kNew);
     clock.Advance(row.gap);
     CHECK(peers.RemoveTimedOut(clock.Now()).size() == row.timed_out);
     other.incarnation = row.second_incarnation;
-    CHECK(peers.OnGossip(other, clock.Now()).change == row.expected);
+    CHECK(peers.OnGossip(other, /*is_reply=*/false, clock.Now()).change == row.expected);
   }
 }
 
@@ -234,7 +313,9 @@
     PeerList peers(Info(0));
     const auto advance = [&](Duration time, bool connected) {
       for (Duration done{}; done < time; done += seconds(1)) {
-        for (int i = 1; connected && i < 10; ++i) peers.OnGossip(Info(i), clock.Now());
+        for (int i = 1; connected && i < 10; ++i) {
+          peers.OnGossip(Info(i), /*is_reply=*/false, clock.Now());
+        }
         peers.RemoveTimedOut(clock.Now());
         peers.RecentMaxHosts(clock.Now());
         clock.Advance(seconds(1));
--- a/verbenaridge/wire/codec_test.cc
+++ b/verbenaridge/wire/codec_test.cc
@@ -121,14 +121,21 @@
   CHECK(content.has_endpoints);
   CHECK(content.base_endpoints_digest == 0);
 
-  // The last field of the gossip, without the data centre of the host.
-  DirectoryGossip gossip{.peers = {{.host = HostId("h"), .ip = "i"}}};
+  // The last fields of the gossip, without what was added to them.
+  DirectoryGossip gossip{.peers = {{.host = HostId("h"), .ip = "i"}}, .is_reply = true};
   std::string datagram = Encode(Datagram{gossip});
-  REQUIRE(datagram.ends_with("\x91\x93\xa1h\xa1i\xa0"));
-  datagram.replace(datagram.size() - 6, 6, "\x92\xa1h\xa1i");
+  const std::string capacity(1, '\0');  // a whole number is packed as an integer
+  const std::string added = "\x91\x95\xa1h\xa1i\xa0" + capacity + "\xc2\xc3";
+  REQUIRE(datagram.ends_with(added));
+  datagram.replace(datagram.size() - added.size(), added.size(), "\x91\x92\xa1h\xa1i");
+  REQUIRE(datagram.front() == '\x9f');  // the number of fields and the tag
+  datagram.front() = '\x9e';
   const Result<Datagram> decoded = DecodeDatagram(datagram);
   REQUIRE(decoded.has_value());
-  CHECK(std::get<DirectoryGossip>(decoded.value()).peers.at(0).ip == "i");
+  const auto& decoded_gossip = std::get<DirectoryGossip>(decoded.value());
+  CHECK(decoded_gossip.peers.at(0).ip == "i");
+  CHECK_FALSE(decoded_gossip.peers.at(0).is_scheduler);
+  CHECK_FALSE(decoded_gossip.is_reply);
 }
 
 // Guards against numbers that decisions cannot work with.
--- a/verbenaridge/wire/internal/message_fields.h
+++ b/verbenaridge/wire/internal/message_fields.h
@@ -21,7 +21,11 @@
 template <class Message>
 inline constexpr std::size_t kAddedFields = 0;
 template <>
-inline constexpr std::size_t kAddedFields<PeerEntry> = 1;
+inline constexpr std::size_t kAddedFields<PeerEntry> = 3;
+template <>
+inline constexpr std::size_t kAddedFields<DirectoryGossip> = 1;
+template <>
+inline constexpr std::size_t kAddedFields<PlacementReply> = 1;
 template <>
 inline constexpr std::size_t kAddedFields<FetchDirectoryRequest> = 1;
 template <>
@@ -231,14 +235,14 @@
 
 template <Like<PeerEntry> Self>
 auto Fields(Self& m) {
-  return std::tie(m.host, m.ip, m.data_centre);
+  return std::tie(m.host, m.ip, m.data_centre, m.capacity, m.is_scheduler);
 }
 
 template <Like<DirectoryGossip> Self>
 auto Fields(Self& m) {
   return std::tie(m.sender, m.ip, m.incarnation, m.configuration_version, m.configuration_age,
                   m.endpoints_digest, m.endpoints_age, m.leaving, m.data_centre, m.capacity,
-                  m.is_scheduler, m.live_hosts, m.peers);
+                  m.is_scheduler, m.live_hosts, m.peers, m.is_reply);
 }
 
 template <Like<PlacementRequest> Self>
@@ -256,7 +260,7 @@
 template <Like<PlacementReply> Self>
 auto Fields(Self& m) {
   return std::tie(m.sender, m.request_id, m.outcome, m.members, m.free_kv, m.reserve, m.predicted,
-                  m.cost, m.candidates);
+                  m.cost, m.candidates, m.retry_after);
 }
 
 template <Like<PlacementCancel> Self>
--- a/verbenaridge/wire/messages.h
+++ b/verbenaridge/wire/messages.h
@@ -383,6 +383,7 @@
   Duration predicted{};
   double cost = 0;
   std::uint64_t candidates = 0;
+  Duration retry_after{};  // of a request that is unservable now; zero: not known
 };
 
 // Cancels a PlacementRequest whose sender no longer needs the reply, or never received it.
@@ -395,6 +396,8 @@
   HostId host;
   std::string ip;
   DataCentreId data_centre;  // empty: unknown
+  double capacity = 0;       // share of a processor
+  bool is_scheduler = false;
 };
 
 // Describes the sender's view of the configuration and the endpoints, and how recent that view is.
@@ -413,6 +416,7 @@
   bool is_scheduler = false;     // whether the sender decides on placements
   std::uint64_t live_hosts = 0;  // in the entire system, as known to the sender
   std::vector<PeerEntry> peers;  // some of the peers known to the sender, or none
+  bool is_reply = false;         // to gossip of the receiver
 };
 
 // Asks a peer for the configuration and the endpoints when the store rejects the caller.
