See engines that are behind, count lost requests, and reject what cannot be served in time

Prompts that were late were delayed by newer groups until they were lost, since lateness was the only cost, and groups on engines in a long pass took up to five times their prediction. 27 prompts were sent with less time left than they needed: their prefill delayed others for nothing. - Requests that no engine could serve any more stayed queued until their deadline, and each rejected client was told to come back after 0.3 s. Change: LoadTable reports how far an engine is behind, from overdue first events and from an average of late ones that halves in a second; a prompt that a later one has overtaken does not count, so that a lost datagram keeps nobody away. The chooser adds the delay to its prediction, lets members of a group wait for the running pass, counts half a late request for one that would be lost, and returns kUnservable if the first event would miss the deadline even at 0.7 of its prediction. Such a request gets 503 deadline_unreachable at once; Retry-After is the time that its backlog takes, urgent requests first, spread by half (dispatch/retry_delay).

--- a/verbenaridge/dispatch/endpoint_chooser.cc
+++ b/verbenaridge/dispatch/endpoint_chooser.cc
@@ -33,19 +33,37 @@
                       1.0);
   }
 
+  // Cost of a first event after `time`, for a request of weight 1. Zero `deadline`: not known.
+  double DelayCost(Duration time, Duration due, Duration deadline) const {
+    const double late = due <= Duration{} ? 1 : Lateness(Ratio(time, due));
+    return late + options_.lost_cost * Lateness(Ratio(time, deadline));
+  }
+
   double HarmToDecoders(const Demand& demand, const Candidate& candidate, Duration prefill,
                         std::size_t parts) const;
   double HarmToPendingPrefills(const Demand& demand, const Candidate& candidate, Duration prefill,
                                std::size_t parts) const;
+  Duration PendingPrefillInPass(const Candidate& candidate) const;
   double SaturationCost(const Demand& demand, const Candidate& candidate) const;
   double MemoryShortageCost(const Demand& demand, const Candidate& candidate,
                             std::size_t parts) const;
   double PackingCost(const Candidate& candidate) const;
+  // Cost of a first event of the request itself after `time`.
+  double OwnCost(const Demand& demand, Duration time) const {
+    const double ratio = Ratio(demand.waited + time, demand.target_latency);
+    return demand.weight() *
+               (Lateness(ratio) + options_.lost_cost * Lateness(Ratio(time, demand.remaining))) +
+           options_.latency_weight * ratio;
+  }
   Evaluation Evaluate(const Demand& demand, std::span<const Candidate> candidates,
                       std::size_t index, std::size_t parts) const;
   Choice Group(const Demand& demand, std::span<const Candidate> candidates, std::size_t parts,
                bool reserve, RandomSource& random) const;
   bool MayQueue(const Demand& demand, const Candidate& candidate, const Choice& choice) const;
+  // Whether a first event that is predicted after `time` certainly misses the deadline.
+  bool MissesDeadline(const Demand& demand, Duration time) const {
+    return options_.certain_share * ToSeconds(time) > ToSeconds(demand.remaining);
+  }
 
   const ChooserOptions options_;
 };
@@ -73,10 +91,8 @@
   for (const PendingPrefill& pending : load.pending_prefills) {
     if (parts > 1) {  // a partial prefill goes first and delays the pending one
       const Duration finish = pending.finish + pass;
-      const double before = pending.due <= Duration{} ? 1 : Lateness(Ratio(finish, pending.due));
-      const double after =
-          pending.due <= Duration{} ? 1 : Lateness(Ratio(finish + prefill, pending.due));
-      harm += pending.weight * (after - before);
+      harm += pending.weight * (DelayCost(finish + prefill, pending.due, pending.deadline) -
+                                DelayCost(finish, pending.due, pending.deadline));
     } else if (pending.target_gap >
                Duration{}) {  // the pending request decodes during this prefill
       const Duration max_in_pass = candidate.model->MaxPrefillInPass(demand.prompt_tokens, parts);
@@ -87,6 +103,13 @@
   return harm;
 }
 
+// How much of the pending prefills may be in the running pass. An engine that decodes prefills up
+// to `stride` chunks in one pass.
+Duration PredictiveChooser::PendingPrefillInPass(const Candidate& candidate) const {
+  if (candidate.load.decoding.sequences == 0) return {};
+  return std::min(candidate.load.prefill_time, candidate.model->MaxPrefillInAnyPass());
+}
+
 // Cost of an engine without a free slot or without enough free memory.
 double PredictiveChooser::SaturationCost(const Demand& demand, const Candidate& candidate) const {
   double cost = 0;
@@ -132,15 +155,18 @@
                     HarmToPendingPrefills(demand, candidate, prefill, parts) +
                     SaturationCost(demand, candidate);
   // The running pass ends first; on average half of it is left.
-  evaluation.prefill_end = model.PassTime(load.decoding) / 2 + prefill;
-  if (parts == 1) evaluation.prefill_end += load.prefill_time;
+  evaluation.prefill_end = model.PassTime(load.decoding) / 2 + load.delay + prefill;
+  if (parts == 1) {
+    evaluation.prefill_end += load.prefill_time;
+  } else {
+    // A part precedes the pending prefills, but not those of the running pass.
+    evaluation.prefill_end += PendingPrefillInPass(candidate);
+  }
   evaluation.first_pass =
       model.PassTime({.sequences = load.decoding.sequences + 1,
                       .context_tokens = load.decoding.context_tokens + demand.prompt_tokens});
-  const double ratio =
-      Ratio(demand.waited + evaluation.prefill_end + evaluation.first_pass, demand.target_latency);
   evaluation.cost =
-      evaluation.harm + demand.weight() * Lateness(ratio) + options_.latency_weight * ratio;
+      evaluation.harm + OwnCost(demand, evaluation.prefill_end + evaluation.first_pass);
   if (parts == 1 && prefill < options_.short_prefill) {
     evaluation.cost += PackingCost(candidate);
   }
@@ -178,8 +204,7 @@
   }
   if (reserve && memory < static_cast<double>(demand.kv_tokens())) choice.kind = ChoiceKind::kQueue;
   choice.first_event = slowest + evaluations[0].first_pass;
-  const double ratio = Ratio(demand.waited + choice.first_event, demand.target_latency);
-  choice.cost = choice.harm + demand.weight() * Lateness(ratio) + options_.latency_weight * ratio +
+  choice.cost = choice.harm + OwnCost(demand, choice.first_event) +
                 options_.member_cost * static_cast<double>(count - 1);
   return choice;
 }
@@ -205,23 +230,28 @@
   const bool reserve = needed > one_engine;
   const bool is_short = model.PrefillTime(demand.prompt_tokens, 1) < options_.short_prefill;
   Choice best;
-  bool possible = false;  // now or later
+  bool possible = false;                // now or later
+  Duration shortest = Duration::max();  // time to the first event if all engines were idle
+  const Duration pass = model.PassTime({.sequences = 1, .context_tokens = demand.prompt_tokens});
   for (const std::size_t parts : kGroupSizes) {
     if (parts > std::min(options_.max_members, candidates.size())) break;
     if (parts > 1 && is_short) break;
     if (one_engine * static_cast<double>(parts) < needed) continue;
     possible = true;
+    shortest = std::min(shortest, model.PrefillTime(demand.prompt_tokens, parts) + pass);
     Choice choice = Group(demand, candidates, parts, reserve, random);
     if (choice.kind == ChoiceKind::kQueue) continue;  // not enough free memory
     if (best.kind != ChoiceKind::kDispatch || choice.cost < best.cost) best = std::move(choice);
   }
-  if (best.kind != ChoiceKind::kDispatch) {
-    return {.kind = possible ? ChoiceKind::kQueue : ChoiceKind::kTooLarge};
-  }
+  if (!possible) return {.kind = ChoiceKind::kTooLarge};
+  if (MissesDeadline(demand, shortest)) return {.kind = ChoiceKind::kUnservable};
+  if (best.kind != ChoiceKind::kDispatch) return {.kind = ChoiceKind::kQueue};
   const bool too_harmful = !is_short && best.harm > options_.max_harm_ratio * demand.weight();
   if (too_harmful ||
       (best.harm > options_.queue_above_harm && MayQueue(demand, candidates.front(), best))) {
     best.kind = ChoiceKind::kQueue;
+  } else if (MissesDeadline(demand, best.first_event)) {
+    best.kind = ChoiceKind::kUnservable;
   }
   return best;
 }
--- a/verbenaridge/dispatch/endpoint_chooser.h
+++ b/verbenaridge/dispatch/endpoint_chooser.h
@@ -9,8 +9,10 @@
 // requests, where a long prompt has more weight than a short one, and the endpoint with the lowest
 // sum is chosen. A request that would harm others everywhere is queued while it can still meet its
 // target later, or while it is late anyway and its deadline is far. Long prompts are shared evenly
-// by several engines where that lets them meet their target. Among engines where nobody is late,
-// short prompts are packed up to a share of the slots, and the own data centre is preferred.
+// by several engines where that lets them meet their target. A request whose first event would come
+// after its deadline is rejected: its prefill would delay others for nothing. Among engines where
+// nobody is late, short prompts are packed up to a share of the slots, and the own data centre is
+// preferred.
 #ifndef VERBENARIDGE_DISPATCH_ENDPOINT_CHOOSER_H_
 #define VERBENARIDGE_DISPATCH_ENDPOINT_CHOOSER_H_
 
@@ -61,6 +63,8 @@
   kQueue,  // ask again when the load has changed
   kNoCandidate,
   kTooLarge,  // no group of these endpoints has enough memory for the prompt
+  // No endpoint, and no group, can start the response before the deadline. Waiting cannot help.
+  kUnservable,
 };
 
 struct Choice {
@@ -77,6 +81,13 @@
   // It starts below 1 because predictions are inexact.
   double late_from = 0.6;
   double late_at = 1.0;
+  // Cost of a request that misses its deadline, in addition to that of a late one. It rises from
+  // `late_from` of the time left. Without it, requests that are late already would be delayed by
+  // others until they are lost, and their engines would have prefilled for nothing.
+  double lost_cost = 0.5;
+  // Nineteen of twenty first events take at least this share of the predicted time. A request is
+  // rejected if it would miss its deadline even then.
+  double certain_share = 0.7;
   // Weight of the predicted time, so that the faster of two harmless endpoints is chosen.
   double latency_weight = 0.1;
   // Short prompts are packed onto few engines, because a long prompt extends the gaps of all
--- a/verbenaridge/dispatch/endpoint_chooser_test.cc
+++ b/verbenaridge/dispatch/endpoint_chooser_test.cc
@@ -2,6 +2,7 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <span>
 #include <string>
 #include <utility>
@@ -40,6 +41,13 @@
                                 .weight = 2.3}}};
 }
 
+// As LongPrefill, with enough free memory for another long prompt.
+EndpointLoad LongPrefillWithMemory(Duration left) {
+  EndpointLoad load = LongPrefill(left);
+  load.kv_tokens = 50'000;
+  return load;
+}
+
 Demand Short() {
   return {.prompt_tokens = 5'000,
           .output_tokens = 1'300,
@@ -114,6 +122,16 @@
        {ShortDecoders(2), ShortDecoders(3)},
        ChoiceKind::kDispatch,
        {0}},
+      {"a prompt that would start after its deadline is rejected",
+       After(Long(133'000), milliseconds(13'500)),
+       {LongPrefillWithMemory(milliseconds(9'000))},
+       ChoiceKind::kUnservable,
+       {}},
+      {"a prompt that no idle engine could start in time is rejected",
+       After(Long(133'000), milliseconds(14'500)),
+       {Idle(), ShortDecoders(8)},
+       ChoiceKind::kUnservable,
+       {}},
       {"a late long prompt stays queued while it would harm many",
        After(Long(133'000), milliseconds(11'000)),
        {ShortDecoders(6), ShortDecoders(8)},
@@ -255,6 +273,89 @@
   }
 }
 
+// An engine that decodes and has a pending prefill, which the running pass may take in.
+EndpointLoad LongPass(Duration left) {
+  EndpointLoad load = LongPrefillWithMemory(left);
+  load.decoding = {.sequences = 1, .context_tokens = 5'000};
+  return load;
+}
+
+// Guards against groups whose members are expected to start at once although a pass of seconds runs
+// there: on the heaviest seconds of a large fleet such groups took five times as long as predicted,
+// timed out, and were sent again to more engines.
+TEST_CASE("a member of a group waits for the running pass") {
+  struct Row {
+    const char* name;
+    std::vector<EndpointLoad> engines;
+    std::size_t members;
+    Duration min_predicted;
+    Duration max_predicted;
+  };
+  const Row rows[] = {
+      {"idle engines", {Idle(), Idle()}, 2, milliseconds(600), milliseconds(900)},
+      {"prefills without decoding requests",
+       {LongPrefillWithMemory(milliseconds(2'000)), LongPrefillWithMemory(milliseconds(2'000))},
+       2,
+       milliseconds(600),
+       milliseconds(900)},
+      {"prefills in passes with decoding requests",
+       {LongPass(milliseconds(2'000)), LongPass(milliseconds(2'000))},
+       2,
+       milliseconds(2'600),
+       milliseconds(3'000)},
+      {"one engine is idle",
+       {LongPass(milliseconds(2'000)), Idle()},
+       1,
+       milliseconds(1'500),
+       milliseconds(1'700)},
+  };
+  Demand demand = Long(120'000);
+  demand.target_latency = milliseconds(1'500);
+  for (const Row& row : rows) {
+    CAPTURE(row.name);
+    std::vector<Candidate> candidates;
+    for (const EndpointLoad& load : row.engines) {
+      candidates.push_back(
+          {.key = candidates.size(), .model = &Model(), .slots = 16, .load = load});
+    }
+    SeededRandom random(5);
+    const Choice choice = MakePredictiveChooser({})->Choose(demand, candidates, random);
+    REQUIRE(choice.kind == ChoiceKind::kDispatch);
+    CHECK(choice.members.size() == row.members);
+    CHECK(choice.first_event >= row.min_predicted);
+    CHECK(choice.first_event <= row.max_predicted);
+  }
+}
+
+// Guards against prompts that are late already and are delayed by later groups until they are lost.
+TEST_CASE("a late prompt is not delayed until it is lost") {
+  struct Row {
+    const char* name;
+    Duration deadline;  // of the late prompt on the first two engines
+    bool uses_them;
+  };
+  const Row rows[] = {{"its deadline is far", milliseconds(12'000), true},
+                      {"it would miss its deadline", milliseconds(2'500), false}};
+  for (const Row& row : rows) {
+    CAPTURE(row.name);
+    EndpointLoad late = LongPrefillWithMemory(milliseconds(1'800));
+    late.pending_prefills[0].due = milliseconds(-100);
+    late.pending_prefills[0].deadline = row.deadline;
+    EndpointLoad other = LongPrefillWithMemory(milliseconds(1'800));
+    other.pending_prefills[0].due = milliseconds(2'900);
+    std::vector<Candidate> candidates;
+    for (const EndpointLoad& load : {late, late, other, other}) {
+      candidates.push_back(
+          {.key = candidates.size(), .model = &Model(), .slots = 16, .load = load});
+    }
+    SeededRandom random(5);
+    const Choice choice = MakePredictiveChooser({})->Choose(Long(250'000), candidates, random);
+    const bool uses_late = std::any_of(choice.members.begin(), choice.members.end(),
+                                       [](std::size_t index) { return index < 2; });
+    CHECK((choice.kind == ChoiceKind::kDispatch && uses_late) == row.uses_them);
+  }
+}
+
 // Guards against a group whose members cannot grant the memory. Its reservation would be retried
 // again and again while a larger group has enough memory for the prompt.
 TEST_CASE("a group has enough free memory") {
--- a/verbenaridge/dispatch/load_table.h
+++ b/verbenaridge/dispatch/load_table.h
@@ -9,8 +9,11 @@
 // The table estimates the prefill progress of each engine. An engine processes entire prompts in
 // the order of their arrival. A part of a prompt that a group of engines shares precedes all
 // others, the newest part first. The table is a hint: an announcement may be lost or late, so each
-// task has a lifetime, and two hosts may choose the same endpoint at the same time. Used by one
-// thread.
+// task has a lifetime, and two hosts may choose the same endpoint at the same time.
+//
+// An engine may be slower than its published timing, or have requests that no live host knows,
+// after a loss of hosts. It is then behind: the first events of its prompts are overdue. Used by
+// one thread.
 #ifndef VERBENARIDGE_DISPATCH_LOAD_TABLE_H_
 #define VERBENARIDGE_DISPATCH_LOAD_TABLE_H_
 
@@ -51,8 +54,9 @@
 
 // A task whose prompt, or part of a prompt, is not completely processed yet.
 struct PendingPrefill {
-  Duration finish{};  // from now until the prefill is complete
-  Duration due{};     // from now until the first event is late; may be negative
+  Duration finish{};    // from now until the prefill is complete
+  Duration due{};       // from now until the first event is late; may be negative
+  Duration deadline{};  // from now until the request is lost; zero: not known
   Duration target_gap{};
   double weight = 1;
 };
@@ -64,6 +68,8 @@
   Duration prefill_time{};     // sum over all pending prefills
   Duration tightest_gap{};     // of the decoding tasks; zero: none
   double decoding_weight = 0;  // of the decoding tasks with a target gap
+  // How much later than predicted the engine is expected to produce a first event.
+  Duration delay{};
   std::vector<PendingPrefill> pending_prefills{};
 };
 
@@ -88,14 +94,24 @@
     TimePoint begun{};
     TimePoint expiry{};
     Duration remaining_prefill{};
+    TimePoint prefilled{};  // when the prefill should be complete; set once it should be
     bool decoding = false;
   };
   struct Engine {
     std::vector<Entry> entries;  // in prefill order
     TimePoint updated{};
+    // Start of the newest task that has produced its first event.
+    TimePoint newest_answered{};
+    Duration average_delay{};  // of first events, at `delay_updated`
+    TimePoint delay_updated{};
   };
 
   static void Advance(Engine& engine, TimePoint now);
+  // The delay of first events that have arrived. It is forgotten over time, so that the engine is
+  // tried again.
+  static Duration RememberedDelay(const Engine& engine, TimePoint now);
+  static Duration ExpectedDelay(const Engine& engine, TimePoint now);
+  void EraseIfUnused(Digest endpoint, TimePoint now);
 
   std::unordered_map<Digest, Engine> engines_;
   std::unordered_map<TaskId, Digest> endpoint_of_;
--- a/verbenaridge/dispatch/load_table_test.cc
+++ b/verbenaridge/dispatch/load_table_test.cc
@@ -116,5 +116,91 @@
   CHECK(table.size() == 6);
 }
 
+// Guards against engines that are taken for free although their first events are overdue, and
+// against a lost announcement that keeps requests away from a sound engine.
+TEST_CASE("overdue first events show that an engine is behind") {
+  struct Step {
+    int at;  // ms
+    enum Kind { kBegin, kPart, kFirstEvent, kEnd } kind;
+    TaskId task;
+  };
+  struct Row {
+    const char* name;
+    std::vector<Step> steps;  // each task prefills for 100 ms
+    int at;                   // ms
+    double min_delay;         // ms
+    double max_delay;
+  };
+  const Row rows[] = {
+      {"no task", {}, 0, 0, 0},
+      {"in time", {{0, Step::kBegin, 1}}, 240, 0, 0},
+      {"overdue", {{0, Step::kBegin, 1}}, 750, 490, 510},
+      {"overdue behind another",
+       {{0, Step::kBegin, 1}, {0, Step::kBegin, 2}, {300, Step::kFirstEvent, 1}},
+       750,
+       390,
+       410},
+      {"overtaken by a later prompt",
+       {{0, Step::kBegin, 1}, {500, Step::kBegin, 2}, {650, Step::kFirstEvent, 2}},
+       750,
+       0,
+       0},
+      {"a part of a group", {{0, Step::kPart, 1}}, 750, 0, 0},
+      {"its end was never announced", {{0, Step::kBegin, 1}}, 4'000, 0, 0},
+      {"one late first event",
+       {{0, Step::kBegin, 1}, {1'250, Step::kFirstEvent, 1}},
+       1'250,
+       290,
+       310},
+      {"three late first events",
+       {{0, Step::kBegin, 1},
+        {0, Step::kBegin, 2},
+        {0, Step::kBegin, 3},
+        {1'250, Step::kFirstEvent, 1},
+        {1'350, Step::kFirstEvent, 2},
+        {1'450, Step::kFirstEvent, 3}},
+       1'450,
+       550,
+       750},
+      {"remembered without tasks",
+       {{0, Step::kBegin, 1}, {1'250, Step::kFirstEvent, 1}, {1'300, Step::kEnd, 1}},
+       1'400,
+       250,
+       310},
+      {"forgotten",
+       {{0, Step::kBegin, 1}, {1'250, Step::kFirstEvent, 1}, {1'300, Step::kEnd, 1}},
+       7'000,
+       0,
+       10},
+  };
+  for (const Row& row : rows) {
+    CAPTURE(row.name);
+    ManualClock clock;
+    LoadTable table;
+    const TimePoint start = clock.Now();
+    const auto advance_to = [&](int at) { clock.Advance(start + milliseconds(at) - clock.Now()); };
+    for (const Step& step : row.steps) {
+      advance_to(step.at);
+      switch (step.kind) {
+        case Step::kBegin:
+        case Step::kPart:
+          table.Begin(MakeTask(step.task, milliseconds(100), step.kind == Step::kPart),
+                      clock.Now());
+          break;
+        case Step::kFirstEvent:
+          table.OnFirstEvent(step.task, clock.Now());
+          break;
+        case Step::kEnd:
+          table.End(step.task, clock.Now());
+          break;
+      }
+    }
+    advance_to(row.at);
+    const double delay = Ms(table.Load(kEngine, clock.Now()).delay);
+    CHECK(delay >= row.min_delay);
+    CHECK(delay <= row.max_delay);
+  }
+}
+
 }  // namespace
 }  // namespace verbenaridge::dispatch
--- a/verbenaridge/dispatch/pass_model.h
+++ b/verbenaridge/dispatch/pass_model.h
@@ -35,6 +35,9 @@
   // one chunk in each of its steps.
   Duration MaxPrefillInPass(TokenCount prompt_tokens, std::size_t parts) const;
 
+  // The same for a prompt that fills the memory of the engine: no pass prefills for longer.
+  Duration MaxPrefillInAnyPass() const { return MaxPrefillInPass(timing_.kv_tokens, 1); }
+
   const directory::EngineTiming& timing() const { return timing_; }
 
  private:
--- a/verbenaridge/forwarding/dispatcher.cc
+++ b/verbenaridge/forwarding/dispatcher.cc
@@ -5,6 +5,7 @@
 
 #include "verbenaridge/base/hash.h"
 #include "verbenaridge/dispatch/memory_shares.h"
+#include "verbenaridge/dispatch/retry_delay.h"
 #include "verbenaridge/telemetry/log.h"
 
 namespace verbenaridge::forwarding {
@@ -101,6 +102,11 @@
       assignment.outcome = Assignment::Outcome::kTooLarge;
       // Some endpoints may be ejected only for a short time.
       return now - request.arrived >= options_.no_endpoint_wait;
+    case dispatch::ChoiceKind::kUnservable:
+      assignment.outcome = Assignment::Outcome::kUnservable;
+      assignment.predicted = choice.first_event;
+      assignment.retry_after = RetryAfter(request, found->second, candidates);
+      return true;
     case dispatch::ChoiceKind::kDispatch:
       Assign(request, found->second, choice, candidates, endpoints, assignment);
       return true;
@@ -108,6 +114,19 @@
   return false;
 }
 
+Duration Dispatcher::RetryAfter(const DispatchRequest& request, const Group& group,
+                                std::span<const dispatch::Candidate> candidates) {
+  dispatch::Backlog backlog{.engines = candidates.size()};
+  for (const dispatch::Candidate& candidate : candidates) {
+    backlog.prefill += candidate.load.prefill_time;
+  }
+  for (const auto& [id, queued] : queue_) {
+    if (queued.request.service != request.service) continue;
+    backlog.prefill += group.model->PrefillTime(queued.request.demand.prompt_tokens, 1);
+  }
+  return dispatch::RetryDelay(backlog, request.urgency, random_, {});
+}
+
 dispatch::EndpointChooser& Dispatcher::ChooserFor(bool generation) {
   if (!generation) return *least_busy_;
   return clock_.Now() - started_ < options_.warm_up ? *without_peer_load_ : *predictive_;
--- a/verbenaridge/forwarding/dispatcher.h
+++ b/verbenaridge/forwarding/dispatcher.h
@@ -77,6 +77,7 @@
     kNoEndpoint,        // no endpoint serves the service now
     kTooLarge,          // no group of the service's endpoints has enough memory
     kDeadlineExceeded,  // the deadline passed while the request was queued
+    kUnservable,        // no endpoint can start the response before the deadline
   };
   Outcome outcome = Outcome::kAssigned;
   std::vector<directory::Endpoint> members;  // the first one receives the request
@@ -87,6 +88,7 @@
   Duration predicted{};  // until the first event
   double cost = 0;
   std::size_t candidates = 0;
+  Duration retry_after{};  // of a request that is unservable now; zero: not known
 };
 
 using DispatchId = std::uint64_t;
@@ -196,6 +198,9 @@
   // Adds the task of one member to the load table.
   void BeginTask(const DispatchRequest& request, const Group& group, Digest endpoint,
                  std::size_t member, std::size_t members, bool chosen_here, Assignment& assignment);
+  // When the client of an unservable request should come back.
+  Duration RetryAfter(const DispatchRequest& request, const Group& group,
+                      std::span<const dispatch::Candidate> candidates);
   void RecordUnreachable(const directory::Endpoint& endpoint, std::string_view source);
   void TryQueued();
   void ArmTimer();
--- a/verbenaridge/forwarding/request_run.cc
+++ b/verbenaridge/forwarding/request_run.cc
@@ -180,6 +180,9 @@
     case Assignment::Outcome::kDeadlineExceeded:
       OnDeadline();
       return;
+    case Assignment::Outcome::kUnservable:
+      RefuseUnplaced("deadline_unreachable");
+      return;
   }
   if (assignment_.reserve) {
     ReserveMemory();
@@ -433,7 +436,8 @@
   http1::ResponseHead head{.status = status};
   if (status == 503) {
     char text[32];
-    std::snprintf(text, sizeof text, "%.2f", ToSeconds(context_.options.retry_after));
+    const Duration retry_after = std::max(assignment_.retry_after, context_.options.retry_after);
+    std::snprintf(text, sizeof text, "%.2f", ToSeconds(retry_after));
     head.headers.push_back({"Retry-After", text});
   }
   if (status == 401) head.headers.push_back({"WWW-Authenticate", "Bearer"});
--- a/verbenaridge/forwarding/request_run.h
+++ b/verbenaridge/forwarding/request_run.h
@@ -58,7 +58,7 @@
   std::size_t max_buffered_response = std::size_t{256} * 1024;
   // Reading from the endpoint pauses while more than this is not yet written to the client.
   std::size_t max_unsent_bytes = std::size_t{256} * 1024;
-  // Retry-After of refused requests.
+  // Minimum Retry-After of refused requests.
   Duration retry_after = std::chrono::milliseconds(300);
   dispatch::RetryBudgetOptions budget{};
   ReservationOptions reservations{};
--- a/verbenaridge/ingress/hosts_test.cc
+++ b/verbenaridge/ingress/hosts_test.cc
@@ -544,6 +544,39 @@
   }
 }
 
+// Guards against prompts that are queued until their deadline although no engine can start their
+// response before, and against clients that are not told when to come back.
+TEST_CASE("a scheduler rejects a prompt that cannot be served in time") {
+  struct Row {
+    const char* name;
+    TokenCount tokens;
+    Duration deadline;
+    forwarding::Assignment::Outcome outcome;
+  };
+  const Row rows[] = {
+      {"a second of prefill", 400'000, milliseconds(5'000),
+       forwarding::Assignment::Outcome::kAssigned},
+      {"less time than the prefill takes", 400'000, milliseconds(500),
+       forwarding::Assignment::Outcome::kUnservable},
+      {"a short prompt", 5'000, milliseconds(500), forwarding::Assignment::Outcome::kAssigned},
+  };
+  for (const Row& row : rows) {
+    CAPTURE(row.name);
+    Pair pair(true);
+    std::vector<forwarding::Assignment> assigned;
+    forwarding::DispatchRequest request = pair.Request("lm", row.tokens);
+    request.deadline = request.arrived + row.deadline;
+    pair.sides[0]->placement.Submit(request,
+                                    [&](forwarding::Assignment a) { assigned.push_back(a); });
+    pair.Run(milliseconds(50));
+    REQUIRE(assigned.size() == 1);
+    CHECK(assigned[0].outcome == row.outcome);
+    const bool rejected = row.outcome == forwarding::Assignment::Outcome::kUnservable;
+    CHECK((assigned[0].retry_after >= milliseconds(300)) == rejected);
+    CHECK((pair.sides[1]->dispatcher.tasks() == 0) == rejected);
+  }
+}
+
 // Guards against a task that remains at an endpoint for a request whose client has disconnected.
 TEST_CASE("a cancelled placement request leaves no task behind") {
   Pair pair(true);
--- a/verbenaridge/ingress/placement_exchange.cc
+++ b/verbenaridge/ingress/placement_exchange.cc
@@ -159,12 +159,13 @@
   if (found == pending_requests_.end() || found->second.timer == nullptr) return;
   Assignment assignment;
   assignment.outcome = static_cast<Assignment::Outcome>(std::min<std::uint64_t>(
-      reply.outcome, static_cast<std::uint64_t>(Assignment::Outcome::kDeadlineExceeded)));
+      reply.outcome, static_cast<std::uint64_t>(Assignment::Outcome::kUnservable)));
   assignment.reserve = reply.reserve;
   assignment.predicted = reply.predicted;
   assignment.cost = reply.cost;
   assignment.candidates = reply.candidates;
   assignment.free_kv = reply.free_kv;
+  assignment.retry_after = reply.retry_after;
   if (assignment.outcome == Assignment::Outcome::kAssigned) {
     const bool usable = !reply.members.empty() && reply.members.size() <= kMaxTasks &&
                         reply.free_kv.size() == reply.members.size() &&
@@ -233,7 +234,8 @@
                              .reserve = assignment.reserve,
                              .predicted = assignment.predicted,
                              .cost = assignment.cost,
-                             .candidates = assignment.candidates};
+                             .candidates = assignment.candidates,
+                             .retry_after = assignment.retry_after};
   for (const directory::Endpoint& member : assignment.members) reply.members.push_back(member.id);
   sent_replies_[{request.sender, request.request_id}] = {request.first_task_id,
                                                          reply.members.size(), clock_.Now()};
