Play a restart beside a stale peer

Cause: others report that a server that had left, or a withdrawn key, was in use again after a restart. docs/proofs.md listed the case as not played. Change: hosts_test restarts a host while the store rejects it and a peer is 5.5 s behind the store. Measured: passes without a change of the product. The host adopts no endpoints that are older than 5 s and is not ready before it has both values; with a current peer or the store it serves the version and the drain of the store. Conclusion: cannot happen here for values that a peer has not confirmed for five seconds.

--- a/verbenaridge/ingress/hosts_test.cc
+++ b/verbenaridge/ingress/hosts_test.cc
@@ -112,40 +112,23 @@
   // The first three hosts are in one data centre, the others are spread evenly over the rest.
   explicit Hosts(std::size_t count, const PeerListOptions& peers = {}, std::size_t data_centres = 2,
                  std::uint64_t seed = 5)
-      : random_(seed) {
+      : random_(seed), peers_(peers), data_centres_(data_centres) {
     for (std::size_t i = 0; i < count; ++i) {
-      const std::size_t data_centre = i < 3 ? 0 : 1 + i % (data_centres - 1);
-      auto host = std::make_unique<Host>();
-      host->store = std::make_unique<FakeStore>(io_, shared);
-      Host* const raw = host.get();
-      host->service = std::make_unique<DirectoryService>(
-          io_,
-          DirectoryOptions{
-              .self = HostId(std::string("h").append(std::to_string(i))),
-              .ip = Ip(i),
-              .data_centre = DataCentreId(std::string(1, static_cast<char>('a' + data_centre))),
-              .capacity = static_cast<double>(count - i),
-              .port = port_,
-              .keys = Keys(),
-              .seeds = {Ip(0)},
-              .incarnation = i + 1,
-              .endpoint_heartbeat = milliseconds(1'200),
-              .peers = peers},
-          *host->store, clock_, random_,
-          DirectoryOutputs{.snapshot =
-                               [raw](forwarding::SnapshotPtr s) {
-                                 raw->snapshot = s;
-                                 ++raw->snapshots;
-                               },
-                           .schedulers = [](bool, const std::vector<std::string>&) {},
-                           .peer_gone = [](Incarnation) {},
-                           .peer_started = [] {}});
-      REQUIRE(host->service->Open().has_value());
-      hosts.push_back(std::move(host));
+      hosts.push_back(std::make_unique<Host>());
+      hosts[i]->store = std::make_unique<FakeStore>(io_, shared);
     }
+    for (std::size_t i = 0; i < count; ++i) Open(i);
     for (const auto& host : hosts) host->service->Start();
   }
 
+  // Replaces the host's process. It knows its settings only.
+  void Restart(std::size_t i) {
+    hosts[i]->service.reset();
+    hosts[i]->snapshot.reset();
+    Open(i);
+    hosts[i]->service->Start();
+  }
+
   void Run(Duration time) { io_.run_for(time); }
 
   // Returns the reply of the host to a peer that has `have`.
@@ -174,10 +157,41 @@
   };
 
  private:
+  void Open(std::size_t i) {
+    Host* const host = hosts[i].get();
+    const std::size_t data_centre = i < 3 ? 0 : 1 + i % (data_centres_ - 1);
+    host->service = std::make_unique<DirectoryService>(
+        io_,
+        DirectoryOptions{
+            .self = HostId(std::string("h").append(std::to_string(i))),
+            .ip = Ip(i),
+            .data_centre = DataCentreId(std::string(1, static_cast<char>('a' + data_centre))),
+            .capacity = static_cast<double>(hosts.size() - i),
+            .port = port_,
+            .keys = Keys(),
+            .seeds = {Ip(0)},
+            .incarnation = ++last_incarnation_,
+            .endpoint_heartbeat = milliseconds(1'200),
+            .peers = peers_},
+        *host->store, clock_, random_,
+        DirectoryOutputs{.snapshot =
+                             [host](forwarding::SnapshotPtr s) {
+                               host->snapshot = s;
+                               ++host->snapshots;
+                             },
+                         .schedulers = [](bool, const std::vector<std::string>&) {},
+                         .peer_gone = [](Incarnation) {},
+                         .peer_started = [] {}});
+    REQUIRE(host->service->Open().has_value());
+  }
+
   const std::uint16_t port_ = NextPort();
   asio::io_context io_;
   SystemClock clock_;
   SeededRandom random_;
+  const PeerListOptions peers_;
+  const std::size_t data_centres_;
+  Incarnation last_incarnation_ = 0;
 
  public:
   SharedStore shared;
@@ -424,6 +438,50 @@
   }
 }
 
+// Guards against keys and endpoints that were withdrawn and are in use again at a host that
+// restarts, because the peer that it reaches has not followed the store.
+TEST_CASE("a host that restarts serves nothing from a stale peer") {
+  struct Row {
+    const char* name;
+    bool store_rejects;  // the restarted host
+    bool current_peer;   // a peer that follows the store runs
+    bool ready;
+  };
+  const Row rows[] = {{"the store serves it", false, false, true},
+                      {"a current peer runs", true, true, true},
+                      {"only the stale peer runs", true, false, false}};
+  // Longer than a peer's values are accepted.
+  constexpr Duration kStale = milliseconds(5'500);
+  for (const Row& row : rows) {
+    CAPTURE(row.name);
+    Hosts fleet(3);
+    fleet.shared.endpoints = {{.id = EndpointId("i-1"), .service = ServiceId("s")}};
+    fleet.Run(milliseconds(1'000));
+    for (const auto& host : fleet.hosts) REQUIRE(host->service->version() == 1);
+    // Cut off from the store and from the other hosts, which stop.
+    fleet.hosts[0]->store->rejects = true;
+    for (std::size_t i = 1; i < 3; ++i) fleet.hosts[i]->service.reset();
+    fleet.shared.version = 2;
+    fleet.shared.endpoints[0].draining = true;
+    fleet.Run(kStale);
+    if (row.current_peer) fleet.Restart(2);
+    fleet.hosts[1]->store->rejects = row.store_rejects;
+    fleet.Restart(1);
+    fleet.Run(milliseconds(1'500));
+    CHECK(fleet.hosts[1]->service->ready() == row.ready);
+    if (!row.ready) {
+      // Nothing is served before both values are known.
+      CHECK((fleet.hosts[1]->snapshot == nullptr || fleet.hosts[1]->snapshot->endpoints.empty()));
+      fleet.hosts[1]->store->rejects = false;
+      fleet.Run(milliseconds(1'500));
+    }
+    REQUIRE(fleet.hosts[1]->service->ready());
+    CHECK(fleet.hosts[1]->service->version() == 2);
+    REQUIRE(fleet.hosts[1]->snapshot->endpoints.size() == 1);
+    CHECK(fleet.hosts[1]->snapshot->endpoints[0].draining);
+  }
+}
+
 // Guards against a version that decreases when the store returns an older one.
 TEST_CASE("the version never decreases") {
   Hosts fleet(2);
