Do not send a request on a connection that was established during a pause

Cause: others report that a process that had been paused acted on a permission that had run out. It could happen here: the event loop handles an established connection before the timers that are due as well, so a process that was stopped while it connected sent the request after waking, also an order whose deadline had passed and whose client was gone, with the time left that it had before the pause. An assignment that arrived during a pause was used in the same way. Change: a connection that took more than 600 ms by the clock that counts suspensions is closed unused (kNotSent), which says nothing of the endpoint and is tried again within the deadline; no attempt starts at or after the deadline.

--- a/verbenaridge/forwarding/endpoint_pool.cc
+++ b/verbenaridge/forwarding/endpoint_pool.cc
@@ -25,6 +25,8 @@
   switch (failure) {
     case ExchangeFailure::kNotConnected:
       return "not_connected";
+    case ExchangeFailure::kNotSent:
+      return "not_sent";
     case ExchangeFailure::kBroken:
       return "broken";
     case ExchangeFailure::kMalformed:
@@ -57,16 +59,20 @@
                  [self = shared_from_this()] { self->Fail(ExchangeFailure::kNotConnected); });
       return;
     }
+    const TimePoint started = pool_->clock_.Now();
     timer_.expires_after(pool_->options_.connect_timeout);
     timer_.async_wait([self = shared_from_this()](std::error_code code) {
       if (!code && !self->open_) self->Fail(ExchangeFailure::kNotConnected);
     });
     socket_.async_connect({address, endpoint_.port},
-                          [self = shared_from_this()](std::error_code code) {
+                          [self = shared_from_this(), started](std::error_code code) {
                             if (self->closed_) return;
                             self->timer_.cancel();
+                            const Duration taken = self->pool_->clock_.Now() - started;
                             if (code) {
                               self->Fail(ExchangeFailure::kNotConnected);
+                            } else if (taken > self->pool_->options_.max_connect_time) {
+                              self->Fail(ExchangeFailure::kNotSent);
                             } else {
                               self->OnConnected();
                             }
@@ -250,9 +256,9 @@
   bool keep_alive_ = false;
 };
 
-EndpointPool::EndpointPool(asio::io_context& io_context, const MessageAdapter& adapter,
-                           const PoolOptions& options)
-    : io_context_(io_context), adapter_(adapter), options_(options) {}
+EndpointPool::EndpointPool(asio::io_context& io_context, const Clock& clock,
+                           const MessageAdapter& adapter, const PoolOptions& options)
+    : io_context_(io_context), clock_(clock), adapter_(adapter), options_(options) {}
 
 EndpointPool::~EndpointPool() {
   for (auto& [id, connections] : idle_) {
--- a/verbenaridge/forwarding/endpoint_pool.h
+++ b/verbenaridge/forwarding/endpoint_pool.h
@@ -1,6 +1,6 @@
 // Connections to endpoints, one request at a time on each.
 //
-//   EndpointPool pool(io_context, adapter, {});
+//   EndpointPool pool(io_context, clock, adapter, {});
 //   std::shared_ptr<Exchange> exchange =
 //       pool.Start(endpoint, {.head = ..., .body = ...}, observer);
 //   exchange->Cancel();  // closes the connection without another call of the observer
@@ -30,6 +30,7 @@
 
 enum class ExchangeFailure : std::uint8_t {
   kNotConnected,  // no byte of the request was sent
+  kNotSent,       // the same, because this process was paused and the request is outdated
   kBroken,        // the connection was closed before the end of the response
   kMalformed,     // the bytes received are not an HTTP response
 };
@@ -72,6 +73,9 @@
   // tens of milliseconds. A lost SYN packet is retransmitted only after 1 s, so trying another
   // endpoint is faster.
   Duration connect_timeout = std::chrono::milliseconds(150);
+  // A connection that took longer is not used although it is established: this process was paused,
+  // so the time left that the request states has passed, and the client may be gone.
+  Duration max_connect_time = std::chrono::milliseconds(600);
   // The connection fails if sent bytes are not acknowledged for this long.
   Duration unacknowledged_timeout = std::chrono::milliseconds(900);
   // Idle connections are closed this long before the endpoint closes them, so that no request is
@@ -83,7 +87,7 @@
 
 class EndpointPool {
  public:
-  EndpointPool(asio::io_context& io_context, const MessageAdapter& adapter,
+  EndpointPool(asio::io_context& io_context, const Clock& clock, const MessageAdapter& adapter,
                const PoolOptions& options);
   ~EndpointPool();
 
@@ -105,6 +109,7 @@
   void Drop(const Connection& connection);
 
   asio::io_context& io_context_;
+  const Clock& clock_;
   const MessageAdapter& adapter_;
   PoolOptions options_;
   std::unordered_map<EndpointId, std::vector<std::shared_ptr<Connection>>> idle_;
--- a/verbenaridge/forwarding/request_run.cc
+++ b/verbenaridge/forwarding/request_run.cc
@@ -250,6 +250,11 @@
 
 void RequestRun::StartAttempt(std::vector<Helper> helpers) {
   const TimePoint now = context_.clock.Now();
+  if (now >= deadline_) {  // after a pause, the assignment may arrive before the deadline's timer
+    StopAttempt();
+    OnDeadline();
+    return;
+  }
   const directory::Endpoint& endpoint = assignment_.members.front();
   ++attempts_;
   attempt_started_ = now;
@@ -344,9 +349,10 @@
   const std::shared_ptr<RequestRun> self = shared_from_this();
   exchange_ = nullptr;
   if (finished_) return;
-  AttemptFailed(failure == ExchangeFailure::kNotConnected ? AttemptFailure::kNotConnected
-                                                          : AttemptFailure::kBroken,
-                ToText(failure));
+  AttemptFailure attempt_failure = AttemptFailure::kBroken;
+  if (failure == ExchangeFailure::kNotConnected) attempt_failure = AttemptFailure::kNotConnected;
+  if (failure == ExchangeFailure::kNotSent) attempt_failure = AttemptFailure::kNotSent;
+  AttemptFailed(attempt_failure, ToText(failure));
 }
 
 // Returns the member that the response names as the cause, or else the one that received the
@@ -365,6 +371,8 @@
     case AttemptFailure::kNotConnected:
       context_.dispatcher.OnFailure(endpoint, FailureKind::kUnreachable);
       return;
+    case AttemptFailure::kNotSent:  // says nothing of the endpoint
+      return;
     case AttemptFailure::kTimedOut:  // the connection works
       context_.dispatcher.OnFailure(endpoint, FailureKind::kError);
       return;
@@ -385,7 +393,7 @@
 bool RequestRun::MayRetry(AttemptFailure failure) {
   const TimePoint now = context_.clock.Now();
   if (attempts_ >= context_.options.max_attempts || now >= deadline_) return false;
-  if (failure == AttemptFailure::kNotConnected) return true;
+  if (failure == AttemptFailure::kNotConnected || failure == AttemptFailure::kNotSent) return true;
   const bool may_have_run = failure != AttemptFailure::kRefused;
   if (may_have_run) {
     if (!route_->idempotent() || runs_ + 1 >= route_->max_attempts) return false;
@@ -399,8 +407,9 @@
   // budget.
   const bool retry = failure == AttemptFailure::kTimedOut ||
                      failure == AttemptFailure::kServerError || MayRetry(failure);
-  const bool may_have_run =
-      failure != AttemptFailure::kNotConnected && failure != AttemptFailure::kRefused;
+  const bool may_have_run = failure != AttemptFailure::kNotConnected &&
+                            failure != AttemptFailure::kNotSent &&
+                            failure != AttemptFailure::kRefused;
   if (may_have_run) ++runs_;
   LogFailedAttempt(failure, detail);
   RecordHealth(failure);
@@ -410,7 +419,7 @@
       context_.dispatcher.OnCrash(digest_, assignment_.members.front());
     }
   }
-  excluded_.push_back(endpoint);
+  if (failure != AttemptFailure::kNotSent) excluded_.push_back(endpoint);
   StopAttempt();
   if (retry) {
     FindEndpoint();
@@ -490,8 +499,8 @@
 }
 
 void RequestRun::LogFailedAttempt(AttemptFailure failure, std::string_view detail) const {
-  constexpr std::string_view kNames[] = {"not_connected", "refused", "silent", "broken",
-                                         "server_error"};
+  constexpr std::string_view kNames[] = {"not_connected", "not_sent", "refused",
+                                         "silent",        "broken",   "server_error"};
   const std::string_view name = kNames[static_cast<std::size_t>(failure)];
   context_.metrics.attempts.With({name}).Add();
   telemetry::Log(Level::kInfo, "attempt_failed",
--- a/verbenaridge/forwarding/request_run.h
+++ b/verbenaridge/forwarding/request_run.h
@@ -104,6 +104,7 @@
  private:
   enum class AttemptFailure : std::uint8_t {
     kNotConnected,  // nothing was sent
+    kNotSent,       // nothing was sent, because this process was paused
     kRefused,       // the endpoint reports that it has not run the request
     kTimedOut,      // no event or response within the timeout
     kBroken,        // the connection was closed, or the response is invalid
--- a/verbenaridge/ingress/peer_list.cc
+++ b/verbenaridge/ingress/peer_list.cc
@@ -188,10 +188,12 @@
     if (scheduler->live) add(sample, scheduler->info);
   }
   std::vector<KnownHost> others;
-  for (const auto& [host, peer] : peers_) {
-    const bool sampled = std::any_of(sample.begin(), sample.end(),
-                                     [&](const KnownHost& known) { return known.host == host; });
-    if (peer.live && !sampled) add(others, peer.info);
+  for (const auto& entry : peers_) {
+    const PeerInfo& info = entry.second.info;
+    const bool sampled = std::any_of(sample.begin(), sample.end(), [&info](const KnownHost& known) {
+      return known.host == info.host;
+    });
+    if (entry.second.live && !sampled) add(others, info);
   }
   const std::size_t wanted =
       std::max(options_.sample_size - std::min(options_.sample_size, sample.size()),
--- a/verbenaridge/ingress/traffic.cc
+++ b/verbenaridge/ingress/traffic.cc
@@ -54,7 +54,7 @@
       dispatcher_(loop_.io_context(), clock, random_, exchange_,
                   {.data_centre = settings.data_centre, .incarnation = incarnation}),
       placement_(loop_.io_context(), clock, settings.host, exchange_, dispatcher_),
-      pool_(loop_.io_context(), adapter, {}),
+      pool_(loop_.io_context(), clock, adapter, {}),
       context_{.io_context = loop_.io_context(),
                .clock = clock,
                .random = random_,
