Say exactly when a request counts as unservable

Cause: read as a newcomer: the comment promised that no group could serve it, while only the idle engines and the choice with the least cost are looked at. Change: two comments.

--- a/verbenaridge/dispatch/endpoint_chooser.h
+++ b/verbenaridge/dispatch/endpoint_chooser.h
@@ -63,7 +63,8 @@
   kQueue,  // ask again when the load has changed
   kNoCandidate,
   kTooLarge,  // no group of these endpoints has enough memory for the prompt
-  // No endpoint, and no group, can start the response before the deadline. Waiting cannot help.
+  // The first event would miss the deadline even if all endpoints were idle, or at those where the
+  // request harms others least.
   kUnservable,
 };
 
--- a/verbenaridge/forwarding/dispatcher.h
+++ b/verbenaridge/forwarding/dispatcher.h
@@ -77,7 +77,7 @@
     kNoEndpoint,        // no endpoint serves the service now
     kTooLarge,          // no group of the service's endpoints has enough memory
     kDeadlineExceeded,  // the deadline passed while the request was queued
-    kUnservable,        // no endpoint can start the response before the deadline
+    kUnservable,        // the response would start after the deadline
   };
   Outcome outcome = Outcome::kAssigned;
   std::vector<directory::Endpoint> members;  // the first one receives the request
