--- a/verbenaridge/ingress/hosts_test.cc
+++ b/verbenaridge/ingress/hosts_test.cc
@@ -1,5 +1,4 @@
-// Tests the directory and placement with several hosts in one process, each on its own loopback
-// address.
+// Tests the directory with several hosts in one process, each on its own loopback address.
 #include <doctest/doctest.h>
 
 #include <asio/io_context.hpp>
@@ -16,13 +15,15 @@
 #include "verbenaridge/base/random.h"
 #include "verbenaridge/directory/directory_store.h"
 #include "verbenaridge/ingress/directory_service.h"
-#include "verbenaridge/ingress/load_exchange.h"
-#include "verbenaridge/ingress/placement_exchange.h"
+#include "verbenaridge/ingress/testing.h"
 
 namespace verbenaridge::ingress {
 namespace {
 
 using std::chrono::milliseconds;
+using testing::Ip;
+using testing::Keys;
+using testing::NextPort;
 
 // The store that all hosts share. A document is its version in decimal.
 struct SharedStore {
@@ -95,18 +96,6 @@
   SharedStore& shared_;
 };
 
-wire::FleetKeys Keys() { return wire::FleetKeys::Create({"hosts-test-fleet-key"}).value(); }
-
-std::string Ip(std::size_t host) {
-  return std::string("127.0.0.").append(std::to_string(20 + host));
-}
-
-// Each test case uses a different port, since datagrams may remain after a socket was closed.
-std::uint16_t NextPort() {
-  static std::uint16_t port = 17'400;
-  return ++port;
-}
-
 class Hosts {
  public:
   // The first three hosts are in one data centre, the others are spread evenly over the rest.
@@ -492,160 +481,5 @@
   for (const auto& host : fleet.hosts) CHECK(host->service->version() == 5);
 }
 
-// Two hosts with a load table each. The second is the scheduler of the first.
-class Pair {
- public:
-  explicit Pair(bool scheduler_replies) : port_(NextPort()) {
-    auto snapshot = std::make_shared<forwarding::DirectorySnapshot>();
-    directory::EngineTiming timing{.slots = 16,
-                                   .kv_tokens = 232'000,
-                                   .stride = 43,
-                                   .step = FromSeconds(0.001),
-                                   .prefill_tokens_per_second = 206'000,
-                                   .prefill_chunk_tokens = 2'048};
-    snapshot->configuration = directory::Configuration::Create(
-        {.services = {{.id = ServiceId("lm"), .engine = timing}, {.id = ServiceId("plain")}}});
-    for (const char* id : {"i-1", "i-2"}) {
-      snapshot->endpoints.push_back(
-          {.id = EndpointId(id), .service = ServiceId("lm"), .slots = 16});
-    }
-    snapshot->endpoints.push_back(
-        {.id = EndpointId("i-3"), .service = ServiceId("plain"), .slots = 6});
-    for (std::size_t i = 0; i < 2; ++i) {
-      sides.push_back(std::make_unique<Side>(io_, clock_, random_, i, port_));
-      if (i == 0 || scheduler_replies) REQUIRE(sides[i]->exchange.Open().has_value());
-      sides[i]->dispatcher.SetSnapshot(snapshot);
-    }
-    sides[0]->placement.SetSchedulers(false, {Ip(1)});
-    sides[1]->placement.SetSchedulers(true, {});
-  }
-
-  void Run(Duration time) { io_.run_for(time); }
-
-  forwarding::DispatchRequest Request(const char* service, TokenCount tokens) {
-    const TimePoint now = clock_.Now();
-    return {.service = ServiceId(service),
-            .demand = {.prompt_tokens = tokens,
-                       .output_tokens = 100,
-                       .target_latency = milliseconds(250),
-                       .target_gap = milliseconds(250)},
-            .arrived = now,
-            .deadline = now + std::chrono::seconds(5)};
-  }
-
-  struct Side final : LoadReceiver {
-    Side(asio::io_context& io, const Clock& clock, RandomSource& random, std::size_t index,
-         std::uint16_t port)
-        : exchange(io, clock,
-                   {.self = HostId(std::string("h").append(std::to_string(index))),
-                    .ip = Ip(index),
-                    .port = port,
-                    .keys = Keys()},
-                   *this),
-          dispatcher(io, clock, random, exchange,
-                     {.data_centre = DataCentreId("a"), .incarnation = index + 1}),
-          placement(io, clock, HostId(std::string("h").append(std::to_string(index))), exchange,
-                    dispatcher) {}
-    void OnDatagram(const wire::Datagram& datagram, const std::string& ip) override {
-      if (placement.OnDatagram(datagram, ip)) return;
-      if (const auto* update = std::get_if<wire::LoadUpdate>(&datagram)) {
-        for (const std::uint64_t task : update->ended) dispatcher.OnPeerEnd(task);
-      }
-    }
-    LoadExchange exchange;
-    forwarding::Dispatcher dispatcher;
-    PlacementExchange placement;
-  };
-
- private:
-  const std::uint16_t port_;
-  asio::io_context io_;
-  SystemClock clock_;
-  SeededRandom random_{5};
-
- public:
-  std::vector<std::unique_ptr<Side>> sides;
-};
-
-// Guards against requests that wait for an unresponsive scheduler, tasks that remain in a load
-// table, and placement requests for services that do not need them.
-TEST_CASE("a scheduler decides on the placement of another host's request") {
-  struct Row {
-    const char* name;
-    const char* service;
-    bool scheduler_replies;
-    std::size_t tasks_at_scheduler;  // while the request runs
-    Duration time_limit;
-  };
-  const Row rows[] = {
-      {"scheduler replies", "lm", true, 1, milliseconds(25)},
-      {"scheduler times out: local decision", "lm", false, 0, milliseconds(100)},
-      {"service without an engine model: local decision", "plain", true, 0, milliseconds(25)},
-  };
-  for (const Row& row : rows) {
-    CAPTURE(row.name);
-    Pair pair(row.scheduler_replies);
-    std::vector<forwarding::Assignment> assigned;
-    pair.sides[0]->placement.Submit(pair.Request(row.service, 5'000),
-                                    [&](forwarding::Assignment a) { assigned.push_back(a); });
-    pair.Run(row.time_limit);
-    REQUIRE(assigned.size() == 1);
-    CHECK(assigned[0].outcome == forwarding::Assignment::Outcome::kAssigned);
-    CHECK(assigned[0].members.size() == 1);
-    CHECK(assigned[0].tasks.size() == 1);
-    CHECK(pair.sides[1]->dispatcher.tasks() == row.tasks_at_scheduler);
-    CHECK(pair.sides[0]->dispatcher.tasks() == 1);
-    pair.sides[0]->dispatcher.OnEnd(assigned[0].tasks[0]);
-    pair.Run(milliseconds(20));
-    CHECK(pair.sides[0]->dispatcher.tasks() == 0);
-    CHECK(pair.sides[1]->dispatcher.tasks() == 0);
-  }
-}
-
-// Guards against prompts that are queued until their deadline although no engine can start their
-// response before, and against clients that are not told when to come back.
-TEST_CASE("a scheduler rejects a prompt that cannot be served in time") {
-  struct Row {
-    const char* name;
-    TokenCount tokens;
-    Duration deadline;
-    forwarding::Assignment::Outcome outcome;
-  };
-  const Row rows[] = {
-      {"a second of prefill", 400'000, milliseconds(5'000),
-       forwarding::Assignment::Outcome::kAssigned},
-      {"less time than the prefill takes", 400'000, milliseconds(500),
-       forwarding::Assignment::Outcome::kUnservable},
-      {"a short prompt", 5'000, milliseconds(500), forwarding::Assignment::Outcome::kAssigned},
-  };
-  for (const Row& row : rows) {
-    CAPTURE(row.name);
-    Pair pair(true);
-    std::vector<forwarding::Assignment> assigned;
-    forwarding::DispatchRequest request = pair.Request("lm", row.tokens);
-    request.deadline = request.arrived + row.deadline;
-    pair.sides[0]->placement.Submit(request,
-                                    [&](forwarding::Assignment a) { assigned.push_back(a); });
-    pair.Run(milliseconds(50));
-    REQUIRE(assigned.size() == 1);
-    CHECK(assigned[0].outcome == row.outcome);
-    const bool rejected = row.outcome == forwarding::Assignment::Outcome::kUnservable;
-    CHECK((assigned[0].retry_after >= milliseconds(300)) == rejected);
-    CHECK((pair.sides[1]->dispatcher.tasks() == 0) == rejected);
-  }
-}
-
-// Guards against a task that remains at an endpoint for a request whose client has disconnected.
-TEST_CASE("a cancelled placement request leaves no task behind") {
-  Pair pair(true);
-  bool called = false;
-  const auto id = pair.sides[0]->placement.Submit(
-      pair.Request("lm", 5'000), [&](const forwarding::Assignment&) { called = true; });
-  pair.sides[0]->placement.Cancel(id);
-  pair.Run(milliseconds(50));
-  CHECK_FALSE(called);
-  CHECK(pair.sides[1]->dispatcher.tasks() == 0);
-}
-
 }  // namespace
 }  // namespace verbenaridge::ingress
