--- a/verbenaridge/dispatch/slow_engine_test.cc
+++ b/verbenaridge/dispatch/slow_engine_test.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <cstddef>
 #include <deque>
+#include <memory>
 #include <vector>
 
 #include "verbenaridge/base/clock.h"
