Limit the heads and bodies of HTTP calls while they arrive

The lines of a head were kept without a limit of our own. Change: HttpRequest has limits of head and body; libcurl's transfer ends with kTooLarge as soon as one is exceeded.

--- a/verbenaridge/net/curl_http_client.cc
+++ b/verbenaridge/net/curl_http_client.cc
@@ -46,6 +46,9 @@
   CURL* easy = nullptr;
   curl_slist* header_list = nullptr;
   HttpResponseHead head;
+  std::size_t head_bytes = 0;
+  std::size_t body_bytes = 0;
+  bool too_large = false;
   bool head_delivered = false;
   bool cancelled = false;
 
@@ -67,6 +70,9 @@
 std::size_t OnHeaderLine(char* data, std::size_t size, std::size_t count, void* user) {
   auto& transfer = *static_cast<Transfer*>(user);
   std::string_view line(data, size * count);
+  transfer.head_bytes += line.size();
+  transfer.too_large = transfer.head_bytes > transfer.request.max_head_bytes;
+  if (transfer.too_large) return 0;  // ends the transfer
   while (!line.empty() && (line.back() == '\r' || line.back() == '\n')) line.remove_suffix(1);
   if (line.starts_with("HTTP/")) transfer.head.headers.clear();
   const std::size_t colon = line.find(':');
@@ -80,6 +86,10 @@
 std::size_t OnBodyData(char* data, std::size_t size, std::size_t count, void* user) {
   auto& transfer = *static_cast<Transfer*>(user);
   if (transfer.cancelled) return 0;
+  transfer.body_bytes += size * count;
+  const std::size_t limit = transfer.request.max_body_bytes;
+  transfer.too_large = limit != 0 && transfer.body_bytes > limit;
+  if (transfer.too_large) return 0;
   transfer.DeliverHead();
   if (!transfer.cancelled) transfer.observer->OnBody({data, size * count});
   return size * count;
@@ -230,7 +240,8 @@
     if (transfer.cancelled) return;
     if (code == CURLE_OK) transfer.DeliverHead();
     if (transfer.cancelled) return;
-    transfer.observer->OnDone(code == CURLE_OK ? Ok() : Status(ErrorOf(code)), progress);
+    const Errc error = transfer.too_large ? Errc::kTooLarge : ErrorOf(code);
+    transfer.observer->OnDone(code == CURLE_OK ? Ok() : Status(error), progress);
   }
 
   void Act(curl_socket_t fd, int events) {
--- a/verbenaridge/net/http_client.h
+++ b/verbenaridge/net/http_client.h
@@ -30,6 +30,9 @@
   std::string body;
   Duration connect_timeout = std::chrono::seconds(1);
   Duration timeout{};  // whole call; zero: no limit
+  // A response over these limits ends the call with kTooLarge while it arrives.
+  std::size_t max_head_bytes = std::size_t{64} * 1024;
+  std::size_t max_body_bytes = 0;  // zero: no limit
 };
 
 struct HttpResponseHead {
