Bound what slow clients hold, and pass long responses through

Cause, from the list of places where the ingress daemon reads bytes or waits (docs/proofs.md): - A client that did not read a complete response kept its connection and the unsent bytes for ever: the request's deadline ended with the response, and no other limit applied. A stop waited for it until the grace period was over. - A client that sent a byte of its body now and then kept its connection for ever, since each read renewed the idle limit. - A sound response of more than 256 KiB was taken for bytes without end: its run was wasted, an order got 502. Change: a complete response must be read within the idle limit, measured with what the kernel holds; a body must arrive at 1 KiB/s after the idle limit. Responses are checked by their head first; longer ones of known length pass through, with reading paused while the client is slow; those of unknown length are held up to max_held_response_bytes of the settings, which the error names. A response that breaks off halfway ends the client's connection and is not retried. Connections over the limit and responses that nobody reads are counted and logged. Conclusion: three gaps of the list are closed.

--- a/verbenaridge/forwarding/client_server.cc
+++ b/verbenaridge/forwarding/client_server.cc
@@ -1,10 +1,12 @@
 #include "verbenaridge/forwarding/client_server.h"
 
+#include <sys/ioctl.h>
+
+#include <algorithm>
 #include <array>
 #include <asio/buffer.hpp>
 #include <asio/ip/tcp.hpp>
 #include <asio/steady_timer.hpp>
-#include <asio/write.hpp>
 #include <unordered_set>
 #include <utility>
 
@@ -19,6 +21,9 @@
 // Unread bytes of a rejected request are discarded for this long. Closing a connection with unread
 // bytes resets it, and the client might lose the response.
 constexpr Duration kLingerLimit = std::chrono::seconds(1);
+// A body may arrive this slowly. A client that sends a byte now and then is not idle, but would
+// hold its connection forever.
+constexpr double kMinBodyBytesPerSecond = 1'024;
 // Accepting fails while the process has no free file descriptor.
 constexpr Duration kAcceptRetryDelay = std::chrono::milliseconds(50);
 
@@ -104,20 +109,30 @@
     FinishResponse();
   }
 
-  void Begin(http1::ResponseHead head) override {
+  void Begin(http1::ResponseHead head, std::optional<std::uint64_t> length) override {
     if (closed_ || !awaiting_response_) return;
     AddConnectionHeader(head);
-    head.headers.push_back({"Transfer-Encoding", "chunked"});
+    chunked_ = !length;
+    if (chunked_) {
+      head.headers.push_back({"Transfer-Encoding", "chunked"});
+    } else {
+      head.headers.push_back({"Content-Length", std::to_string(*length)});
+    }
     Write(http1::Serialize(head));
   }
 
   void Send(std::string_view data) override {
-    if (!closed_ && awaiting_response_ && !head_request_) Write(http1::SerializeChunk(data));
+    if (closed_ || !awaiting_response_ || head_request_) return;
+    if (chunked_) {
+      Write(http1::SerializeChunk(data));
+    } else {
+      Write(data);
+    }
   }
 
   void End() override {
     if (closed_ || !awaiting_response_) return;
-    if (!head_request_) Write(http1::kLastChunk);
+    if (chunked_ && !head_request_) Write(http1::kLastChunk);
     FinishResponse();
   }
 
@@ -126,11 +141,14 @@
     Close();
   }
 
-  std::size_t unsent_bytes() const override { return queued_.size() + writing_.size(); }
+  std::size_t unsent_bytes() const override {
+    return queued_.size() + writing_.size() - written_bytes_;
+  }
 
   // http1::RequestObserver
   void OnHead(http1::RequestHead head) override {
     head_ = std::move(head);
+    head_received_ = server_->clock_.Now();
     if (http1::EqualsIgnoringCase(head_.header("Expect"), "100-continue")) {
       Write("HTTP/1.1 100 Continue\r\n\r\n");
     }
@@ -217,11 +235,18 @@
     } else if (!started && parser_.started()) {
       SetTimer(limits_.head_timeout);
     } else if (parser_.head_complete()) {
-      SetTimer(limits_.idle_timeout);
+      SetTimer(std::min(limits_.idle_timeout, BodyTimeLeft()));
     }
     Read();
   }
 
+  // Until the body that has arrived so far is too slow.
+  Duration BodyTimeLeft() const {
+    const Duration allowed = limits_.idle_timeout + FromSeconds(static_cast<double>(body_.size()) /
+                                                                kMinBodyBytesPerSecond);
+    return std::max(allowed - (server_->clock_.Now() - head_received_), Duration{});
+  }
+
   void Handle() {
     timer_.cancel();
     has_served_ = true;
@@ -249,7 +274,34 @@
     awaiting_response_ = false;
     active_ = nullptr;
     response_queued_ = true;
-    if (!write_in_progress_) OnWritten();
+    if (write_in_progress_) {
+      SetWriteTimer();
+    } else {
+      OnWritten();
+    }
+  }
+
+  // Closes the connection if the client reads nothing of a complete response for as long as it may
+  // be idle. Before the response is complete, the deadline of the request limits the time.
+  void SetWriteTimer() {
+    unread_bytes_ = UnreadBytes();
+    timer_.expires_after(limits_.idle_timeout);
+    timer_.async_wait([self = shared_from_this()](std::error_code code) {
+      if (code || self->closed_ || !self->response_queued_) return;
+      if (self->UnreadBytes() < self->unread_bytes_) {
+        self->SetWriteTimer();
+        return;
+      }
+      self->server_->handler_.OnResponseNotRead(self->unread_bytes_);
+      self->Close();
+    });
+  }
+
+  // Including what the kernel holds, which accepts more only in large steps.
+  std::size_t UnreadBytes() {
+    int in_kernel = 0;
+    if (::ioctl(socket_.native_handle(), TIOCOUTQ, &in_kernel) != 0) in_kernel = 0;
+    return unsent_bytes() + static_cast<std::size_t>(in_kernel);
   }
 
   void Write(std::string_view bytes) {
@@ -260,19 +312,36 @@
   void Flush() {
     write_in_progress_ = true;
     writing_ = std::exchange(queued_, {});
-    asio::async_write(socket_, asio::buffer(writing_),
-                      [self = shared_from_this()](std::error_code code, std::size_t /*bytes*/) {
-                        self->write_in_progress_ = false;
-                        self->writing_.clear();
-                        if (self->closed_) return;
-                        if (code) {
-                          self->Close();
-                        } else if (!self->queued_.empty()) {
-                          self->Flush();
-                        } else {
-                          self->OnWritten();
-                        }
-                      });
+    written_bytes_ = 0;
+    WriteSome();
+  }
+
+  void WriteSome() {
+    socket_.async_write_some(asio::buffer(writing_) + written_bytes_,
+                             [self = shared_from_this()](std::error_code code, std::size_t size) {
+                               self->written_bytes_ += size;
+                               if (self->closed_) return;
+                               if (code) {
+                                 self->Close();
+                               } else {
+                                 self->OnProgress();
+                               }
+                             });
+  }
+
+  void OnProgress() {
+    if (written_bytes_ < writing_.size()) {
+      WriteSome();
+      return;
+    }
+    write_in_progress_ = false;
+    writing_.clear();
+    written_bytes_ = 0;
+    if (queued_.empty()) {
+      OnWritten();
+    } else {
+      Flush();
+    }
   }
 
   void OnWritten() {
@@ -317,7 +386,11 @@
   std::array<char, kReadBytes> buffer_{};
   std::string queued_;
   std::string writing_;
+  std::size_t written_bytes_ = 0;  // of `writing_`
+  std::size_t unread_bytes_ = 0;   // of a complete response, when the write timer was set
+  TimePoint head_received_{};      // of the request whose body arrives
   std::shared_ptr<ActiveRequest> active_;
+  bool chunked_ = false;  // the response in parts is sent in chunks
   bool head_request_ = false;
   bool body_too_large_ = false;
   bool reading_ = false;
@@ -359,6 +432,8 @@
           const auto connection = std::make_shared<Connection>(self, std::move(socket));
           self->connections_.insert(connection);
           connection->Start();
+        } else {
+          self->handler_.OnConnectionRefused();
         }
         self->Accept();
       });
--- a/verbenaridge/forwarding/client_server.h
+++ b/verbenaridge/forwarding/client_server.h
@@ -13,6 +13,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -39,8 +40,8 @@
   // Sends a complete response. Adds the headers for connection and length.
   virtual void Respond(http1::ResponseHead head, std::string_view body) = 0;
 
-  // A response in parts, of unknown length.
-  virtual void Begin(http1::ResponseHead head) = 0;
+  // A response in parts. `length`: of the body; empty: not known, and the body is sent in chunks.
+  virtual void Begin(http1::ResponseHead head, std::optional<std::uint64_t> length) = 0;
   virtual void Send(std::string_view data) = 0;
   virtual void End() = 0;
 
@@ -71,8 +72,14 @@
 
   virtual directory::ClientLimits limits() const = 0;
 
-  // A request that could not be parsed was rejected with this status.
+  // A request that could not be parsed, or that arrives too slowly, was rejected with this status.
   virtual void OnRejected(int status) = 0;
+
+  // A connection was closed because its client did not read a complete response.
+  virtual void OnResponseNotRead(std::size_t unsent_bytes) = 0;
+
+  // A connection was closed because too many are open.
+  virtual void OnConnectionRefused() = 0;
 };
 
 struct ServerOptions {
--- /dev/null
+++ b/verbenaridge/forwarding/client_server_test.cc
@@ -0,0 +1,189 @@
+// Clients that send or read too slowly, against the server on loopback sockets.
+#include "verbenaridge/forwarding/client_server.h"
+
+#include <doctest/doctest.h>
+
+#include <array>
+#include <asio/buffer.hpp>
+#include <asio/ip/tcp.hpp>
+#include <asio/steady_timer.hpp>
+#include <asio/write.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace verbenaridge::forwarding {
+namespace {
+
+using asio::ip::tcp;
+using std::chrono::milliseconds;
+
+constexpr Duration kIdleTimeout = milliseconds(150);
+
+// Responds to each request with a body of the given size, in one piece or in parts.
+class Responder final : public RequestHandler {
+ public:
+  Responder(std::size_t body_bytes, bool in_parts) : body_(body_bytes, 'x'), in_parts_(in_parts) {}
+
+  std::shared_ptr<ActiveRequest> Start(IncomingRequest /*request*/,
+                                       std::shared_ptr<ResponseSink> sink) override {
+    ++requests;
+    if (in_parts_) {
+      sink->Begin({.status = 200}, std::nullopt);
+      sink->Send(body_);
+      sink->End();
+    } else {
+      sink->Respond({.status = 200}, body_);
+    }
+    return nullptr;
+  }
+  directory::ClientLimits limits() const override {
+    return {.head_timeout = kIdleTimeout, .idle_timeout = kIdleTimeout};
+  }
+  void OnRejected(int status) override { rejected = status; }
+  void OnResponseNotRead(std::size_t unsent_bytes) override { not_read = unsent_bytes; }
+  void OnConnectionRefused() override { ++refused; }
+
+  std::size_t requests = 0;
+  int rejected = 0;
+  std::size_t not_read = 0;
+  std::size_t refused = 0;
+
+ private:
+  const std::string body_;
+  const bool in_parts_;
+};
+
+// A client that sends its request in pieces and reads at intervals.
+class SlowClient {
+ public:
+  SlowClient(asio::io_context& io_context, std::uint16_t port)
+      : socket_(io_context), timer_(io_context) {
+    socket_.open(tcp::v4());
+    // Without a small buffer the kernel would take the whole response.
+    socket_.set_option(asio::socket_base::receive_buffer_size(16 * 1024));
+    socket_.connect({asio::ip::make_address("127.0.0.1"), port});
+  }
+
+  void Send(std::string_view text) { asio::write(socket_, asio::buffer(text)); }
+
+  // Sends `piece` at each interval until the server closes the connection.
+  void SendRepeatedly(std::string piece, Duration interval) {
+    piece_ = std::move(piece);
+    Every(interval,
+          [this](std::error_code& code) { asio::write(socket_, asio::buffer(piece_), code); });
+  }
+
+  // Reads up to `bytes` at each interval.
+  void ReadRepeatedly(std::size_t bytes, Duration interval) {
+    buffer_.resize(bytes);
+    Every(interval, [this](std::error_code& code) {
+      received_ += socket_.read_some(asio::buffer(buffer_), code);
+    });
+  }
+
+  std::size_t received() const { return received_; }
+
+ private:
+  void Every(Duration interval, std::function<void(std::error_code&)> action) {
+    timer_.expires_after(interval);
+    timer_.async_wait([this, interval, action = std::move(action)](std::error_code code) {
+      if (code) return;
+      action(code);
+      if (!code) Every(interval, action);
+    });
+  }
+
+  tcp::socket socket_;
+  asio::steady_timer timer_;
+  std::string piece_;
+  std::vector<char> buffer_;
+  std::size_t received_ = 0;
+};
+
+struct Fixture {
+  explicit Fixture(std::size_t body_bytes, bool in_parts = false, std::size_t max_connections = 50)
+      : responder(body_bytes, in_parts),
+        server(io, {.ip = "127.0.0.1", .max_connections = max_connections}, clock, responder) {
+    REQUIRE(server.Open().has_value());
+  }
+
+  asio::io_context io;
+  SystemClock clock;
+  Responder responder;
+  ClientServer server;
+};
+
+// Guards against connections and memory that a client holds for as long as it likes, by sending a
+// byte now and then or by not reading its response.
+TEST_CASE("clients that make no progress lose their connection") {
+  struct Row {
+    const char* name;
+    std::string request;
+    std::string piece;           // sent every 20 ms after it; empty: none
+    std::size_t read_bytes = 0;  // read every 20 ms; zero: none
+    bool in_parts = false;
+    int rejected = 0;  // with this status
+    bool not_read = false;
+    bool kept = false;
+  };
+  const std::string get = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+  const std::string post = "POST / HTTP/1.1\r\nHost: a\r\n";
+  const Row rows[] = {
+      {.name = "sends nothing", .request = ""},
+      {.name = "a byte of a head now and then",
+       .request = "GET / HTTP/1.1\r\nX: ",
+       .piece = "x",
+       .rejected = 408},
+      {.name = "a byte of a body now and then",
+       .request = post + "Content-Length: 1000\r\n\r\n",
+       .piece = "x",
+       .rejected = 408},
+      {.name = "a byte of a chunk size now and then",
+       .request = post + "Transfer-Encoding: chunked\r\n\r\n",
+       .piece = "0",
+       .rejected = 408},
+      {.name = "a slow body with progress",
+       .request = post + "Content-Length: 100000\r\n\r\n",
+       .piece = std::string(200, 'x'),
+       .kept = true},
+      {.name = "does not read", .request = get, .not_read = true},
+      {.name = "does not read a response in parts",
+       .request = get,
+       .in_parts = true,
+       .not_read = true},
+      {.name = "reads slowly", .request = get, .read_bytes = 8 * 1024, .kept = true},
+  };
+  constexpr std::size_t kBodyBytes = std::size_t{16} * 1024 * 1024;
+  for (const Row& row : rows) {
+    CAPTURE(row.name);
+    Fixture fixture(kBodyBytes, row.in_parts);
+    SlowClient client(fixture.io, fixture.server.port());
+    client.Send(row.request);
+    if (!row.piece.empty()) client.SendRepeatedly(row.piece, milliseconds(20));
+    if (row.read_bytes != 0) client.ReadRepeatedly(row.read_bytes, milliseconds(20));
+    fixture.io.run_for(4 * kIdleTimeout);
+    CHECK(fixture.responder.rejected == row.rejected);
+    CHECK((fixture.responder.not_read > 0) == row.not_read);
+    // The rest of a rejected request is still discarded.
+    if (row.rejected == 0) CHECK((fixture.server.connections() == 1) == row.kept);
+    if (row.read_bytes != 0) CHECK(client.received() >= 10 * row.read_bytes);
+  }
+}
+
+// Guards against connections over the limit that nobody notices.
+TEST_CASE("connections over the limit are refused and counted") {
+  Fixture fixture(10, /*in_parts=*/false, /*max_connections=*/2);
+  std::vector<std::unique_ptr<SlowClient>> clients;
+  for (int i = 0; i < 5; ++i) {
+    clients.push_back(std::make_unique<SlowClient>(fixture.io, fixture.server.port()));
+  }
+  fixture.io.run_for(milliseconds(50));
+  CHECK(fixture.server.connections() == 2);
+  CHECK(fixture.responder.refused == 3);
+}
+
+}  // namespace
+}  // namespace verbenaridge::forwarding
--- a/verbenaridge/forwarding/request_metrics.cc
+++ b/verbenaridge/forwarding/request_metrics.cc
@@ -29,6 +29,10 @@
           registry
               .AddGauge({.name = "verbenaridge_tickets_held",
                          .help = "Reservations of memory that requests of this host use."})
-              .With({})) {}
+              .With({})),
+      connections_closed(
+          registry.AddCounter({.name = "verbenaridge_client_connections_closed_total",
+                               .help = "Connections of clients that the host closed, by reason.",
+                               .labels = {{"reason", 4}}})) {}
 
 }  // namespace verbenaridge::forwarding
--- a/verbenaridge/forwarding/request_metrics.h
+++ b/verbenaridge/forwarding/request_metrics.h
@@ -17,6 +17,7 @@
   telemetry::Family<telemetry::Histogram>& queued;      // priority
   telemetry::Family<telemetry::Counter>& reservations;  // event
   telemetry::Gauge& active_reservations;
+  telemetry::Family<telemetry::Counter>& connections_closed;  // reason
 };
 
 }  // namespace verbenaridge::forwarding
--- a/verbenaridge/forwarding/request_run.cc
+++ b/verbenaridge/forwarding/request_run.cc
@@ -393,6 +393,7 @@
 bool RequestRun::MayRetry(AttemptFailure failure) {
   const TimePoint now = context_.clock.Now();
   if (attempts_ >= context_.options.max_attempts || now >= deadline_) return false;
+  if (passing_through_) return false;  // only a stream can be resumed
   if (failure == AttemptFailure::kNotConnected || failure == AttemptFailure::kNotSent) return true;
   const bool may_have_run = failure != AttemptFailure::kRefused;
   if (may_have_run) {
--- a/verbenaridge/forwarding/request_run.h
+++ b/verbenaridge/forwarding/request_run.h
@@ -15,6 +15,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <vector>
 
@@ -53,9 +54,10 @@
   // An attempt at a plain service times out after this fraction of the time left, if the request
   // may be repeated.
   double service_timeout_share = 0.4;
-  // A response that is not a stream is buffered up to this size, so that a failed one can be
-  // replaced by that of a retry.
-  std::size_t max_buffered_response = std::size_t{256} * 1024;
+  // A response that is not a stream is held up to this size, so that a failed one can be replaced
+  // by that of a retry. A longer one of known length passes through; one of unknown length is taken
+  // for bytes without end.
+  std::size_t max_held_response = std::size_t{256} * 1024;
   // Reading from the endpoint pauses while more than this is not yet written to the client.
   std::size_t max_unsent_bytes = std::size_t{256} * 1024;
   // Minimum Retry-After of refused requests.
@@ -131,6 +133,10 @@
   void EndTasks();
   void StopAttempt();
 
+  bool IsOfThisRequest() const;
+  bool TryElsewhere();
+  void ObserveLatency();
+  void PassThrough(std::string_view data);
   void OnEvents(std::string_view data);
   bool AcceptEvent(const Event& event);
   void OnFirstEvent();
@@ -175,6 +181,7 @@
   std::optional<http1::ResponseHead> response_;
   ResponseMetadata response_metadata_;
   bool streaming_ = false;         // the response of this attempt is a stream of events
+  bool passing_through_ = false;   // the response is forwarded while it arrives
   bool response_started_ = false;  // a part of the response was sent to the client
   bool first_event_seen_ = false;  // of this attempt
   bool finished_ = false;
--- a/verbenaridge/forwarding/request_run_answer.cc
+++ b/verbenaridge/forwarding/request_run_answer.cc
@@ -1,5 +1,7 @@
 // The part of RequestRun that handles the responses of endpoints.
 #include <algorithm>
+#include <cstdint>
+#include <optional>
 #include <string>
 #include <utility>
 
@@ -12,13 +14,33 @@
   return head.header("Content-Type").starts_with("text/event-stream");
 }
 
+bool IsSuccess(const http1::ResponseHead& head) { return head.status >= 200 && head.status < 300; }
+
+// Length of the body as the head states it; empty if the body is sent in chunks or until the close.
+std::optional<std::uint64_t> BodyLength(const http1::ResponseHead& head) {
+  if (!head.header("Transfer-Encoding").empty()) return std::nullopt;
+  return http1::ParseUnsigned(head.header("Content-Length"));
+}
+
 }  // namespace
 
 void RequestRun::OnResponseHead(http1::ResponseHead head) {
+  const std::shared_ptr<RequestRun> self = shared_from_this();
   response_metadata_ = context_.adapter.ReadResponse(head);
-  const bool ok = head.status >= 200 && head.status < 300;
-  streaming_ = ok && route_->kind == directory::RequestKind::kStream && IsEventStream(head);
+  streaming_ =
+      IsSuccess(head) && route_->kind == directory::RequestKind::kStream && IsEventStream(head);
   response_ = std::move(head);
+  if (finished_ || exchange_ == nullptr) return;
+  if (!IsOfThisRequest()) AttemptFailed(AttemptFailure::kBroken, "answer_not_of_this_request");
+}
+
+// A success must name the request and carry the endpoint's signature. Other responses may come
+// without a name.
+bool RequestRun::IsOfThisRequest() const {
+  const bool named = !response_metadata_.attempt_id.empty();
+  if (named && response_metadata_.attempt_id != request_metadata_.attempt_id) return false;
+  if (!IsSuccess(*response_)) return true;
+  return named && response_metadata_.sealed && !response_metadata_.encoded;
 }
 
 void RequestRun::OnResponseBody(std::string_view data) {
@@ -28,18 +50,31 @@
     OnEvents(data);
     return;
   }
+  if (passing_through_) {
+    PassThrough(data);
+    return;
+  }
   body_.append(data);
-  if (body_.size() > context_.options.max_buffered_response) {
-    AttemptFailed(AttemptFailure::kBroken, "answer_too_large");
+  if (body_.size() <= context_.options.max_held_response) return;
+  const std::optional<std::uint64_t> length = BodyLength(*response_);
+  if (!length) {
+    AttemptFailed(AttemptFailure::kBroken, "longer_than_max_held_response_bytes");
+    return;
   }
+  if (TryElsewhere()) return;
+  passing_through_ = response_started_ = true;
+  wait_timer_.cancel();  // from here on, the deadline limits the time
+  ObserveLatency();
+  sink_->Begin(ClientHead(), length);
+  PassThrough(std::exchange(body_, {}));
+}
+
+void RequestRun::PassThrough(std::string_view data) {
+  sink_->Send(data);
+  if (!finished_ && sink_->unsent_bytes() > context_.options.max_unsent_bytes) exchange_->Pause();
 }
 
 void RequestRun::OnEvents(std::string_view data) {
-  if (response_metadata_.attempt_id != request_metadata_.attempt_id || !response_metadata_.sealed ||
-      response_metadata_.encoded) {
-    AttemptFailed(AttemptFailure::kBroken, "answer_not_of_this_request");
-    return;
-  }
   for (const Event& event : splitter_.Feed(data)) {
     if (!AcceptEvent(event)) return;
   }
@@ -83,9 +118,8 @@
   context_.dispatcher.OnSuccess(assignment_.members.front());
   if (response_started_) return;
   response_started_ = true;
-  first_event_after_ = Elapsed();
-  context_.metrics.latency.With({std::to_string(priority_)}).Observe(ToSeconds(first_event_after_));
-  sink_->Begin(ClientHead());
+  ObserveLatency();
+  sink_->Begin(ClientHead(), std::nullopt);
 }
 
 // Returns the endpoint's response head without the headers of its connection.
@@ -118,33 +152,40 @@
   sink_->End();
 }
 
-void RequestRun::OnCompleteResponse() {
+// Ends the attempt if its response is not to be returned, or not if another endpoint may still
+// give a better one. Returns false if the response is the one to return.
+bool RequestRun::TryElsewhere() {
   const int status = response_->status;
-  const bool wrong_id = !response_metadata_.attempt_id.empty() &&
-                        response_metadata_.attempt_id != request_metadata_.attempt_id;
-  // A refusal of another request says nothing about this one, which may be running.
-  if (!wrong_id && (response_metadata_.not_executed || status == 421)) {
+  if (response_metadata_.not_executed || status == 421) {
     AttemptFailed(AttemptFailure::kRefused, std::to_string(status));
-    return;
+    return true;
   }
-  const bool ok = status >= 200 && status < 300;
-  const bool unverified = ok && (response_metadata_.attempt_id.empty() ||
-                                 !response_metadata_.sealed || response_metadata_.encoded);
-  if (wrong_id || unverified || response_started_) {
+  if (response_started_) {  // a stream is resumed by events only
     AttemptFailed(AttemptFailure::kBroken, "answer_not_of_this_request");
-    return;
-  }
-  if (status >= 500 && MayRetry(AttemptFailure::kServerError)) {
-    AttemptFailed(AttemptFailure::kServerError, std::to_string(status));
-    return;
+    return true;
   }
+  if (status < 500 || !MayRetry(AttemptFailure::kServerError)) return false;
+  AttemptFailed(AttemptFailure::kServerError, std::to_string(status));
+  return true;
+}
+
+void RequestRun::OnCompleteResponse() {
+  if (!passing_through_ && TryElsewhere()) return;
+  const int status = response_->status;
   if (status < 500) context_.dispatcher.OnSuccess(assignment_.members.front());
   context_.crashes.OnCompleted(digest_);
+  if (!passing_through_) ObserveLatency();
+  Finish(IsSuccess(*response_) ? "served" : "endpoint_failure", status);
+  if (passing_through_) {
+    sink_->End();
+  } else {
+    sink_->Respond(ClientHead(), body_);
+  }
+}
+
+void RequestRun::ObserveLatency() {
   first_event_after_ = Elapsed();
   context_.metrics.latency.With({std::to_string(priority_)}).Observe(ToSeconds(first_event_after_));
-  http1::ResponseHead head = ClientHead();
-  Finish(ok ? "served" : "endpoint_failure", status);
-  sink_->Respond(std::move(head), body_);
 }
 
 }  // namespace verbenaridge::forwarding
--- a/verbenaridge/ingress/traffic.cc
+++ b/verbenaridge/ingress/traffic.cc
@@ -31,7 +31,8 @@
                  const forwarding::MessageAdapter& adapter, telemetry::MetricsRegistry& registry)
     : settings_(settings),
       clock_(clock),
-      run_options_{.budget = RetryBudgetOptionsOf(settings.reloadable)},
+      run_options_{.max_held_response = settings.max_held_response_bytes,
+                   .budget = RetryBudgetOptionsOf(settings.reloadable)},
       random_(RandomSeed()),
       metrics_(registry),
       connections_(AddGauge(registry, "verbenaridge_client_connections", "Open connections.")),
@@ -161,6 +162,14 @@
   telemetry::Log(telemetry::Level::kInfo, "request_unreadable", {{"status", status}});
 }
 
+void Traffic::OnResponseNotRead(std::size_t unsent_bytes) {
+  metrics_.connections_closed.With({"response_not_read"}).Add();
+  telemetry::Log(telemetry::Level::kInfo, "response_not_read", {{"unsent_bytes", unsent_bytes}});
+}
+
+// Only counted: a flood of connections must not become one of log lines.
+void Traffic::OnConnectionRefused() { metrics_.connections_closed.With({"too_many"}).Add(); }
+
 void Traffic::OnDatagram(const wire::Datagram& datagram, const std::string& ip) {
   if (placement_.OnDatagram(datagram, ip)) return;
   if (const auto* update = std::get_if<wire::LoadUpdate>(&datagram)) OnLoadUpdate(*update);
--- a/verbenaridge/ingress/traffic.h
+++ b/verbenaridge/ingress/traffic.h
@@ -68,6 +68,8 @@
       forwarding::IncomingRequest request, std::shared_ptr<forwarding::ResponseSink> sink) override;
   directory::ClientLimits limits() const override;
   void OnRejected(int status) override;
+  void OnResponseNotRead(std::size_t unsent_bytes) override;
+  void OnConnectionRefused() override;
   // LoadReceiver
   void OnDatagram(const wire::Datagram& datagram, const std::string& ip) override;
 
--- a/verbenaridge/settings/ingress_settings.cc
+++ b/verbenaridge/settings/ingress_settings.cc
@@ -65,6 +65,9 @@
       reader.Integer("file_descriptors", {.minimum = 300, .maximum = 1 << 20}, 2'200);
   settings.max_connections =
       static_cast<std::size_t>((descriptors - kReservedDescriptors) / kDescriptorsPerClient);
+  settings.max_held_response_bytes = static_cast<std::size_t>(
+      reader.Integer("max_held_response_bytes", {.minimum = 1'024, .maximum = 1 << 26},
+                     static_cast<std::int64_t>(settings.max_held_response_bytes)));
   reader.OneOf("log_level", kLogLevels, settings.reloadable.log_level);
   reader.Object(
       "retry_budget", [&](ObjectReader& budget) { ReadRetryBudget(budget, settings); },
--- a/verbenaridge/settings/ingress_settings.h
+++ b/verbenaridge/settings/ingress_settings.h
@@ -43,6 +43,8 @@
   std::vector<std::string> fleet_keys;
   double processor_share = 1;  // of one core
   std::size_t max_connections = 1'000;
+  // Of a response that is checked whole before it is forwarded.
+  std::size_t max_held_response_bytes = std::size_t{256} * 1024;
   ReloadableSettings reloadable;
 
   friend bool operator==(const IngressSettings&, const IngressSettings&) = default;
--- /dev/null
+++ b/verbenaridge/settings/ingress_settings_test.cc
@@ -0,0 +1,52 @@
+#include "verbenaridge/settings/ingress_settings.h"
+
+#include <doctest/doctest.h>
+
+#include <cstddef>
+#include <string>
+
+namespace verbenaridge::settings {
+namespace {
+
+std::string SettingsText(const std::string& more) {
+  return R"({"host":"h","data_centre":"a","ip":"127.0.0.1","clients":"127.0.0.1:1",)"
+         R"("readiness":"127.0.0.1:2","control":"127.0.0.1:3","store":"127.0.0.1:4",)"
+         R"("first_internal_port":5,"fleet_keys":["0123456789abcdef"])" +
+         more + "}";
+}
+
+// Guards against limits that are misread or accepted out of their range, and against faults that
+// are reported without their place.
+TEST_CASE("limits of an ingress daemon are checked") {
+  struct Row {
+    const char* name;
+    std::string more;
+    std::size_t max_held_response_bytes;
+    std::size_t max_connections;
+    std::string path_of_error;  // empty: none
+  };
+  const Row rows[] = {
+      {"defaults", "", 256 * 1024, 1'000, ""},
+      {"response", R"(,"max_held_response_bytes":1048576)", 1'048'576, 1'000, ""},
+      {"descriptors", R"(,"file_descriptors":4200)", 256 * 1024, 2'000, ""},
+      {"response too small", R"(,"max_held_response_bytes":10)", 0, 0, "/max_held_response_bytes"},
+      {"response not a number", R"(,"max_held_response_bytes":"1M")", 0, 0,
+       "/max_held_response_bytes"},
+      {"too few descriptors", R"(,"file_descriptors":10)", 0, 0, "/file_descriptors"},
+      {"unknown", R"(,"max_held_answer_bytes":1)", 0, 0, "/max_held_answer_bytes"},
+  };
+  for (const Row& row : rows) {
+    CAPTURE(row.name);
+    const LoadedIngressSettings loaded = ParseIngressSettings(SettingsText(row.more), "file");
+    REQUIRE(loaded.errors.size() == (row.path_of_error.empty() ? 0 : 1));
+    if (row.path_of_error.empty()) {
+      CHECK(loaded.settings.max_held_response_bytes == row.max_held_response_bytes);
+      CHECK(loaded.settings.max_connections == row.max_connections);
+    } else {
+      CHECK(loaded.errors[0].Text().find(row.path_of_error) != std::string::npos);
+    }
+  }
+}
+
+}  // namespace
+}  // namespace verbenaridge::settings
