Correct the order of prompts that schedulers send at the same time

Change: a first event that is earlier than the table's order allows returns the credited progress to prompts that were sent within 30 ms before. A prompt that is overtaken by a much later one has been processed as before: only its announcement is missing. Tests: load_table_test, both orders and a lost announcement; the second row failed before (10 ms left instead of 800). Ruled out: turns, by which each engine has an order of the schedulers for queued prompts.

--- a/verbenaridge/dispatch/load_table.cc
+++ b/verbenaridge/dispatch/load_table.cc
@@ -20,6 +20,8 @@
 constexpr double kDelaySmoothing = 0.3;
 // The average halves in this time.
 constexpr Duration kDelayHalfLife = std::chrono::seconds(1);
+// Prompts that different schedulers send within this time may arrive in the other order.
+constexpr Duration kOrderUncertainty = std::chrono::milliseconds(30);
 // A shorter average is not worth keeping the state of an engine without tasks.
 constexpr Duration kNegligibleDelay = std::chrono::milliseconds(20);
 
@@ -50,6 +52,23 @@
   }
 }
 
+void LoadTable::CorrectOrder(Engine& engine, std::size_t answered) {
+  const Entry& entry = engine.entries[answered];
+  if (entry.task.partial_prefill) return;
+  // What the table has credited to the prompts in front was spent on this one.
+  Duration left = entry.remaining_prefill;
+  for (std::size_t i = answered; i-- > 0 && left > Duration{};) {
+    Entry& front = engine.entries[i];
+    if (front.decoding || front.task.partial_prefill) continue;
+    if (entry.begun - front.begun > kOrderUncertainty) break;
+    const Duration credited = front.task.prefill_time - front.remaining_prefill;
+    const Duration returned = std::min(credited, left);
+    front.remaining_prefill += returned;
+    front.prefilled = {};
+    left -= returned;
+  }
+}
+
 Duration LoadTable::RememberedDelay(const Engine& engine, TimePoint now) {
   const double half_lives = ToSeconds(now - engine.delay_updated) / ToSeconds(kDelayHalfLife);
   return FromSeconds(ToSeconds(engine.average_delay) * std::exp2(-half_lives));
@@ -92,8 +111,10 @@
   if (endpoint == endpoint_of_.end()) return;
   Engine& engine = engines_[endpoint->second];
   Advance(engine, now);
-  for (Entry& entry : engine.entries) {
+  for (std::size_t i = 0; i < engine.entries.size(); ++i) {
+    Entry& entry = engine.entries[i];
     if (entry.task.id != id || entry.decoding) continue;
+    CorrectOrder(engine, i);
     entry.decoding = true;
     entry.remaining_prefill = {};
     if (!ShowsDelay(entry.task)) continue;
--- a/verbenaridge/dispatch/load_table.h
+++ b/verbenaridge/dispatch/load_table.h
@@ -107,6 +107,8 @@
   };
 
   static void Advance(Engine& engine, TimePoint now);
+  // The engine has processed the entry at `answered` before others that the table has in front.
+  static void CorrectOrder(Engine& engine, std::size_t answered);
   // The delay of first events that have arrived. It is forgotten over time, so that the engine is
   // tried again.
   static Duration RememberedDelay(const Engine& engine, TimePoint now);
--- a/verbenaridge/dispatch/load_table_test.cc
+++ b/verbenaridge/dispatch/load_table_test.cc
@@ -25,6 +25,36 @@
 
 double Ms(Duration duration) { return ToSeconds(duration) * 1000; }
 
+// Guards against engines that seem free while they prefill for seconds: two schedulers sent prompts
+// at the same time, and the engine received them in the other order than the table.
+TEST_CASE("a first event shows which prompt the engine processed first") {
+  struct Row {
+    const char* name;
+    Duration between;  // the starts of both prompts
+    TaskId answered;   // at 1,600 ms
+    double left_ms;    // of the other prompt's prefill, at 1,600 ms
+  };
+  const Row rows[] = {
+      {"in the order of the table", milliseconds(1), 1, 2'800 - 800},
+      {"in the other order", milliseconds(1), 2, 800},
+      {"the first event of the older prompt was lost", milliseconds(200), 2, 10},
+  };
+  for (const Row& row : rows) {
+    CAPTURE(row.name);
+    ManualClock clock;
+    LoadTable table;
+    const Duration first = milliseconds(row.between > milliseconds(100) ? 200 : 800);
+    table.Begin(MakeTask(1, first), clock.Now());
+    clock.Advance(row.between);
+    table.Begin(MakeTask(2, milliseconds(row.answered == 1 ? 2'800 : 1'600)), clock.Now());
+    clock.Advance(milliseconds(1'600) - row.between);
+    table.OnFirstEvent(row.answered, clock.Now());
+    const EndpointLoad load = table.Load(kEngine, clock.Now());
+    REQUIRE(load.pending_prefills.size() == 1);
+    CHECK(Ms(load.prefill_time) == doctest::Approx(row.left_ms));
+  }
+}
+
 // Guards against a wrong prefill order: parts of shared prompts go first, the newest before the
 // others, and entire prompts follow in the order of their arrival.
 TEST_CASE("prefills finish in the engine's order") {
