--- a/verbenaridge/dispatch/pass_model.cc
+++ b/verbenaridge/dispatch/pass_model.cc
@@ -21,6 +21,10 @@
   return FromSeconds(step * timing_.stride);
 }
 
+Duration PassModel::LongestPassTime() const {
+  return PassTime({.sequences = timing_.slots, .context_tokens = timing_.kv_tokens});
+}
+
 Duration PassModel::MaxPrefillInPass(TokenCount prompt_tokens, std::size_t parts) const {
   const Duration total = PrefillTime(prompt_tokens, parts);
   const double max_tokens = static_cast<double>(timing_.prefill_chunk_tokens) * timing_.stride;
--- a/verbenaridge/dispatch/pass_model.h
+++ b/verbenaridge/dispatch/pass_model.h
@@ -31,6 +31,9 @@
   // Duration of a pass without prefill; zero if nothing decodes.
   Duration PassTime(const Decoding& decoding) const;
 
+  // The same of an engine whose slots and memory are full.
+  Duration LongestPassTime() const;
+
   // Maximum prefill time of such a prompt in one pass while others decode. A pass prefills at most
   // one chunk in each of its steps.
   Duration MaxPrefillInPass(TokenCount prompt_tokens, std::size_t parts) const;
--- a/verbenaridge/forwarding/dispatcher.cc
+++ b/verbenaridge/forwarding/dispatcher.cc
@@ -261,9 +261,9 @@
   }
 }
 
-bool Dispatcher::HasModel(const ServiceId& service) const {
+const dispatch::PassModel* Dispatcher::ModelOf(const ServiceId& service) const {
   const auto group = groups_.find(service);
-  return group != groups_.end() && group->second.model != nullptr;
+  return group == groups_.end() ? nullptr : group->second.model.get();
 }
 
 void Dispatcher::TryQueued() {
--- a/verbenaridge/forwarding/dispatcher.h
+++ b/verbenaridge/forwarding/dispatcher.h
@@ -145,8 +145,9 @@
   // Repeats the announcements of this host's tasks for peers that missed them.
   void AnnounceAll();
 
-  // Whether requests for the service are generations of a model engine.
-  bool HasModel(const ServiceId& service) const;
+  // Published timing of the service's engines; null if its endpoints are no model engines or none
+  // is known. Valid until the next snapshot.
+  const dispatch::PassModel* ModelOf(const ServiceId& service) const;
 
   // Progress of an assigned task of this host.
   void OnFirstEvent(dispatch::TaskId task);
--- a/verbenaridge/forwarding/request_run.cc
+++ b/verbenaridge/forwarding/request_run.cc
@@ -263,6 +263,7 @@
   streaming_ = first_event_seen_ = false;
   body_.clear();
   splitter_.Reset();
+  pace_.Reset();
   const std::string priority = std::to_string(priority_);
   if (attempts_ == 1) context_.metrics.queued.With({priority}).Observe(ToSeconds(Elapsed()));
   context_.metrics.predicted.With({priority}).Observe(ToSeconds(assignment_.predicted));
--- a/verbenaridge/forwarding/request_run.h
+++ b/verbenaridge/forwarding/request_run.h
@@ -23,6 +23,7 @@
 #include "verbenaridge/base/random.h"
 #include "verbenaridge/dispatch/crash_history.h"
 #include "verbenaridge/dispatch/retry_budget.h"
+#include "verbenaridge/dispatch/stream_pace.h"
 #include "verbenaridge/forwarding/client_server.h"
 #include "verbenaridge/forwarding/dispatcher.h"
 #include "verbenaridge/forwarding/endpoint_pool.h"
@@ -42,8 +43,9 @@
   double first_event_timeout_factor = 4;
   Duration first_event_timeout_margin = std::chrono::milliseconds(1'200);
   // Timeout of the gap between two events, as a multiple of the target gap, and its minimum.
-  // Clients abandon a stream after a gap of two seconds or more.
-  double gap_timeout_factor = 3;
+  // Clients abandon a stream after a gap of two seconds or eight target gaps, whichever is longer.
+  // A stream that is cut off sooner than it must be costs its prefill again.
+  double gap_timeout_factor = 6;
   Duration min_gap_timeout = std::chrono::milliseconds(1'600);
   // Maximum wait on a host without a configuration, and the interval between checks for one.
   Duration configuration_wait = std::chrono::milliseconds(900);
@@ -140,6 +142,8 @@
   void OnEvents(std::string_view data);
   bool AcceptEvent(const Event& event);
   void OnFirstEvent();
+  // Whether the stream can end before its deadline only at another endpoint.
+  bool IsTooSlow(TimePoint now) const;
   void OnCompleteResponse();
   http1::ResponseHead ClientHead() const;
   void AttemptFailed(AttemptFailure failure, std::string_view detail);
@@ -187,6 +191,7 @@
   bool finished_ = false;
   std::string body_;
   EventSplitter splitter_;
+  dispatch::StreamPace pace_{{}};  // of this attempt
   std::optional<std::uint64_t> last_event_;
   std::size_t events_sent_ = 0;
   Duration first_event_after_{};
--- a/verbenaridge/forwarding/request_run_answer.cc
+++ b/verbenaridge/forwarding/request_run_answer.cc
@@ -109,9 +109,30 @@
   ArmAttemptTimeout(
       std::max(FromSeconds(context_.options.gap_timeout_factor * ToSeconds(route_->target_gap)),
                context_.options.min_gap_timeout));
+  pace_.OnEvent(now);
+  if (IsTooSlow(now) && MayRetry(AttemptFailure::kTimedOut)) {
+    AttemptFailed(AttemptFailure::kTimedOut, "too_slow_for_deadline");
+    return false;
+  }
   return true;
 }
 
+bool RequestRun::IsTooSlow(TimePoint now) const {
+  const dispatch::PassModel* const model = context_.dispatcher.ModelOf(service_);
+  if (model == nullptr || assignment_.members.size() > 1) return false;
+  const auto tokens_per_event = static_cast<std::uint64_t>(std::max(model->timing().stride, 1));
+  const auto tokens = static_cast<std::uint64_t>(request_metadata_.max_output_tokens);
+  const std::uint64_t events = (tokens + tokens_per_event - 1) / tokens_per_event;
+  const std::uint64_t done = std::min(last_event_.value_or(0), events);
+  const auto context =
+      request_metadata_.prompt_tokens + static_cast<TokenCount>(done * tokens_per_event);
+  const Duration gap = model->LongestPassTime();
+  return pace_.MustMove({.events_left = static_cast<std::size_t>(events - done),
+                         .expected_gap = gap,
+                         .restart = model->PrefillTime(context, 1) + gap,
+                         .remaining = deadline_ - now});
+}
+
 void RequestRun::OnFirstEvent() {
   first_event_seen_ = true;
   for (const dispatch::TaskId task : assignment_.tasks) context_.dispatcher.OnFirstEvent(task);
--- a/verbenaridge/ingress/placement_exchange.cc
+++ b/verbenaridge/ingress/placement_exchange.cc
@@ -46,7 +46,7 @@
   pending.request = std::move(request);
   pending.callback = std::move(callback);
   // Choosing among endpoints without an engine model does not need the load table.
-  if (is_scheduler_ || !dispatcher_.HasModel(pending.request.service)) {
+  if (is_scheduler_ || dispatcher_.ModelOf(pending.request.service) == nullptr) {
     DecideLocally(id);
   } else {
     pending.timer = std::make_unique<asio::steady_timer>(io_context_);
