--- a/verbenaridge/forwarding/request_run_answer.cc
+++ b/verbenaridge/forwarding/request_run_answer.cc
@@ -173,8 +173,8 @@
   sink_->End();
 }
 
-// Ends the attempt if its response is not to be returned, or not if another endpoint may still
-// give a better one. Returns false if the response is the one to return.
+// Ends the attempt if its response must not be returned, or if another endpoint may give a better
+// one. Returns false if the response is the one to return.
 bool RequestRun::TryElsewhere() {
   const int status = response_->status;
   if (response_metadata_.not_executed || status == 421) {
