Do not take the end of an older wait for a client that does not read

Cause: read as a newcomer: the handler of a timer that has expired may run after the timer was set for the next response, and would close its connection at once. Change: such a handler does nothing, as in RequestRun::ArmAttemptTimeout. Measured: client_server_test passes; the order of events needs an expiry within one turn of the event loop and was not played.

--- a/verbenaridge/forwarding/client_server.cc
+++ b/verbenaridge/forwarding/client_server.cc
@@ -7,6 +7,7 @@
 #include <asio/buffer.hpp>
 #include <asio/ip/tcp.hpp>
 #include <asio/steady_timer.hpp>
+#include <chrono>
 #include <unordered_set>
 #include <utility>
 
@@ -288,6 +289,8 @@
     timer_.expires_after(limits_.idle_timeout);
     timer_.async_wait([self = shared_from_this()](std::error_code code) {
       if (code || self->closed_ || !self->response_queued_) return;
+      // The wait had ended already when the timer was set for the next response.
+      if (self->timer_.expiry() > std::chrono::steady_clock::now()) return;
       if (self->UnreadBytes() < self->unread_bytes_) {
         self->SetWriteTimer();
         return;
