--- a/verbenaridge/dispatch/endpoint_chooser.h
+++ b/verbenaridge/dispatch/endpoint_chooser.h
@@ -113,9 +113,9 @@
   std::size_t max_members = 8;
   // A request that does more harm than this is queued while waiting costs it nothing.
   double queue_above_harm = 0.4;
-  // A long prompt whose harm exceeds this multiple of its own weight is queued until its deadline:
-  // it must not make others late who count for more than itself.
-  double max_harm_ratio = 1.0;
+  // A long prompt whose harm exceeds this multiple of its own weight is queued until its deadline.
+  // One prompt on several engines must not make all requests there late.
+  double max_harm_ratio = 1.5;
   // A request that is late anyway is queued until the time left is twice the time that it needs
   // plus this margin.
   Duration queue_deadline_margin = std::chrono::milliseconds(1'500);
--- a/verbenaridge/forwarding/request_run.h
+++ b/verbenaridge/forwarding/request_run.h
@@ -136,6 +136,8 @@
   void StopAttempt();
 
   bool IsOfThisRequest() const;
+  // Ends the attempt if its response must not be returned, or another endpoint may give a better
+  // one. Returns false otherwise.
   bool TryElsewhere();
   void ObserveLatency();
   void PassThrough(std::string_view data);
--- a/verbenaridge/forwarding/request_run_answer.cc
+++ b/verbenaridge/forwarding/request_run_answer.cc
@@ -173,8 +173,6 @@
   sink_->End();
 }
 
-// Ends the attempt if its response must not be returned, or if another endpoint may give a better
-// one. Returns false if the response is the one to return.
 bool RequestRun::TryElsewhere() {
   const int status = response_->status;
   if (response_metadata_.not_executed || status == 421) {
