Log the requests that a planned stop cuts off

Change: the traffic thread closes all connections before the process ends; each request without a complete response ends with the outcome cut_by_stop, and drained has their exact number and the time since the signal. Lines of requests have output_tokens, the most tokens that the response may have. Measured: daemon_test, request_path_test and request_log_test pass. Conclusion: the logs now tell a response that was too long from one that was slow, and both from an early end.

--- a/verbenaridge/forwarding/client_server.cc
+++ b/verbenaridge/forwarding/client_server.cc
@@ -99,6 +99,14 @@
     if (const auto active = std::exchange(active_, nullptr)) active->OnClientGone();
   }
 
+  // Returns whether a response was not completely written.
+  bool CloseForStop() {
+    const bool cut = busy();
+    if (const auto active = std::exchange(active_, nullptr)) active->OnServerStopped();
+    Close();
+    return cut;
+  }
+
   // ResponseSink
   void Respond(http1::ResponseHead head, std::string_view body) override {
     if (closed_ || !awaiting_response_) return;
@@ -481,6 +489,14 @@
 
 void ClientServer::StopAccepting() { impl_->Close(); }
 
+std::size_t ClientServer::CloseAll() {
+  const std::vector<std::shared_ptr<Connection>> all(impl_->connections_.begin(),
+                                                     impl_->connections_.end());
+  std::size_t cut = 0;
+  for (const auto& connection : all) cut += connection->CloseForStop() ? 1 : 0;
+  return cut;
+}
+
 std::size_t ClientServer::connections() const { return impl_->connections_.size(); }
 
 std::size_t ClientServer::busy() const {
--- a/verbenaridge/forwarding/client_server.h
+++ b/verbenaridge/forwarding/client_server.h
@@ -60,6 +60,8 @@
   virtual void OnClientGone() = 0;
   // All pending bytes were written to the client.
   virtual void OnClientDrained() = 0;
+  // The process ends, and the connection is closed after this call.
+  virtual void OnServerStopped() = 0;
 };
 
 class RequestHandler {
@@ -109,6 +111,9 @@
   void CloseIdle();
   // Accepts no new connections.
   void StopAccepting();
+  // Closes all connections. Returns the number of requests whose response was not completely
+  // written.
+  std::size_t CloseAll();
 
   std::size_t connections() const;
   // Requests whose response is not completely written.
--- a/verbenaridge/forwarding/request_run.cc
+++ b/verbenaridge/forwarding/request_run.cc
@@ -346,6 +346,11 @@
   if (exchange_ != nullptr) exchange_->Resume();
 }
 
+void RequestRun::OnServerStopped() {
+  if (finished_) return;
+  Finish("cut_by_stop", 0);
+}
+
 void RequestRun::OnExchangeFailed(ExchangeFailure failure) {
   const std::shared_ptr<RequestRun> self = shared_from_this();
   exchange_ = nullptr;
@@ -478,6 +483,7 @@
        {"offers", attempts_},
        {"runs", runs_},
        {"prompt_tokens", request_metadata_.prompt_tokens},
+       {"output_tokens", request_metadata_.max_output_tokens},
        {"duration_ms", Milliseconds(Elapsed())},
        {"held_ms", attempts_ == 0 ? 0 : Milliseconds(attempt_started_ - request_.arrived)},
        {"predicted_ms", Milliseconds(assignment_.predicted)},
--- a/verbenaridge/forwarding/request_run.h
+++ b/verbenaridge/forwarding/request_run.h
@@ -98,6 +98,7 @@
   // ActiveRequest
   void OnClientGone() override;
   void OnClientDrained() override;
+  void OnServerStopped() override;
 
   // ExchangeObserver
   void OnResponseHead(http1::ResponseHead head) override;
--- a/verbenaridge/ingress/ingress.cc
+++ b/verbenaridge/ingress/ingress.cc
@@ -246,9 +246,14 @@
 }
 
 void Ingress::Parts::FinishDrain() {
-  Log(Level::kInfo, "drained", {{"requests_running", traffic_->busy()}});
-  directory_->AnnounceLeaving();
-  if (!std::exchange(stop_signalled_, true)) stopped_.set_value();
+  traffic_->CloseAll([this](std::size_t cut) {
+    control_.Post([this, cut] {
+      Log(Level::kInfo, "drained",
+          {{"requests_running", cut}, {"after_ms", ToSeconds(clock_.Now() - drain_start_) * 1000}});
+      directory_->AnnounceLeaving();
+      if (!std::exchange(stop_signalled_, true)) stopped_.set_value();
+    });
+  });
 }
 
 void Ingress::Parts::StopLoops() {
--- a/verbenaridge/ingress/traffic.cc
+++ b/verbenaridge/ingress/traffic.cc
@@ -143,6 +143,10 @@
   });
 }
 
+void Traffic::CloseAll(std::function<void(std::size_t)> done) {
+  loop_.Post([this, done = std::move(done)] { done(server_.CloseAll()); });
+}
+
 std::shared_ptr<forwarding::ActiveRequest> Traffic::Start(
     forwarding::IncomingRequest request, std::shared_ptr<forwarding::ResponseSink> sink) {
   auto run =
--- a/verbenaridge/ingress/traffic.h
+++ b/verbenaridge/ingress/traffic.h
@@ -59,7 +59,11 @@
   // If there are none and StopAccepting was called, no request can arrive any more.
   void CloseIdle(std::function<void(std::size_t)> done);
 
-  // Requests in progress.
+  // Closes all connections and calls `done` on the traffic thread with the number of requests that
+  // had no complete response.
+  void CloseAll(std::function<void(std::size_t)> done);
+
+  // Requests in progress, up to 250 ms ago.
   std::size_t busy() const { return busy_.load(std::memory_order_relaxed); }
 
  private:
