Refuse requests that cannot end before a stopping process does

Cause: a stop only closed connections. It set no limit to the work that the host took on meanwhile, so a stream that needs six seconds was started with four left, and queued requests kept their own deadlines beyond the process's end. Change: dispatch::StopWindow decides until when the response of a request may start on a stopping host. Requests whose response would not end are refused as not run, with Retry-After 0; queued ones are placed again with that limit. The end of the process is a deadline of each request, so one without a response gets 504 instead of a closed connection. A stream of the longest kind that arrives in the first 2.5 s still may be: refusing all of them would send nine that end in time to other hosts, of which several stop as well.

--- /dev/null
+++ b/verbenaridge/dispatch/stop_window.h
@@ -0,0 +1,69 @@
+// Decides until when a host that stops may still start the response of a request.
+//
+//   StopWindow stop;
+//   stop.Begin(clock.Now(), end);
+//   if (clock.Now() >= stop.LatestStart(time, arrived)) Refuse();
+//
+// A stopping host receives requests until the load balancer and all clients have left it. Their
+// responses are cut off when the process ends, so a request is refused as not run, and its client
+// goes to another host, unless its response ends before. How long a response will be is not known,
+// only its longest length. While the balancer still counts on the host, many hosts may stop at
+// once and a refused client may meet another one of them; until then responses of usual length
+// must fit. Later even the longest one must. Used by one thread.
+#ifndef VERBENARIDGE_DISPATCH_STOP_WINDOW_H_
+#define VERBENARIDGE_DISPATCH_STOP_WINDOW_H_
+
+#include <optional>
+
+#include "verbenaridge/base/clock.h"
+#include "verbenaridge/base/units.h"
+#include "verbenaridge/dispatch/pass_model.h"
+
+namespace verbenaridge::dispatch {
+
+struct StopOptions {
+  // Requests that arrive later after the signal to stop must end for certain. The balancer removes
+  // a host after two failed probes, one second apart.
+  Duration late_after = std::chrono::milliseconds(2'500);
+  // Nine of ten responses have less than this share of the tokens that they may have.
+  double usual_output_share = 0.5;
+  // Prefill of other prompts extends the passes of a full engine by up to this factor.
+  double prefill_factor = 1.5;
+  // A plain service responds within this multiple of the target latency, or within the minimum.
+  double service_latency_factor = 5;
+  Duration min_service_time = std::chrono::seconds(1);
+};
+
+// From the start of a response to its end; of a plain service, from the dispatch.
+struct ResponseTime {
+  Duration usual{};
+  Duration longest{};
+};
+
+class StopWindow {
+ public:
+  explicit StopWindow(const StopOptions& options = {}) : options_(options) {}
+
+  // The host has received the signal to stop. `end`: when its last response must have ended.
+  void Begin(TimePoint now, TimePoint end);
+
+  bool stopping() const { return end_.has_value(); }
+  // Empty while the host does not stop.
+  std::optional<TimePoint> end() const { return end_; }
+
+  // `model`: null if the service has no engines. `max_output_tokens`: zero if not known.
+  ResponseTime EstimateResponse(const PassModel* model, TokenCount max_output_tokens,
+                                Duration target_latency) const;
+
+  // When the response must have started. The end of time while the host does not stop.
+  TimePoint LatestStart(const ResponseTime& time, TimePoint arrived) const;
+
+ private:
+  const StopOptions options_;
+  TimePoint begun_{};
+  std::optional<TimePoint> end_;
+};
+
+}  // namespace verbenaridge::dispatch
+
+#endif  // VERBENARIDGE_DISPATCH_STOP_WINDOW_H_
--- a/verbenaridge/forwarding/client_server.cc
+++ b/verbenaridge/forwarding/client_server.cc
@@ -99,6 +99,10 @@
     if (const auto active = std::exchange(active_, nullptr)) active->OnClientGone();
   }
 
+  void OnStopping() {
+    if (const std::shared_ptr<ActiveRequest> active = active_) active->OnStopping();
+  }
+
   // Returns whether a response was not completely written.
   bool CloseForStop() {
     const bool cut = busy();
@@ -483,6 +487,9 @@
 void ClientServer::BeginDrain() {
   impl_->draining_ = true;
   impl_->CloseIdle(/*also_new=*/false);
+  const std::vector<std::shared_ptr<Connection>> all(impl_->connections_.begin(),
+                                                     impl_->connections_.end());
+  for (const auto& connection : all) connection->OnStopping();
 }
 
 void ClientServer::CloseIdle() { impl_->CloseIdle(/*also_new=*/true); }
--- a/verbenaridge/forwarding/client_server.h
+++ b/verbenaridge/forwarding/client_server.h
@@ -60,6 +60,8 @@
   virtual void OnClientGone() = 0;
   // All pending bytes were written to the client.
   virtual void OnClientDrained() = 0;
+  // The process will end soon.
+  virtual void OnStopping() = 0;
   // The process ends, and the connection is closed after this call.
   virtual void OnServerStopped() = 0;
 };
@@ -105,7 +107,8 @@
   std::uint16_t port() const;
 
   // Closes each connection after its next response, and those that wait for another request at
-  // once. New ones are still served, also those that were accepted before.
+  // once. New ones are still served, also those that were accepted before. Requests in progress are
+  // told.
   void BeginDrain();
   // Closes all connections on which no request is in progress or has arrived.
   void CloseIdle();
--- a/verbenaridge/forwarding/request_run.cc
+++ b/verbenaridge/forwarding/request_run.cc
@@ -14,6 +14,8 @@
 
 constexpr int kLowestUrgency = 9;
 constexpr int kMaxReservationDoublings = 2;
+constexpr std::string_view kStopping = "stopping";
+constexpr std::string_view kCutByStop = "cut_by_stop";
 
 std::string_view PathOf(std::string_view target) { return target.substr(0, target.find('?')); }
 
@@ -49,6 +51,10 @@
   }
   if (!Admit()) return;
   ArmDeadline();
+  if (context_.stop.stopping() && context_.clock.Now() >= LatestStart()) {
+    Refuse(503, kStopping);
+    return;
+  }
   FindEndpoint();
 }
 
@@ -121,12 +127,24 @@
     deadline_reason_ = "client_deadline";
   }
   deadline_ = request_.arrived + limit;
-  deadline_timer_.expires_after(std::max(limit - Elapsed(), Duration{}));
+  if (const auto end = context_.stop.end(); end && *end < deadline_) {
+    deadline_ = *end;
+    deadline_reason_ = kCutByStop;
+  }
+  deadline_timer_.expires_after(std::max(deadline_ - context_.clock.Now(), Duration{}));
   deadline_timer_.async_wait([self = shared_from_this()](std::error_code code) {
     if (!code && !self->finished_) self->OnDeadline();
   });
 }
 
+TimePoint RequestRun::LatestStart() const {
+  if (response_started_ || deadline_ != context_.stop.end()) return deadline_;
+  const dispatch::ResponseTime time =
+      context_.stop.EstimateResponse(context_.dispatcher.ModelOf(service_),
+                                     request_metadata_.max_output_tokens, route_->target_latency);
+  return context_.stop.LatestStart(time, request_.arrived);
+}
+
 void RequestRun::OnDeadline() {
   if (response_started_) {
     Finish(deadline_reason_, 0);
@@ -149,7 +167,7 @@
                                             .target_latency = route_->target_latency,
                                             .target_gap = route_->target_gap},
                                  .arrived = request_.arrived,
-                                 .deadline = deadline_,
+                                 .deadline = LatestStart(),
                                  .urgency = priority_,
                                  .excluded = excluded_},
                                 [self = shared_from_this()](Assignment assignment) {
@@ -178,10 +196,14 @@
       RefuseUnplaced("prompt_too_large_now");
       return;
     case Assignment::Outcome::kDeadlineExceeded:
-      OnDeadline();
+      if (context_.clock.Now() < deadline_) {
+        RefuseUnplaced(kStopping);
+      } else {
+        OnDeadline();
+      }
       return;
     case Assignment::Outcome::kUnservable:
-      RefuseUnplaced("deadline_unreachable");
+      RefuseUnplaced(context_.stop.stopping() ? kStopping : "deadline_unreachable");
       return;
   }
   if (assignment_.reserve) {
@@ -346,9 +368,17 @@
   if (exchange_ != nullptr) exchange_->Resume();
 }
 
+void RequestRun::OnStopping() {
+  if (finished_ || route_ == nullptr) return;
+  ArmDeadline();
+  if (dispatch_id_ == 0) return;
+  context_.placement.Cancel(dispatch_id_);
+  FindEndpoint();
+}
+
 void RequestRun::OnServerStopped() {
   if (finished_) return;
-  Finish("cut_by_stop", 0);
+  Finish(kCutByStop, 0);
 }
 
 void RequestRun::OnExchangeFailed(ExchangeFailure failure) {
@@ -452,7 +482,10 @@
   http1::ResponseHead head{.status = status};
   if (status == 503) {
     char text[32];
-    const Duration retry_after = std::max(assignment_.retry_after, context_.options.retry_after);
+    // Other hosts serve the client at once.
+    const Duration retry_after =
+        reason == kStopping ? Duration{}
+                            : std::max(assignment_.retry_after, context_.options.retry_after);
     std::snprintf(text, sizeof text, "%.2f", ToSeconds(retry_after));
     head.headers.push_back({"Retry-After", text});
   }
--- a/verbenaridge/forwarding/request_run.h
+++ b/verbenaridge/forwarding/request_run.h
@@ -23,6 +23,7 @@
 #include "verbenaridge/base/random.h"
 #include "verbenaridge/dispatch/crash_history.h"
 #include "verbenaridge/dispatch/retry_budget.h"
+#include "verbenaridge/dispatch/stop_window.h"
 #include "verbenaridge/dispatch/stream_pace.h"
 #include "verbenaridge/forwarding/client_server.h"
 #include "verbenaridge/forwarding/dispatcher.h"
@@ -81,6 +82,7 @@
   const RunOptions& options;
   std::unordered_map<ServiceId, dispatch::RetryBudget> budgets{};
   dispatch::CrashHistory crashes{};
+  dispatch::StopWindow stop{};
   std::uint64_t reservations_made = 0;
   std::string ticket_prefix{};
 
@@ -98,6 +100,7 @@
   // ActiveRequest
   void OnClientGone() override;
   void OnClientDrained() override;
+  void OnStopping() override;
   void OnServerStopped() override;
 
   // ExchangeObserver
@@ -123,6 +126,9 @@
   bool Authenticate();
   Duration Elapsed() const;
   void ArmDeadline();
+  // When the response must have started: the deadline, or earlier on a host that stops, unless a
+  // part of the response was sent already.
+  TimePoint LatestStart() const;
   void OnDeadline();
 
   void FindEndpoint();
--- a/verbenaridge/ingress/ingress.cc
+++ b/verbenaridge/ingress/ingress.cc
@@ -35,6 +35,8 @@
 constexpr Duration kDrainCheckPeriod = std::chrono::milliseconds(100);
 // Part of the grace period that is reserved for the exit of the process.
 constexpr Duration kExitMargin = std::chrono::milliseconds(300);
+// The last responses are written in this time before the connections are closed.
+constexpr Duration kLastResponseTime = std::chrono::milliseconds(100);
 // Settings may change without a signal. Reading the small file takes some 20 us.
 constexpr Duration kSettingsPeriod = std::chrono::seconds(1);
 
@@ -218,7 +220,8 @@
   if (std::exchange(draining_, true)) return;
   drain_start_ = clock_.Now();
   Log(Level::kInfo, "draining", {{"requests_running", traffic_->busy()}});
-  traffic_->BeginDrain();
+  traffic_->BeginDrain(drain_start_ + settings_.reloadable.grace_period - kExitMargin -
+                       kLastResponseTime);
   ArmDrainCheck();
 }
 
--- a/verbenaridge/ingress/traffic.cc
+++ b/verbenaridge/ingress/traffic.cc
@@ -128,8 +128,11 @@
   loop_.Post([this] { dispatcher_.AnnounceAll(); });
 }
 
-void Traffic::BeginDrain() {
-  loop_.Post([this] { server_.BeginDrain(); });
+void Traffic::BeginDrain(TimePoint end) {
+  loop_.Post([this, end, now = clock_.Now()] {
+    context_.stop.Begin(now, end);
+    server_.BeginDrain();
+  });
 }
 
 void Traffic::StopAccepting() {
--- a/verbenaridge/ingress/traffic.h
+++ b/verbenaridge/ingress/traffic.h
@@ -53,7 +53,8 @@
   void ForgetPeer(Incarnation peer);
   void AnnounceAll();
 
-  void BeginDrain();
+  // `end`: when the last response must have ended.
+  void BeginDrain(TimePoint end);
   void StopAccepting();
   // Closes idle connections and calls `done` on the traffic thread with the number of the others.
   // If there are none and StopAccepting was called, no request can arrive any more.
