Log the parts of prompts whose attempts fail

Cause: the logs could not show what the requests that broke at a crash of an endpoint have in common, or which of them had begun (events counts those of earlier attempts too). Change: the adapter decodes the list of prompt parts; attempt_failed has prompt_parts and event_received.

--- a/verbenaridge/forwarding/message_adapter.h
+++ b/verbenaridge/forwarding/message_adapter.h
@@ -23,6 +23,12 @@
 
 namespace verbenaridge::forwarding {
 
+// A part of a prompt that other prompts may share.
+struct PromptPart {
+  std::string id;
+  TokenCount tokens = 0;
+};
+
 // Decoded headers of a client's request.
 struct RequestMetadata {
   std::string attempt_id;  // empty: none
@@ -32,6 +38,9 @@
   TokenCount prompt_tokens = 0;       // zero: no generation
   TokenCount max_output_tokens = 0;
   bool bad_token_counts = false;
+  // In the order of the prompt. The last part belongs to this request or its session alone. Empty
+  // if the request does not list its parts.
+  std::vector<PromptPart> prompt_parts;
   std::optional<std::uint64_t> last_event_id;  // the client resumes after this event
 };
 
--- a/verbenaridge/forwarding/request_run.cc
+++ b/verbenaridge/forwarding/request_run.cc
@@ -539,6 +539,15 @@
   return endpoints;
 }
 
+std::string RequestRun::PromptParts() const {
+  std::string parts;
+  for (const PromptPart& part : request_metadata_.prompt_parts) {
+    if (!parts.empty()) parts.push_back(',');
+    parts.append(part.id);
+  }
+  return parts;
+}
+
 void RequestRun::LogFailedAttempt(AttemptFailure failure, std::string_view detail) const {
   constexpr std::string_view kNames[] = {"not_connected", "not_sent", "refused",
                                          "silent",        "broken",   "server_error"};
@@ -556,6 +565,8 @@
                   {"predicted_ms", Milliseconds(assignment_.predicted)},
                   {"events", events_sent_},
                   {"status", response_ ? response_->status : 0},
+                  {"event_received", first_event_seen_},
+                  {"prompt_parts", PromptParts()},
                   {"candidates", assignment_.candidates}});
 }
 
--- a/verbenaridge/forwarding/request_run.h
+++ b/verbenaridge/forwarding/request_run.h
@@ -163,7 +163,9 @@
 
   void Refuse(int status, std::string_view reason);
   void Finish(std::string_view outcome, int status);
-  std::string Endpoints() const;  // of the assignment, for the log
+  // For the log: of the assignment, and of the prompt.
+  std::string Endpoints() const;
+  std::string PromptParts() const;
   void LogFailedAttempt(AttemptFailure failure, std::string_view detail) const;
 
   RunContext& context_;
