Serve short requests of plain services later in a stop

Change: the minimum is half a second. Measured: daemon_test failed in three checks before and passes; planned_stop_test and dispatch_test pass. Conclusion: routes with a target latency keep five times that.

--- a/verbenaridge/dispatch/stop_window.h
+++ b/verbenaridge/dispatch/stop_window.h
@@ -31,7 +31,7 @@
   double prefill_factor = 1.5;
   // A plain service responds within this multiple of the target latency, or within the minimum.
   double service_latency_factor = 5;
-  Duration min_service_time = std::chrono::seconds(1);
+  Duration min_service_time = std::chrono::milliseconds(500);
 };
 
 // From the start of a response to its end; of a plain service, from the dispatch.
