--- /dev/null
+++ b/verbenaridge/dispatch/part_suspects.cc
@@ -0,0 +1,257 @@
+#include "verbenaridge/dispatch/part_suspects.h"
+
+#include <algorithm>
+#include <cstdio>
+#include <utility>
+
+namespace verbenaridge::dispatch {
+namespace {
+
+constexpr Digest kThisHost = 0;
+
+bool Contains(std::span<const Digest> parts, Digest part) {
+  return std::find(parts.begin(), parts.end(), part) != parts.end();
+}
+
+}  // namespace
+
+std::string ToText(const PartRefusal& refusal) {
+  std::string text;
+  char part[17];
+  for (const Digest key : refusal.parts) {
+    std::snprintf(part, sizeof part, "%llx", static_cast<unsigned long long>(key));
+    if (!text.empty()) text.push_back(',');
+    text.append(part);
+  }
+  return text;
+}
+
+void PartSuspects::OnCrash(const PartCrash& crash, TimePoint now) {
+  if (crash.parts.empty()) return;
+  const auto found = std::find_if(crashes_.begin(), crashes_.end(), [&](const Crash& known) {
+    return known.endpoint == crash.endpoint;
+  });
+  Crash& entry = found != crashes_.end()
+                     ? *found
+                     : crashes_.emplace_back(Crash{.endpoint = crash.endpoint, .time = now});
+  entry.begun = entry.begun || crash.begun;
+  const bool repeated =
+      std::any_of(entry.requests.begin(), entry.requests.end(),
+                  [&](const PartCrash& known) { return known.request == crash.request; });
+  if (!repeated) entry.requests.push_back(crash);
+  OnAsked(crash.parts, now);
+  if (crashes_.size() > options_.max_crashes) crashes_.pop_front();
+}
+
+std::vector<Digest> PartSuspects::OnSoundResponse(std::span<const Digest> parts, TimePoint now) {
+  std::vector<Digest> report;
+  for (const Digest part : parts) {
+    SoundRecord record = OwnRecord(part);
+    ++record.responses;
+    record.last = now;
+    OnSound(part, record, kThisHost);
+    if (TakeReport(part, now)) report.push_back(part);
+  }
+  return report;
+}
+
+std::vector<Digest> PartSuspects::OnAsked(std::span<const Digest> parts, TimePoint now) {
+  std::erase_if(asked_, [&](const auto& entry) { return entry.second.until < now; });
+  std::vector<Digest> report;
+  for (const Digest part : parts) {
+    if (asked_.size() >= options_.max_parts && !asked_.contains(part)) break;
+    Asked& asked = asked_[part];
+    asked.until = now + options_.suspicion_time;
+    const SoundRecord own = OwnRecord(part);
+    if (own.responses > 0 && own.last >= asked.last_report && TakeReport(part, now)) {
+      report.push_back(part);
+    }
+  }
+  return report;
+}
+
+bool PartSuspects::TakeReport(Digest part, TimePoint now) {
+  const auto found = asked_.find(part);
+  if (found == asked_.end() || found->second.until < now) return false;
+  if (now - found->second.last_report < options_.report_interval) return false;
+  found->second.last_report = now;
+  return true;
+}
+
+void PartSuspects::OnSound(Digest part, const SoundRecord& record, Digest reporter) {
+  if (!sound_.contains(part) && sound_.size() >= options_.max_parts) {
+    sound_.erase(std::min_element(sound_.begin(), sound_.end(), [&](const auto& a, const auto& b) {
+      return LastSound(a.first) < LastSound(b.first);
+    }));
+  }
+  sound_[part].by_reporter[reporter] = record;
+  EndRefuted();
+}
+
+SoundRecord PartSuspects::OwnRecord(Digest part) const {
+  const auto found = sound_.find(part);
+  if (found == sound_.end()) return {};
+  const auto own = found->second.by_reporter.find(kThisHost);
+  return own == found->second.by_reporter.end() ? SoundRecord{} : own->second;
+}
+
+TimePoint PartSuspects::LastSound(Digest part) const {
+  TimePoint last{};
+  const auto found = sound_.find(part);
+  if (found == sound_.end()) return last;
+  for (const auto& [reporter, record] : found->second.by_reporter) {
+    last = std::max(last, record.last);
+  }
+  return last;
+}
+
+std::uint64_t PartSuspects::SoundResponses(Digest part) const {
+  std::uint64_t responses = 0;
+  const auto found = sound_.find(part);
+  if (found == sound_.end()) return responses;
+  for (const auto& [reporter, record] : found->second.by_reporter) responses += record.responses;
+  return responses;
+}
+
+std::map<Digest, PartSuspects::Evidence> PartSuspects::CollectEvidence() const {
+  std::map<Digest, Evidence> all;
+  for (const Crash& crash : crashes_) {
+    for (const PartCrash& request : crash.requests) {
+      if (crash.begun && !request.begun) continue;
+      for (const Digest part : request.parts) {
+        if (crash.time <= LastSound(part)) continue;
+        Evidence& evidence = all[part];
+        evidence.requests.insert(request.request);
+        if (!evidence.endpoints.insert(crash.endpoint).second) continue;
+        evidence.last_crash = crash.time;
+        const double before = evidence.weight;
+        if (crash.begun) {
+          evidence.weight += 1;
+        } else if (crash.time - evidence.last_unbegun >= options_.unbegun_interval) {
+          evidence.weight += options_.unbegun_weight;
+          evidence.last_unbegun = crash.time;
+        }
+        const auto needed = static_cast<double>(options_.crashes_to_refuse);
+        if (before < needed && evidence.weight >= needed) evidence.complete_since = crash.time;
+      }
+    }
+  }
+  return all;
+}
+
+bool PartSuspects::Explains(const PartEvidence& other, const PartEvidence& part) const {
+  const std::set<Digest>& others = other.second.endpoints;
+  const std::set<Digest>& own = part.second.endpoints;
+  if (!std::includes(others.begin(), others.end(), own.begin(), own.end())) return false;
+  const std::uint64_t other_sound = SoundResponses(other.first);
+  const std::uint64_t sound = SoundResponses(part.first);
+  return other_sound < sound || (other_sound == sound && others.size() > own.size());
+}
+
+std::vector<PartRefusal> PartSuspects::Judge(TimePoint now) {
+  RemoveOld(now);
+  if (crashes_.size() < options_.crashes_to_refuse) return {};
+  std::map<Digest, Evidence> all = CollectEvidence();
+  std::erase_if(all, [&](const auto& entry) {
+    const Evidence& evidence = entry.second;
+    return evidence.weight < static_cast<double>(options_.crashes_to_refuse) ||
+           evidence.requests.size() < options_.min_requests ||
+           now - evidence.complete_since < options_.settle_time;
+  });
+  // Parts of the same crashes that nothing tells apart.
+  std::map<std::set<Digest>, PartRefusal> found;
+  for (const auto& entry : all) {
+    const Evidence& evidence = entry.second;
+    const bool explained = std::any_of(all.begin(), all.end(), [&](const auto& other) {
+      return other.first != entry.first && Explains(other, entry);
+    });
+    if (explained) continue;
+    PartRefusal& refusal = found[evidence.endpoints];
+    refusal.parts.push_back(entry.first);
+    refusal.last_crash = std::max(refusal.last_crash, evidence.last_crash);
+  }
+  std::vector<PartRefusal> fresh;
+  for (auto& [endpoints, refusal] : found) {
+    if (Add(refusal)) fresh.push_back(std::move(refusal));
+  }
+  return fresh;
+}
+
+bool PartSuspects::Add(PartRefusal refusal) {
+  const auto known =
+      std::find_if(refusals_.begin(), refusals_.end(),
+                   [&](const PartRefusal& other) { return other.parts == refusal.parts; });
+  if (known != refusals_.end()) {
+    known->last_crash = std::max(known->last_crash, refusal.last_crash);
+    return false;
+  }
+  if (refusals_.size() >= options_.max_refusals) refusals_.erase(refusals_.begin());
+  refusals_.push_back(std::move(refusal));
+  return true;
+}
+
+bool PartSuspects::OnRefusal(const PartRefusal& refusal, TimePoint now) {
+  if (refusal.parts.empty() || now - refusal.last_crash > options_.retention) return false;
+  PartRefusal sorted = refusal;
+  std::sort(sorted.parts.begin(), sorted.parts.end());
+  if (IsRefuted(sorted)) return false;
+  return Add(std::move(sorted));
+}
+
+void PartSuspects::EndRefuted() {
+  std::erase_if(refusals_, [&](const PartRefusal& refusal) { return IsRefuted(refusal); });
+}
+
+bool PartSuspects::IsRefuted(const PartRefusal& refusal) const {
+  return std::any_of(refusal.parts.begin(), refusal.parts.end(),
+                     [&](Digest part) { return LastSound(part) > refusal.last_crash; });
+}
+
+void PartSuspects::RemoveOld(TimePoint now) {
+  while (!crashes_.empty() && now - crashes_.front().time > options_.retention) {
+    crashes_.pop_front();
+  }
+  std::erase_if(refusals_, [&](const PartRefusal& refusal) {
+    return now - refusal.last_crash > options_.retention;
+  });
+}
+
+bool PartSuspects::Refuses(std::span<const Digest> parts) const {
+  return std::any_of(refusals_.begin(), refusals_.end(), [&](const PartRefusal& refusal) {
+    return std::all_of(refusal.parts.begin(), refusal.parts.end(),
+                       [&](Digest part) { return Contains(parts, part); });
+  });
+}
+
+bool PartSuspects::IsSuspected(std::span<const Digest> parts, Digest endpoint,
+                               TimePoint now) const {
+  return std::any_of(crashes_.begin(), crashes_.end(), [&](const Crash& crash) {
+    if (crash.endpoint == endpoint || now - crash.time > options_.suspicion_time) return false;
+    return std::any_of(crash.requests.begin(), crash.requests.end(), [&](const PartCrash& request) {
+      return (request.begun || !crash.begun) &&
+             std::any_of(request.parts.begin(), request.parts.end(), [&](Digest part) {
+               return Contains(parts, part) && LastSound(part) < crash.time;
+             });
+    });
+  });
+}
+
+std::vector<Digest> PartSuspects::SuspectedParts(TimePoint now) const {
+  std::vector<Digest> parts;
+  const auto add = [&](Digest part) {
+    if (!Contains(parts, part)) parts.push_back(part);
+  };
+  for (const Crash& crash : crashes_) {
+    if (now - crash.time > options_.suspicion_time) continue;
+    for (const PartCrash& request : crash.requests) {
+      if (crash.begun && !request.begun) continue;
+      std::for_each(request.parts.begin(), request.parts.end(), add);
+    }
+  }
+  for (const PartRefusal& refusal : refusals_) {
+    std::for_each(refusal.parts.begin(), refusal.parts.end(), add);
+  }
+  return parts;
+}
+
+}  // namespace verbenaridge::dispatch
--- /dev/null
+++ b/verbenaridge/dispatch/part_suspects.h
@@ -0,0 +1,164 @@
+// Finds the parts of prompts that crash endpoints.
+//
+//   PartSuspects suspects;
+//   suspects.OnCrash({.endpoint = key, .request = digest, .begun = true, .parts = parts}, now);
+//   suspects.OnSound(part, {.responses = 41, .last = now}, reporter);
+//   suspects.Judge(now);
+//   if (suspects.Refuses(parts)) Refuse();
+//
+// An endpoint that begins to write a response on such a part crashes, whatever else the prompt has.
+// All requests that run there break with it, so one crash only yields suspects: the requests whose
+// response had begun without an event or, if no host reports one, all without an event. Parts are
+// shared with sound requests; the first one may be that of a whole route. A part is refused if
+// several crashes have it in common and no response on it was sound since. If they have several
+// such parts in common, those with the fewest sound responses before are refused, and only
+// together if these are equal. A sound response on a refused part ends the refusal.
+//
+// Each host records what it sees itself. Schedulers also get the reports of all hosts, ask them
+// for sound responses on suspected parts, and tell them what to refuse. Used by one thread.
+#ifndef VERBENARIDGE_DISPATCH_PART_SUSPECTS_H_
+#define VERBENARIDGE_DISPATCH_PART_SUSPECTS_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <set>
+#include <span>
+#include <string>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "verbenaridge/base/clock.h"
+#include "verbenaridge/base/ids.h"
+
+namespace verbenaridge::dispatch {
+
+// A request that broke when its endpoint crashed, before an event of its response.
+struct PartCrash {
+  Digest endpoint = 0;          // this incarnation
+  Digest request = 0;           // the same for each attempt of a request and for its repetitions
+  bool begun = false;           // the head of the response had arrived
+  std::vector<Digest> parts{};  // without the last one, which no other request shares
+};
+
+// Sound responses on a part that one host has seen.
+struct SoundRecord {
+  std::uint64_t responses = 0;
+  TimePoint last{};
+};
+
+// Requests with all of these parts are refused.
+struct PartRefusal {
+  std::vector<Digest> parts;  // sorted
+  TimePoint last_crash{};
+
+  bool operator==(const PartRefusal&) const = default;
+};
+
+// The parts as hexadecimal numbers.
+std::string ToText(const PartRefusal& refusal);
+
+struct PartSuspectsOptions {
+  std::size_t crashes_to_refuse = 3;
+  // Of different requests: the crashes of a single one are counted by CrashHistory.
+  std::size_t min_requests = 2;
+  // A part that was only in requests whose response had not begun counts this much for a crash.
+  double unbegun_weight = 0.5;
+  // Unbegun requests break together for other reasons too, such as a reset of all connections of a
+  // host. Such crashes within this time count as one.
+  Duration unbegun_interval = std::chrono::milliseconds(200);
+  // After the last crash that is needed. The other hosts report sound responses meanwhile.
+  Duration settle_time = std::chrono::milliseconds(200);
+  // Between two reports of sound responses on one part.
+  Duration report_interval = std::chrono::milliseconds(200);
+  // How long a crash makes a part suspected.
+  Duration suspicion_time = std::chrono::seconds(30);
+  Duration retention = std::chrono::minutes(10);
+  std::size_t max_crashes = 256;
+  std::size_t max_parts = 4'096;  // with a record of sound responses
+  std::size_t max_refusals = 64;
+};
+
+class PartSuspects {
+ public:
+  explicit PartSuspects(const PartSuspectsOptions& options = {}) : options_(options) {}
+
+  void OnCrash(const PartCrash& crash, TimePoint now);
+
+  // A response on these parts is sound: this host received several of its events, or all of it.
+  // Returns the parts whose record other hosts must be told now.
+  std::vector<Digest> OnSoundResponse(std::span<const Digest> parts, TimePoint now);
+  // Another host suspects these parts. Returns those whose record it must be told now.
+  std::vector<Digest> OnAsked(std::span<const Digest> parts, TimePoint now);
+  // Another host reports sound responses on a part. Replaces what it reported before.
+  void OnSound(Digest part, const SoundRecord& record, Digest reporter);
+  // What this host itself has seen; no responses if nothing.
+  SoundRecord OwnRecord(Digest part) const;
+
+  // Another host refuses these parts. Returns true if this host did not.
+  bool OnRefusal(const PartRefusal& refusal, TimePoint now);
+
+  // Decides which parts are refused. Returns the refusals that are new.
+  std::vector<PartRefusal> Judge(TimePoint now);
+
+  bool Refuses(std::span<const Digest> parts) const;
+  std::span<const PartRefusal> refusals() const { return refusals_; }
+
+  // Whether a crash other than that of `endpoint` makes one of the parts suspected. Such a request
+  // is not sent to a second endpoint.
+  bool IsSuspected(std::span<const Digest> parts, Digest endpoint, TimePoint now) const;
+  // The parts that crashes which this host knows of make suspected, and the refused ones.
+  std::vector<Digest> SuspectedParts(TimePoint now) const;
+
+ private:
+  struct Crash {
+    Digest endpoint = 0;
+    TimePoint time{};
+    bool begun = false;  // a request whose response had begun was reported
+    std::vector<PartCrash> requests;
+  };
+  struct Sound {
+    std::map<Digest, SoundRecord> by_reporter;  // 0: this host
+  };
+  // The crashes that count against one part.
+  struct Evidence {
+    std::set<Digest> endpoints;
+    std::set<Digest> requests;
+    double weight = 0;
+    TimePoint last_crash{};
+    TimePoint complete_since{};  // when the weight sufficed
+    TimePoint last_unbegun{};
+  };
+
+  using PartEvidence = std::pair<const Digest, Evidence>;
+
+  // Whether the other part is in all crashes of the part and more likely to be their cause.
+  bool Explains(const PartEvidence& other, const PartEvidence& part) const;
+  // Whether the record of the part is to be reported again.
+  bool TakeReport(Digest part, TimePoint now);
+  TimePoint LastSound(Digest part) const;
+  std::uint64_t SoundResponses(Digest part) const;
+  std::map<Digest, Evidence> CollectEvidence() const;
+  void RemoveOld(TimePoint now);
+  void EndRefuted();
+  // A response on one of its parts was sound after the last crash.
+  bool IsRefuted(const PartRefusal& refusal) const;
+  bool Add(PartRefusal refusal);
+
+  const PartSuspectsOptions options_;
+  std::deque<Crash> crashes_;  // by time
+  std::unordered_map<Digest, Sound> sound_;
+  std::vector<PartRefusal> refusals_;
+  // Parts on which sound responses matter.
+  struct Asked {
+    TimePoint until{};
+    TimePoint last_report{};
+  };
+  std::unordered_map<Digest, Asked> asked_;
+};
+
+}  // namespace verbenaridge::dispatch
+
+#endif  // VERBENARIDGE_DISPATCH_PART_SUSPECTS_H_
--- /dev/null
+++ b/verbenaridge/dispatch/part_suspects_test.cc
@@ -0,0 +1,214 @@
+#include "verbenaridge/dispatch/part_suspects.h"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <string>
+#include <vector>
+
+namespace verbenaridge::dispatch {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// Parts of prompts. Those of a route, of a tenant, and one that crashes endpoints.
+constexpr Digest kRoute = 11;
+constexpr Digest kOtherRoute = 12;
+constexpr Digest kTenant = 21;
+constexpr Digest kDeadly = 31;
+constexpr Digest kOtherHost = 7;
+
+struct Event {
+  enum class Kind { kCrash, kUnbegun, kSound, kSoundElsewhere };
+  milliseconds at{};
+  Kind kind = Kind::kCrash;
+  std::vector<Digest> parts{};
+  Digest endpoint = 0;
+  Digest request = 0;
+};
+
+void Play(PartSuspects& suspects, const Event& event, TimePoint now) {
+  switch (event.kind) {
+    case Event::Kind::kCrash:
+    case Event::Kind::kUnbegun:
+      suspects.OnCrash({.endpoint = event.endpoint,
+                        .request = event.request,
+                        .begun = event.kind == Event::Kind::kCrash,
+                        .parts = event.parts},
+                       now);
+      return;
+    case Event::Kind::kSound:
+      suspects.OnSoundResponse(event.parts, now);
+      return;
+    case Event::Kind::kSoundElsewhere:
+      for (const Digest part : event.parts) {
+        suspects.OnSound(part, {.responses = 1, .last = now}, kOtherHost);
+      }
+      return;
+  }
+}
+
+std::vector<Event> Crashes(int count, const std::vector<Digest>& parts,
+                           Event::Kind kind = Event::Kind::kCrash,
+                           milliseconds gap = milliseconds(10)) {
+  std::vector<Event> events;
+  for (int i = 0; i < count; ++i) {
+    events.push_back({milliseconds(1'000) + i * gap, kind, parts, static_cast<Digest>(100 + i),
+                      static_cast<Digest>(200 + i)});
+  }
+  return events;
+}
+
+std::vector<Event> Join(std::vector<Event> events, const std::vector<Event>& more) {
+  events.insert(events.end(), more.begin(), more.end());
+  std::stable_sort(events.begin(), events.end(),
+                   [](const Event& a, const Event& b) { return a.at < b.at; });
+  return events;
+}
+
+// Guards against requests with a deadly part that crash one endpoint after another, and against
+// the refusal of sound requests that share other parts with them or broke at the same crashes.
+TEST_CASE("requests with the part that crashes have in common are refused") {
+  using Kind = Event::Kind;
+  struct Row {
+    std::string name;
+    std::vector<Event> events;
+    bool deadly_refused;
+    bool route_refused = false;   // sound requests of the same route
+    bool tenant_refused = false;  // of the same tenant
+  };
+  const std::vector<Digest> deadly = {kRoute, kDeadly};
+  const Event route_sound_before{milliseconds(100), Kind::kSound, {kRoute}};
+  const Row rows[] = {
+      {"nothing", {}, false},
+      {"two crashes", Join({route_sound_before}, Crashes(2, deadly)), false},
+      {"three crashes", Join({route_sound_before}, Crashes(3, deadly)), true},
+      {"three reports of one crash",
+       {{milliseconds(1'000), Kind::kCrash, deadly, 100, 200},
+        {milliseconds(1'001), Kind::kCrash, deadly, 100, 201},
+        {milliseconds(1'002), Kind::kCrash, deadly, 100, 202}},
+       false},
+      {"three crashes of one request",
+       {{milliseconds(1'000), Kind::kCrash, deadly, 100, 200},
+        {milliseconds(1'200), Kind::kCrash, deadly, 101, 200},
+        {milliseconds(1'400), Kind::kCrash, deadly, 102, 200}},
+       false},
+      {"another host knows sound responses on the first part",
+       Join({{milliseconds(100), Kind::kSoundElsewhere, {kRoute}}}, Crashes(3, deadly)), true},
+      {"the first part was never seen sound: refused together only", Crashes(3, deadly), true},
+      {"the first part differs",
+       Join(Crashes(2, deadly),
+            {{milliseconds(1'500), Kind::kCrash, {kOtherRoute, kDeadly}, 150, 250},
+             {milliseconds(1'600), Kind::kCrash, {kOtherRoute, kDeadly}, 151, 251}}),
+       true},
+      {"deadly as the first part",
+       Join({{milliseconds(100), Kind::kSound, {kTenant}}}, Crashes(3, {kDeadly, kTenant})), true},
+      {"the part is sound after the crashes",
+       Join(Crashes(3, deadly), {{milliseconds(1'100), Kind::kSound, deadly}}), false},
+      {"sound between the crashes",
+       Join(Crashes(3, deadly), {{milliseconds(1'015), Kind::kSound, deadly}}), false},
+      {"bystanders whose response had not begun",
+       Join(Join({route_sound_before}, Crashes(3, deadly)),
+            {{milliseconds(1'000), Kind::kUnbegun, {kTenant}, 100, 300},
+             {milliseconds(1'010), Kind::kUnbegun, {kTenant}, 101, 301},
+             {milliseconds(1'020), Kind::kUnbegun, {kTenant}, 102, 302}}),
+       true},
+      {"many endpoints lost at once", Crashes(12, {kTenant}, Kind::kUnbegun), false},
+      {"crashes before each response began",
+       Join({route_sound_before}, Crashes(6, deadly, Kind::kUnbegun, milliseconds(250))), true},
+  };
+  for (const Row& row : rows) {
+    CAPTURE(row.name);
+    PartSuspects suspects;
+    const TimePoint start{seconds(100)};
+    std::size_t refusals = 0;
+    for (const Event& event : row.events) {
+      Play(suspects, event, start + event.at);
+      refusals += suspects.Judge(start + event.at).size();
+    }
+    CHECK(refusals == 0);  // none before the other hosts could object
+    suspects.Judge(start + seconds(3));
+    CHECK(suspects.Refuses(std::vector<Digest>{kRoute, kDeadly}) == row.deadly_refused);
+    CHECK(suspects.Refuses(std::vector<Digest>{kRoute}) == row.route_refused);
+    CHECK(suspects.Refuses(std::vector<Digest>{kRoute, kTenant}) == row.tenant_refused);
+    CHECK(suspects.Judge(start + seconds(4)).empty());
+  }
+}
+
+// Guards against a refusal that outlives the proof that its part is sound, on a host that only
+// heard of it, and against one that is forgotten too early.
+TEST_CASE("a refusal ends with a sound response or its retention") {
+  struct Row {
+    std::string name;
+    milliseconds sound;  // after the last crash; zero: never
+    seconds later;
+    bool refused;
+  };
+  const Row rows[] = {
+      {"still", {}, seconds(60), true},
+      {"sound later", milliseconds(500), seconds(1), false},
+      {"sound before", milliseconds(-500), seconds(1), true},
+      {"long ago", {}, seconds(601), false},
+  };
+  for (const Row& row : rows) {
+    CAPTURE(row.name);
+    PartSuspects suspects;
+    const TimePoint crash{seconds(100)};
+    suspects.OnRefusal({.parts = {kDeadly}, .last_crash = crash}, crash);
+    if (row.sound != milliseconds{}) {
+      suspects.OnSound(kDeadly, {.responses = 1, .last = crash + row.sound}, kOtherHost);
+    }
+    suspects.Judge(crash + row.later);
+    CHECK(suspects.Refuses(std::vector<Digest>{kRoute, kDeadly}) == row.refused);
+  }
+}
+
+// Guards against a second endpoint that crashes on a request while the part is not refused yet,
+// and against sound requests that lose their retry with it.
+TEST_CASE("suspected requests are known before the refusal") {
+  struct Row {
+    std::string name;
+    std::vector<Event> events;
+    std::vector<Digest> parts;  // of a request that broke at endpoint 102
+    bool suspected;
+  };
+  const std::vector<Digest> deadly = {kRoute, kDeadly};
+  const Event own{milliseconds(1'500), Event::Kind::kCrash, deadly, 102, 300};
+  const Row rows[] = {
+      {"only its own crash", {own}, deadly, false},
+      {"another crash", {Crashes(1, deadly)[0], own}, deadly, true},
+      {"another crash, other parts", {Crashes(1, {kTenant})[0], own}, deadly, false},
+      {"sound since",
+       {Crashes(1, {kRoute})[0], {milliseconds(1'200), Event::Kind::kSound, {kRoute}}, own},
+       deadly,
+       false},
+      {"long ago",
+       {{milliseconds(-40'000), Event::Kind::kCrash, deadly, 100, 200}, own},
+       deadly,
+       false},
+  };
+  for (const Row& row : rows) {
+    CAPTURE(row.name);
+    PartSuspects suspects;
+    const TimePoint start{seconds(100)};
+    for (const Event& event : row.events) Play(suspects, event, start + event.at);
+    CHECK(suspects.IsSuspected(row.parts, 102, start + milliseconds(1'500)) == row.suspected);
+  }
+}
+
+// Guards against memory that grows with the number of crashes or parts.
+TEST_CASE("what is kept is bounded") {
+  PartSuspects suspects({.max_crashes = 4, .max_parts = 8, .max_refusals = 2});
+  const TimePoint start{seconds(100)};
+  for (Digest i = 1; i <= 100; ++i) {
+    suspects.OnCrash({.endpoint = i, .request = i, .begun = true, .parts = {i}}, start);
+    suspects.OnSound(i, {.responses = 1, .last = start}, kOtherHost);
+    suspects.OnRefusal({.parts = {1'000 + i}, .last_crash = start}, start);
+  }
+  CHECK(suspects.SuspectedParts(start).size() == 6);
+  CHECK(suspects.refusals().size() == 2);
+}
+
+}  // namespace
+}  // namespace verbenaridge::dispatch
--- a/verbenaridge/forwarding/dispatcher.cc
+++ b/verbenaridge/forwarding/dispatcher.cc
@@ -345,10 +345,6 @@
   }
 }
 
-void Dispatcher::OnCrash(Digest request, const directory::Endpoint& endpoint) {
-  announcements_.OnCrash(request, EndpointKey(endpoint));
-}
-
 void Dispatcher::OnPeerBegin(const dispatch::EndpointTask& task) {
   load_table_.Begin(task, clock_.Now());
 }
--- a/verbenaridge/forwarding/dispatcher.h
+++ b/verbenaridge/forwarding/dispatcher.h
@@ -33,6 +33,7 @@
 #include "verbenaridge/dispatch/endpoint_chooser.h"
 #include "verbenaridge/dispatch/endpoint_health.h"
 #include "verbenaridge/dispatch/load_table.h"
+#include "verbenaridge/dispatch/part_suspects.h"
 
 namespace verbenaridge::forwarding {
 
@@ -54,7 +55,9 @@
   virtual void OnFirstEvent(dispatch::TaskId task) = 0;
   virtual void OnEnd(dispatch::TaskId task) = 0;
   virtual void OnUnreachable(Digest endpoint) = 0;
-  virtual void OnCrash(Digest request, Digest endpoint) = 0;
+  virtual void OnCrash(const dispatch::PartCrash& crash) = 0;
+  // This host has seen sound responses on a part that is suspected to crash endpoints.
+  virtual void OnSoundPart(Digest part, const dispatch::SoundRecord& record) = 0;
 };
 
 Digest EndpointKey(const directory::Endpoint& endpoint);
@@ -156,7 +159,10 @@
   void OnSuccess(const directory::Endpoint& endpoint);
   void OnFailure(const directory::Endpoint& endpoint, dispatch::FailureKind kind);
   // The endpoint's connection failed while it ran the request.
-  void OnCrash(Digest request, const directory::Endpoint& endpoint);
+  void OnCrash(const dispatch::PartCrash& crash) { announcements_.OnCrash(crash); }
+  void OnSoundPart(Digest part, const dispatch::SoundRecord& record) {
+    announcements_.OnSoundPart(part, record);
+  }
 
   // Removes tasks whose end was never announced.
   void RemoveExpired() { load_table_.RemoveExpired(clock_.Now()); }
--- a/verbenaridge/forwarding/message_adapter.h
+++ b/verbenaridge/forwarding/message_adapter.h
@@ -26,6 +26,7 @@
 // A part of a prompt that other prompts may share.
 struct PromptPart {
   std::string id;
+  Digest key = 0;  // the same for the same id
   TokenCount tokens = 0;
 };
 
--- a/verbenaridge/forwarding/request_run.cc
+++ b/verbenaridge/forwarding/request_run.cc
@@ -14,6 +14,8 @@
 
 constexpr int kLowestUrgency = 9;
 constexpr int kMaxReservationDoublings = 2;
+// Parts of a prompt that are compared with those of other prompts.
+constexpr std::size_t kMaxSharedParts = 16;
 constexpr std::string_view kStopping = "stopping";
 constexpr std::string_view kCutByStop = "cut_by_stop";
 
@@ -27,6 +29,29 @@
   return budgets.try_emplace(service, options.budget).first->second;
 }
 
+namespace {
+
+void ReportBlockedPart(const dispatch::PartRefusal& refusal, std::string_view source,
+                       RunContext& context) {
+  context.metrics.blocked_parts.With({source}).Add();
+  telemetry::Log(Level::kWarning, "prompt_part_blocked",
+                 {{"prompt_parts", dispatch::ToText(refusal)},
+                  {"source", source},
+                  {"since_crash_ms", Milliseconds(context.clock.Now() - refusal.last_crash)}});
+}
+
+}  // namespace
+
+void RunContext::JudgeParts() {
+  for (const dispatch::PartRefusal& refusal : suspects.Judge(clock.Now())) {
+    ReportBlockedPart(refusal, "self", *this);
+  }
+}
+
+void RunContext::OnRefusalOfPeer(const dispatch::PartRefusal& refusal) {
+  if (suspects.OnRefusal(refusal, clock.Now())) ReportBlockedPart(refusal, "peer", *this);
+}
+
 RequestRun::RequestRun(RunContext& context, IncomingRequest request,
                        std::shared_ptr<ResponseSink> sink)
     : context_(context),
@@ -98,6 +123,17 @@
     Refuse(502, "kills_endpoints");
     return false;
   }
+  const std::vector<PromptPart>& parts = request_metadata_.prompt_parts;
+  for (std::size_t i = 0; i + 1 < parts.size() && i < kMaxSharedParts; ++i) {
+    shared_parts_.push_back(parts[i].key);
+  }
+  context_.JudgeParts();
+  if (context_.suspects.Refuses(shared_parts_)) {
+    telemetry::Log(Level::kInfo, "prompt_part_refused",
+                   {{"id", request_metadata_.attempt_id}, {"prompt_parts", PromptParts()}});
+    Refuse(502, "part_crashes_endpoints");
+    return false;
+  }
   return true;
 }
 
@@ -282,7 +318,8 @@
   attempt_started_ = now;
   response_.reset();
   response_metadata_ = {};
-  streaming_ = first_event_seen_ = false;
+  streaming_ = connection_lost_ = false;
+  attempt_events_ = 0;
   body_.clear();
   splitter_.Reset();
   pace_.Reset();
@@ -388,7 +425,16 @@
   AttemptFailure attempt_failure = AttemptFailure::kBroken;
   if (failure == ExchangeFailure::kNotConnected) attempt_failure = AttemptFailure::kNotConnected;
   if (failure == ExchangeFailure::kNotSent) attempt_failure = AttemptFailure::kNotSent;
-  AttemptFailed(attempt_failure, ToText(failure));
+  if (failure == ExchangeFailure::kBroken) {
+    OnConnectionLost(ToText(failure));
+  } else {
+    AttemptFailed(attempt_failure, ToText(failure));
+  }
+}
+
+void RequestRun::OnConnectionLost(std::string_view detail) {
+  connection_lost_ = true;
+  AttemptFailed(AttemptFailure::kBroken, detail);
 }
 
 // Returns the member that the response names as the cause, or else the one that received the
@@ -435,6 +481,11 @@
   if (may_have_run) {
     if (!route_->idempotent() || runs_ + 1 >= route_->max_attempts) return false;
     if (context_.crashes.ShouldRefuse(digest_, now)) return false;
+    // A second endpoint is not risked for a request that may be the cause of crashes.
+    if (connection_lost_ && attempt_events_ == 0 &&
+        context_.suspects.IsSuspected(shared_parts_, EndpointKey(EndpointAtFault()), now)) {
+      return false;
+    }
   }
   return context_.BudgetOf(service_).Take(snapshot_->hosts, now);
 }
@@ -451,11 +502,7 @@
   LogFailedAttempt(failure, detail);
   RecordHealth(failure);
   const Digest endpoint = EndpointKey(EndpointAtFault());
-  if (failure == AttemptFailure::kBroken) {
-    if (context_.crashes.OnCrash(digest_, endpoint, context_.clock.Now())) {
-      context_.dispatcher.OnCrash(digest_, assignment_.members.front());
-    }
-  }
+  if (failure == AttemptFailure::kBroken) RecordCrash(endpoint);
   if (failure != AttemptFailure::kNotSent) excluded_.push_back(endpoint);
   StopAttempt();
   if (retry) {
@@ -465,6 +512,18 @@
   }
 }
 
+void RequestRun::RecordCrash(Digest endpoint) {
+  const TimePoint now = context_.clock.Now();
+  dispatch::PartCrash crash{.endpoint = endpoint, .request = digest_};
+  if (connection_lost_ && attempt_events_ == 0) {
+    crash.begun = response_.has_value();
+    crash.parts = shared_parts_;
+  }
+  const bool is_new = context_.crashes.OnCrash(digest_, endpoint, now);
+  context_.suspects.OnCrash(crash, now);
+  if (is_new) context_.dispatcher.OnCrash(crash);
+}
+
 void RequestRun::FailRequest(AttemptFailure failure) {
   if (response_started_) {
     Finish("stream_broken", 0);
@@ -565,7 +624,7 @@
                   {"predicted_ms", Milliseconds(assignment_.predicted)},
                   {"events", events_sent_},
                   {"status", response_ ? response_->status : 0},
-                  {"event_received", first_event_seen_},
+                  {"event_received", attempt_events_ > 0},
                   {"prompt_parts", PromptParts()},
                   {"candidates", assignment_.candidates}});
 }
--- a/verbenaridge/forwarding/request_run.h
+++ b/verbenaridge/forwarding/request_run.h
@@ -22,6 +22,7 @@
 #include "verbenaridge/base/clock.h"
 #include "verbenaridge/base/random.h"
 #include "verbenaridge/dispatch/crash_history.h"
+#include "verbenaridge/dispatch/part_suspects.h"
 #include "verbenaridge/dispatch/retry_budget.h"
 #include "verbenaridge/dispatch/stop_window.h"
 #include "verbenaridge/dispatch/stream_pace.h"
@@ -82,11 +83,15 @@
   const RunOptions& options;
   std::unordered_map<ServiceId, dispatch::RetryBudget> budgets{};
   dispatch::CrashHistory crashes{};
+  dispatch::PartSuspects suspects{};
   dispatch::StopWindow stop{};
   std::uint64_t reservations_made = 0;
   std::string ticket_prefix{};
 
   dispatch::RetryBudget& BudgetOf(const ServiceId& service);
+  // Decide and report which parts of prompts are refused.
+  void JudgeParts();
+  void OnRefusalOfPeer(const dispatch::PartRefusal& refusal);
 };
 
 class RequestRun final : public ActiveRequest,
@@ -151,6 +156,10 @@
   void OnEvents(std::string_view data);
   bool AcceptEvent(const Event& event);
   void OnFirstEvent();
+  // The endpoint began to write the response and did not crash.
+  void OnSoundResponse();
+  // The endpoint's connection ended during the attempt.
+  void OnConnectionLost(std::string_view detail);
   // Whether the stream can end before its deadline only at another endpoint.
   bool IsTooSlow(TimePoint now) const;
   void OnCompleteResponse();
@@ -160,6 +169,7 @@
   void FailRequest(AttemptFailure failure);
   const directory::Endpoint& EndpointAtFault() const;
   void RecordHealth(AttemptFailure failure);
+  void RecordCrash(Digest endpoint);
 
   void Refuse(int status, std::string_view reason);
   void Finish(std::string_view outcome, int status);
@@ -178,6 +188,7 @@
   int priority_ = 0;
   ServiceId service_;
   Digest digest_ = 0;
+  std::vector<Digest> shared_parts_;  // of the prompt, that other requests may have too
   TimePoint deadline_{};
   std::string_view deadline_reason_;
   asio::steady_timer deadline_timer_;
@@ -195,10 +206,11 @@
 
   std::optional<http1::ResponseHead> response_;
   ResponseMetadata response_metadata_;
-  bool streaming_ = false;         // the response of this attempt is a stream of events
-  bool passing_through_ = false;   // the response is forwarded while it arrives
-  bool response_started_ = false;  // a part of the response was sent to the client
-  bool first_event_seen_ = false;  // of this attempt
+  bool streaming_ = false;          // the response of this attempt is a stream of events
+  bool passing_through_ = false;    // the response is forwarded while it arrives
+  bool response_started_ = false;   // a part of the response was sent to the client
+  std::size_t attempt_events_ = 0;  // received in this attempt
+  bool connection_lost_ = false;    // in this attempt
   bool finished_ = false;
   std::string body_;
   EventSplitter splitter_;
--- a/verbenaridge/forwarding/request_run_answer.cc
+++ b/verbenaridge/forwarding/request_run_answer.cc
@@ -16,6 +16,9 @@
 
 bool IsSuccess(const http1::ResponseHead& head) { return head.status >= 200 && head.status < 300; }
 
+// An endpoint that crashes on a part does so when it begins to write. One event may still arrive.
+constexpr std::size_t kSoundEvents = 2;
+
 // Length of the body as the head states it; empty if the body is sent in chunks or until the close.
 std::optional<std::uint64_t> BodyLength(const http1::ResponseHead& head) {
   if (!head.header("Transfer-Encoding").empty()) return std::nullopt;
@@ -98,7 +101,8 @@
     return false;
   }
   const TimePoint now = context_.clock.Now();
-  if (!first_event_seen_) OnFirstEvent();
+  if (++attempt_events_ == 1) OnFirstEvent();
+  if (attempt_events_ == kSoundEvents) OnSoundResponse();
   if (events_sent_ > 0) max_gap_ = std::max(max_gap_, now - last_event_at_);
   last_event_at_ = now;
   if (reservations_ != nullptr) reservations_->OnProgress();
@@ -134,7 +138,6 @@
 }
 
 void RequestRun::OnFirstEvent() {
-  first_event_seen_ = true;
   for (const dispatch::TaskId task : assignment_.tasks) context_.dispatcher.OnFirstEvent(task);
   context_.dispatcher.OnSuccess(assignment_.members.front());
   if (response_started_) return;
@@ -143,6 +146,12 @@
   sink_->Begin(ClientHead(), std::nullopt);
 }
 
+void RequestRun::OnSoundResponse() {
+  for (const Digest part : context_.suspects.OnSoundResponse(shared_parts_, context_.clock.Now())) {
+    context_.dispatcher.OnSoundPart(part, context_.suspects.OwnRecord(part));
+  }
+}
+
 // Returns the endpoint's response head without the headers of its connection.
 http1::ResponseHead RequestRun::ClientHead() const {
   http1::ResponseHead head{.status = response_->status};
@@ -164,11 +173,12 @@
     OnCompleteResponse();
     return;
   }
-  if (splitter_.partial() || !first_event_seen_) {
-    AttemptFailed(AttemptFailure::kBroken, "stream_cut_off");
+  if (splitter_.partial() || attempt_events_ == 0) {
+    OnConnectionLost("stream_cut_off");
     return;
   }
   context_.crashes.OnCompleted(digest_);
+  if (attempt_events_ < kSoundEvents) OnSoundResponse();
   Finish("served", response_->status);
   sink_->End();
 }
@@ -193,6 +203,7 @@
   const int status = response_->status;
   if (status < 500) context_.dispatcher.OnSuccess(assignment_.members.front());
   context_.crashes.OnCompleted(digest_);
+  if (IsSuccess(*response_)) OnSoundResponse();
   if (!passing_through_) ObserveLatency();
   Finish(IsSuccess(*response_) ? "served" : "endpoint_failure", status);
   if (passing_through_) {
--- a/verbenaridge/ingress/directory_service.cc
+++ b/verbenaridge/ingress/directory_service.cc
@@ -322,6 +322,9 @@
     outputs_.peer_started();
   }
   if (result.reply) SendGossip({.addresses = {ip}, .with_sample = true, .is_reply = true});
+  if (!gossip.suspected_parts.empty() || !gossip.part_refusals.empty()) {
+    outputs_.part_notice(PartNoticeOf(gossip, now));
+  }
   OnConfigurationGossip(gossip, ip);
   OnEndpointsGossip(gossip, ip);
 }
@@ -389,6 +392,11 @@
          value.endpoints_read > endpoints_schedule_.last_current();
 }
 
+void DirectoryService::SetPartNotice(PartNotice notice) {
+  part_notice_ = std::move(notice);
+  if (peers_.IsScheduler()) SendGossip({.addresses = peers_.GossipTargets()});
+}
+
 void DirectoryService::SendGossip(bool news) {
   last_gossip_ = clock_.Now();
   SendGossip(peers_.StartRound(last_gossip_, news));
@@ -407,6 +415,7 @@
                                .is_scheduler = peers_.IsScheduler(),
                                .live_hosts = peers_.live_hosts(),
                                .is_reply = round.is_reply};
+  AddPartNotice(part_notice_, clock_.Now(), gossip);
   if (round.with_sample) {
     for (const KnownHost& peer : peers_.Sample(random_)) {
       gossip.peers.push_back(
--- a/verbenaridge/ingress/directory_service.h
+++ b/verbenaridge/ingress/directory_service.h
@@ -26,6 +26,7 @@
 #include "verbenaridge/directory/endpoint_table.h"
 #include "verbenaridge/directory/refresh_schedule.h"
 #include "verbenaridge/forwarding/dispatcher.h"
+#include "verbenaridge/ingress/part_notice.h"
 #include "verbenaridge/ingress/peer_directory.h"
 #include "verbenaridge/ingress/peer_list.h"
 #include "verbenaridge/loop/periodic.h"
@@ -66,8 +67,9 @@
   std::function<void(forwarding::SnapshotPtr)> snapshot;
   // Whether this host is a scheduler, and the addresses of the other schedulers, nearest first.
   std::function<void(bool, std::vector<std::string>)> schedulers;
-  std::function<void(Incarnation)> peer_gone;  // left, timed out or restarted
-  std::function<void()> peer_started;          // does not know the tasks of the others
+  std::function<void(Incarnation)> peer_gone;   // left, timed out or restarted
+  std::function<void()> peer_started;           // does not know the tasks of the others
+  std::function<void(PartNotice)> part_notice;  // of a peer
 };
 
 // Used by the control thread.
@@ -83,6 +85,9 @@
   // Tells all peers that this host is leaving.
   void AnnounceLeaving();
 
+  // Gossip carries the notice from now on. A scheduler sends it to all hosts at once.
+  void SetPartNotice(PartNotice notice);
+
   // Apply changed settings.
   void AddSeeds(std::span<const std::string> seeds);
   void SetEndpointHeartbeat(Duration heartbeat);
@@ -190,6 +195,7 @@
   std::optional<NewerValue> newer_;   // last report of a value to fetch
   bool fetching_ = false;
   bool store_works_ = true;
+  PartNotice part_notice_;
   TimePoint last_gossip_{};
   TimePoint last_published_{};
   TimePoint last_tick_{};
--- a/verbenaridge/ingress/host_status.h
+++ b/verbenaridge/ingress/host_status.h
@@ -30,6 +30,7 @@
   std::size_t client_connections = 0;
   std::vector<EndpointId> ejected_endpoints;
   std::vector<BudgetStatus> budgets;
+  std::vector<std::string> blocked_parts;  // of prompts; entries with several parts: together only
 };
 
 struct HostStatus {
--- a/verbenaridge/ingress/hosts_test.cc
+++ b/verbenaridge/ingress/hosts_test.cc
@@ -1,6 +1,7 @@
 // Tests the directory with several hosts in one process, each on its own loopback address.
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <asio/io_context.hpp>
 #include <asio/post.hpp>
 #include <asio/steady_timer.hpp>
@@ -143,6 +144,7 @@
     std::unique_ptr<DirectoryService> service;
     forwarding::SnapshotPtr snapshot;
     std::size_t snapshots = 0;
+    PartNotice part_notice;  // the last one of a peer
   };
 
  private:
@@ -163,14 +165,16 @@
             .endpoint_heartbeat = milliseconds(1'200),
             .peers = peers_},
         *host->store, clock_, random_,
-        DirectoryOutputs{.snapshot =
-                             [host](forwarding::SnapshotPtr s) {
-                               host->snapshot = s;
-                               ++host->snapshots;
-                             },
-                         .schedulers = [](bool, const std::vector<std::string>&) {},
-                         .peer_gone = [](Incarnation) {},
-                         .peer_started = [] {}});
+        DirectoryOutputs{
+            .snapshot =
+                [host](forwarding::SnapshotPtr s) {
+                  host->snapshot = s;
+                  ++host->snapshots;
+                },
+            .schedulers = [](bool, const std::vector<std::string>&) {},
+            .peer_gone = [](Incarnation) {},
+            .peer_started = [] {},
+            .part_notice = [host](PartNotice notice) { host->part_notice = std::move(notice); }});
     REQUIRE(host->service->Open().has_value());
   }
 
@@ -481,5 +485,32 @@
   for (const auto& host : fleet.hosts) CHECK(host->service->version() == 5);
 }
 
+// Guards against hosts that send requests with a refused part to endpoints, because they never hear
+// of the refusal or forget it when they restart.
+TEST_CASE("all hosts hear which parts of prompts are refused") {
+  Hosts fleet(6);
+  fleet.Run(milliseconds(1'500));
+  const auto scheduler = std::find_if(fleet.hosts.begin(), fleet.hosts.end(), [](const auto& host) {
+    return host->service->is_scheduler();
+  });
+  REQUIRE(scheduler != fleet.hosts.end());
+  (*scheduler)
+      ->service->SetPartNotice(
+          {.suspected = {7}, .refusals = {{.parts = {7, 9}, .last_crash = {}}}});
+  const auto all_know = [&] {
+    return std::all_of(fleet.hosts.begin(), fleet.hosts.end(), [&](const auto& host) {
+      return host == *scheduler || (host->part_notice.refusals.size() == 1 &&
+                                    host->part_notice.suspected == std::vector<Digest>{7});
+    });
+  };
+  fleet.Run(milliseconds(200));
+  CHECK(all_know());
+  const std::size_t other = *scheduler == fleet.hosts.back() ? 0 : fleet.hosts.size() - 1;
+  fleet.Restart(other);
+  fleet.hosts[other]->part_notice = {};
+  fleet.Run(milliseconds(1'500));
+  CHECK(all_know());
+}
+
 }  // namespace
 }  // namespace verbenaridge::ingress
--- a/verbenaridge/ingress/ingress.cc
+++ b/verbenaridge/ingress/ingress.cc
@@ -145,16 +145,21 @@
                        .incarnation = incarnation_,
                        .endpoint_heartbeat = settings_.reloadable.endpoint_heartbeat},
       *store_, clock_, random_,
-      DirectoryOutputs{.snapshot =
-                           [this](forwarding::SnapshotPtr snapshot) {
-                             traffic_->PublishSnapshot(std::move(snapshot));
-                           },
-                       .schedulers =
-                           [this](bool self, std::vector<std::string> others) {
-                             traffic_->PublishSchedulers(self, std::move(others));
-                           },
-                       .peer_gone = [this](Incarnation peer) { traffic_->ForgetPeer(peer); },
-                       .peer_started = [this] { traffic_->AnnounceAll(); }});
+      DirectoryOutputs{
+          .snapshot =
+              [this](forwarding::SnapshotPtr snapshot) {
+                traffic_->PublishSnapshot(std::move(snapshot));
+              },
+          .schedulers =
+              [this](bool self, std::vector<std::string> others) {
+                traffic_->PublishSchedulers(self, std::move(others));
+              },
+          .peer_gone = [this](Incarnation peer) { traffic_->ForgetPeer(peer); },
+          .peer_started = [this] { traffic_->AnnounceAll(); },
+          .part_notice = [this](PartNotice notice) { traffic_->OnPartNotice(std::move(notice)); }});
+  traffic_->SetPartNoticeOutput([this](PartNotice notice) {
+    control_.Post([this, notice = std::move(notice)] { directory_->SetPartNotice(notice); });
+  });
 }
 
 void Ingress::Parts::Run() {
--- a/verbenaridge/ingress/load_exchange.cc
+++ b/verbenaridge/ingress/load_exchange.cc
@@ -16,7 +16,8 @@
 
 LoadExchange::LoadExchange(asio::io_context& io_context, const Clock& clock,
                            const LoadExchangeOptions& options, LoadReceiver& receiver)
-    : options_(options),
+    : clock_(clock),
+      options_(options),
       socket_(io_context,
               {.listen = {options.ip, options.port}, .self = options.self, .keys = options.keys},
               clock,
@@ -45,16 +46,25 @@
   Arm();
 }
 
-void LoadExchange::OnCrash(Digest request, Digest endpoint) {
-  update_.crashes.push_back({.request = request, .endpoint = endpoint});
+void LoadExchange::OnCrash(const dispatch::PartCrash& crash) {
+  update_.crashes.push_back({.request = crash.request,
+                             .endpoint = crash.endpoint,
+                             .begun = crash.begun,
+                             .parts = crash.parts});
+  Arm();
+}
+
+void LoadExchange::OnSoundPart(Digest part, const dispatch::SoundRecord& record) {
+  update_.sound_parts.push_back(
+      {.part = part, .responses = record.responses, .age = clock_.Now() - record.last});
   Arm();
 }
 
 void LoadExchange::Arm() {
-  if (update_.started.size() >= kMaxTasks || update_.first_events.size() + update_.ended.size() +
-                                                     update_.unreachable_endpoints.size() +
-                                                     2 * update_.crashes.size() >=
-                                                 kMaxIds) {
+  std::size_t ids = update_.first_events.size() + update_.ended.size() +
+                    update_.unreachable_endpoints.size() + 3 * update_.sound_parts.size();
+  for (const wire::CrashEntry& crash : update_.crashes) ids += 2 + crash.parts.size();
+  if (update_.started.size() >= kMaxTasks || ids >= kMaxIds) {
     SendUpdate();
     return;
   }
@@ -69,7 +79,7 @@
   timer_armed_ = false;
   const bool empty = update_.started.empty() && update_.first_events.empty() &&
                      update_.ended.empty() && update_.unreachable_endpoints.empty() &&
-                     update_.crashes.empty();
+                     update_.crashes.empty() && update_.sound_parts.empty();
   if (!empty) SendUpdate();
 }
 
--- a/verbenaridge/ingress/load_exchange.h
+++ b/verbenaridge/ingress/load_exchange.h
@@ -57,13 +57,15 @@
   void OnFirstEvent(dispatch::TaskId task) override;
   void OnEnd(dispatch::TaskId task) override;
   void OnUnreachable(Digest endpoint) override;
-  void OnCrash(Digest request, Digest endpoint) override;
+  void OnCrash(const dispatch::PartCrash& crash) override;
+  void OnSoundPart(Digest part, const dispatch::SoundRecord& record) override;
 
  private:
   void Arm();
   void Flush();
   void SendUpdate();
 
+  const Clock& clock_;
   const LoadExchangeOptions options_;
   wire::DatagramSocket socket_;
   asio::steady_timer timer_;
--- a/verbenaridge/ingress/traffic.cc
+++ b/verbenaridge/ingress/traffic.cc
@@ -5,6 +5,7 @@
 #include <utility>
 #include <variant>
 
+#include "verbenaridge/base/hash.h"
 #include "verbenaridge/ingress/wire_conversions.h"
 #include "verbenaridge/telemetry/log.h"
 
@@ -12,6 +13,7 @@
 namespace {
 
 constexpr Duration kGaugePeriod = std::chrono::milliseconds(250);
+constexpr Duration kPartsPeriod = std::chrono::milliseconds(50);
 
 dispatch::RetryBudgetOptions RetryBudgetOptionsOf(const settings::ReloadableSettings& reloadable) {
   return {.ratio = reloadable.retry_budget_ratio,
@@ -72,7 +74,8 @@
                .port = settings.clients.port,
                .max_connections = settings.max_connections},
               clock, *this),
-      gauge_timer_(loop_.io_context(), kGaugePeriod, [this] { UpdateGauges(); }) {}
+      gauge_timer_(loop_.io_context(), kGaugePeriod, [this] { UpdateGauges(); }),
+      parts_timer_(loop_.io_context(), kPartsPeriod, [this] { UpdateParts(); }) {}
 
 Traffic::~Traffic() { Stop(); }
 
@@ -183,13 +186,42 @@
 }
 
 void Traffic::OnLoadUpdate(const wire::LoadUpdate& update) {
+  const TimePoint now = clock_.Now();
   for (const wire::TaskEntry& task : update.started) dispatcher_.OnPeerBegin(FromWire(task));
   for (const std::uint64_t task : update.first_events) dispatcher_.OnPeerFirstEvent(task);
   for (const std::uint64_t task : update.ended) dispatcher_.OnPeerEnd(task);
   for (const Digest key : update.unreachable_endpoints) dispatcher_.OnPeerUnreachable(key);
   for (const wire::CrashEntry& crash : update.crashes) {
-    context_.crashes.OnCrash(crash.request, crash.endpoint, clock_.Now());
+    context_.crashes.OnCrash(crash.request, crash.endpoint, now);
+    context_.suspects.OnCrash({.endpoint = crash.endpoint,
+                               .request = crash.request,
+                               .begun = crash.begun,
+                               .parts = crash.parts},
+                              now);
   }
+  for (const wire::SoundPartEntry& sound : update.sound_parts) {
+    context_.suspects.OnSound(sound.part, {.responses = sound.responses, .last = now - sound.age},
+                              HashOf(update.sender.value()));
+  }
+}
+
+void Traffic::OnPartNotice(PartNotice notice) {
+  loop_.Post([this, notice = std::move(notice)] {
+    for (const dispatch::PartRefusal& refusal : notice.refusals) context_.OnRefusalOfPeer(refusal);
+    for (const Digest part : context_.suspects.OnAsked(notice.suspected, clock_.Now())) {
+      exchange_.OnSoundPart(part, context_.suspects.OwnRecord(part));
+    }
+  });
+}
+
+void Traffic::UpdateParts() {
+  context_.JudgeParts();
+  const std::span<const dispatch::PartRefusal> refusals = context_.suspects.refusals();
+  PartNotice notice{.suspected = context_.suspects.SuspectedParts(clock_.Now()),
+                    .refusals = {refusals.begin(), refusals.end()}};
+  if (notice == part_notice_) return;
+  part_notice_ = std::move(notice);
+  if (part_notice_output_) part_notice_output_(part_notice_);
 }
 
 TrafficStatus Traffic::CurrentStatus() {
@@ -202,6 +234,9 @@
     status.budgets.push_back(
         {service, budget.Remaining(dispatcher_.snapshot()->hosts, clock_.Now())});
   }
+  for (const dispatch::PartRefusal& refusal : context_.suspects.refusals()) {
+    status.blocked_parts.push_back(dispatch::ToText(refusal));
+  }
   return status;
 }
 
--- a/verbenaridge/ingress/traffic.h
+++ b/verbenaridge/ingress/traffic.h
@@ -22,6 +22,7 @@
 #include "verbenaridge/forwarding/request_run.h"
 #include "verbenaridge/ingress/host_status.h"
 #include "verbenaridge/ingress/load_exchange.h"
+#include "verbenaridge/ingress/part_notice.h"
 #include "verbenaridge/ingress/placement_exchange.h"
 #include "verbenaridge/loop/event_loop.h"
 #include "verbenaridge/loop/periodic.h"
@@ -41,6 +42,10 @@
 
   // Called before Start.
   Status Open();
+  // Called on the traffic thread with what peers must be told. Set before Start.
+  void SetPartNoticeOutput(std::function<void(PartNotice)> output) {
+    part_notice_output_ = std::move(output);
+  }
   void Start() { loop_.Start(); }
   void Stop();
 
@@ -52,6 +57,7 @@
   void PublishSchedulers(bool is_scheduler, std::vector<std::string> others);
   void ForgetPeer(Incarnation peer);
   void AnnounceAll();
+  void OnPartNotice(PartNotice notice);
 
   // `end`: when the last response must have ended.
   void BeginDrain(TimePoint end);
@@ -79,6 +85,7 @@
   void OnDatagram(const wire::Datagram& datagram, const std::string& ip) override;
 
   void OnLoadUpdate(const wire::LoadUpdate& update);
+  void UpdateParts();
 
   void ForgetRemovedEndpoints(const forwarding::DirectorySnapshot& before,
                               const forwarding::DirectorySnapshot& after);
@@ -103,6 +110,9 @@
   forwarding::RunContext context_;
   forwarding::ClientServer server_;
   loop::Periodic gauge_timer_;
+  loop::Periodic parts_timer_;
+  std::function<void(PartNotice)> part_notice_output_;
+  PartNotice part_notice_;  // last output
   std::atomic<std::size_t> busy_{0};
 };
 
--- a/verbenaridge/ingress/wire_conversions.cc
+++ b/verbenaridge/ingress/wire_conversions.cc
@@ -1,6 +1,15 @@
 #include "verbenaridge/ingress/wire_conversions.h"
 
+#include <algorithm>
+
 namespace verbenaridge::ingress {
+namespace {
+
+// Each takes up to 9 bytes, beside some 700 bytes of the rest of the gossip.
+constexpr std::size_t kMaxSuspectedParts = 12;
+constexpr std::size_t kMaxRefusedParts = 24;
+
+}  // namespace
 
 wire::TaskEntry ToWire(const dispatch::EndpointTask& task) {
   return {.id = task.id,
@@ -50,4 +59,25 @@
           .draining = entry.draining};
 }
 
+void AddPartNotice(const PartNotice& notice, TimePoint now, wire::DirectoryGossip& gossip) {
+  const std::size_t suspected = std::min(notice.suspected.size(), kMaxSuspectedParts);
+  gossip.suspected_parts.assign(notice.suspected.end() - static_cast<std::ptrdiff_t>(suspected),
+                                notice.suspected.end());
+  std::size_t parts = 0;
+  for (auto refusal = notice.refusals.rbegin(); refusal != notice.refusals.rend(); ++refusal) {
+    parts += refusal->parts.size();
+    if (parts > kMaxRefusedParts) break;
+    gossip.part_refusals.push_back(
+        {.parts = refusal->parts, .last_crash_age = now - refusal->last_crash});
+  }
+}
+
+PartNotice PartNoticeOf(const wire::DirectoryGossip& gossip, TimePoint now) {
+  PartNotice notice{.suspected = gossip.suspected_parts};
+  for (const wire::PartRefusalEntry& entry : gossip.part_refusals) {
+    notice.refusals.push_back({.parts = entry.parts, .last_crash = now - entry.last_crash_age});
+  }
+  return notice;
+}
+
 }  // namespace verbenaridge::ingress
--- a/verbenaridge/ingress/wire_conversions.h
+++ b/verbenaridge/ingress/wire_conversions.h
@@ -7,6 +7,7 @@
 
 #include "verbenaridge/directory/endpoint_table.h"
 #include "verbenaridge/dispatch/load_table.h"
+#include "verbenaridge/ingress/part_notice.h"
 #include "verbenaridge/wire/messages.h"
 
 namespace verbenaridge::ingress {
@@ -17,6 +18,10 @@
 wire::EndpointEntry ToWire(const directory::Endpoint& endpoint);
 directory::Endpoint FromWire(const wire::EndpointEntry& entry);
 
+// Adds as many entries of the notice as a datagram has room for, the latest first.
+void AddPartNotice(const PartNotice& notice, TimePoint now, wire::DirectoryGossip& gossip);
+PartNotice PartNoticeOf(const wire::DirectoryGossip& gossip, TimePoint now);
+
 }  // namespace verbenaridge::ingress
 
 #endif  // VERBENARIDGE_INGRESS_WIRE_CONVERSIONS_H_
--- a/verbenaridge/ingress/wire_conversions_test.cc
+++ b/verbenaridge/ingress/wire_conversions_test.cc
@@ -2,6 +2,9 @@
 
 #include <doctest/doctest.h>
 
+#include <string>
+#include <vector>
+
 namespace verbenaridge::ingress {
 namespace {
 
@@ -46,5 +49,42 @@
   }
 }
 
+// Guards against refused parts that peers take for others, and against gossip that is too long for
+// a datagram.
+TEST_CASE("a notice about prompt parts survives gossip as far as it fits") {
+  struct Row {
+    std::string name;
+    std::size_t suspected;
+    std::size_t refusals;
+    std::size_t parts;  // of each refusal
+    std::size_t suspected_sent;
+    std::size_t refusals_sent;
+  };
+  const Row rows[] = {
+      {"nothing", 0, 0, 0, 0, 0},
+      {"one part", 1, 1, 1, 1, 1},
+      {"several parts", 3, 2, 3, 3, 2},
+      {"too many", 50, 64, 2, 12, 12},
+      {"a refusal that does not fit", 0, 1, 40, 0, 0},
+  };
+  const TimePoint now{std::chrono::seconds(100)};
+  for (const Row& row : rows) {
+    CAPTURE(row.name);
+    PartNotice notice;
+    for (std::size_t i = 0; i < row.suspected; ++i) notice.suspected.push_back(i);
+    for (std::size_t i = 0; i < row.refusals; ++i) {
+      notice.refusals.push_back(
+          {.parts = std::vector<Digest>(row.parts, i), .last_crash = now - milliseconds(i)});
+    }
+    wire::DirectoryGossip gossip;
+    AddPartNotice(notice, now, gossip);
+    const PartNotice received = PartNoticeOf(gossip, now);
+    CHECK(received.suspected.size() == row.suspected_sent);
+    REQUIRE(received.refusals.size() == row.refusals_sent);
+    if (row.suspected_sent > 0) CHECK(received.suspected.back() == notice.suspected.back());
+    if (row.refusals_sent > 0) CHECK(received.refusals.front() == notice.refusals.back());
+  }
+}
+
 }  // namespace
 }  // namespace verbenaridge::ingress
--- a/verbenaridge/wire/codec_test.cc
+++ b/verbenaridge/wire/codec_test.cc
@@ -126,7 +126,12 @@
   std::string datagram = Encode(Datagram{gossip});
   const std::string capacity(1, '\0');  // a whole number is packed as an integer
   const std::string added = "\x91\x95\xa1h\xa1i\xa0" + capacity + "\xc2\xc3";
-  REQUIRE(datagram.ends_with(added));
+  const std::string no_parts = "\x90\x90";
+  REQUIRE(datagram.ends_with(added + no_parts));
+  datagram.resize(datagram.size() - no_parts.size());
+  REQUIRE(datagram.starts_with(std::string("\xdc\0\x11", 3)));  // the number of fields and the tag
+  datagram.replace(0, 3, "\x9f");
+  CHECK(std::get<DirectoryGossip>(DecodeDatagram(datagram).value()).is_reply);
   datagram.replace(datagram.size() - added.size(), added.size(), "\x91\x92\xa1h\xa1i");
   REQUIRE(datagram.front() == '\x9f');  // the number of fields and the tag
   datagram.front() = '\x9e';
@@ -136,6 +141,19 @@
   CHECK(decoded_gossip.peers.at(0).ip == "i");
   CHECK_FALSE(decoded_gossip.peers.at(0).is_scheduler);
   CHECK_FALSE(decoded_gossip.is_reply);
+
+  // A crash without parts, and no sound parts.
+  std::string update = Encode(Datagram{LoadUpdate{.crashes = {{.request = 5, .endpoint = 7}}}});
+  const std::string crash = "\x91\x94\x05\x07\xc2\x90\x90";
+  REQUIRE(update.ends_with(crash));
+  update.replace(update.size() - crash.size(), crash.size(), "\x91\x92\x05\x07");
+  REQUIRE(update.front() == '\x98');
+  update.front() = '\x97';
+  const Result<Datagram> decoded_update = DecodeDatagram(update);
+  REQUIRE(decoded_update.has_value());
+  const auto& crashes = std::get<LoadUpdate>(decoded_update.value()).crashes;
+  CHECK(crashes.at(0).endpoint == 7);
+  CHECK(crashes.at(0).parts.empty());
 }
 
 // Guards against numbers that decisions cannot work with.
--- a/verbenaridge/wire/internal/message_fields.h
+++ b/verbenaridge/wire/internal/message_fields.h
@@ -23,7 +23,11 @@
 template <>
 inline constexpr std::size_t kAddedFields<PeerEntry> = 3;
 template <>
-inline constexpr std::size_t kAddedFields<DirectoryGossip> = 1;
+inline constexpr std::size_t kAddedFields<DirectoryGossip> = 3;
+template <>
+inline constexpr std::size_t kAddedFields<CrashEntry> = 2;
+template <>
+inline constexpr std::size_t kAddedFields<LoadUpdate> = 1;
 template <>
 inline constexpr std::size_t kAddedFields<PlacementReply> = 1;
 template <>
@@ -225,12 +229,18 @@
 
 template <Like<CrashEntry> Self>
 auto Fields(Self& m) {
-  return std::tie(m.request, m.endpoint);
+  return std::tie(m.request, m.endpoint, m.begun, m.parts);
+}
+
+template <Like<SoundPartEntry> Self>
+auto Fields(Self& m) {
+  return std::tie(m.part, m.responses, m.age);
 }
 
 template <Like<LoadUpdate> Self>
 auto Fields(Self& m) {
-  return std::tie(m.sender, m.started, m.first_events, m.ended, m.unreachable_endpoints, m.crashes);
+  return std::tie(m.sender, m.started, m.first_events, m.ended, m.unreachable_endpoints, m.crashes,
+                  m.sound_parts);
 }
 
 template <Like<PeerEntry> Self>
@@ -238,11 +248,17 @@
   return std::tie(m.host, m.ip, m.data_centre, m.capacity, m.is_scheduler);
 }
 
+template <Like<PartRefusalEntry> Self>
+auto Fields(Self& m) {
+  return std::tie(m.parts, m.last_crash_age);
+}
+
 template <Like<DirectoryGossip> Self>
 auto Fields(Self& m) {
   return std::tie(m.sender, m.ip, m.incarnation, m.configuration_version, m.configuration_age,
                   m.endpoints_digest, m.endpoints_age, m.leaving, m.data_centre, m.capacity,
-                  m.is_scheduler, m.live_hosts, m.peers, m.is_reply);
+                  m.is_scheduler, m.live_hosts, m.peers, m.is_reply, m.suspected_parts,
+                  m.part_refusals);
 }
 
 template <Like<PlacementRequest> Self>
--- a/verbenaridge/wire/messages.h
+++ b/verbenaridge/wire/messages.h
@@ -340,6 +340,15 @@
 struct CrashEntry {
   Digest request = 0;
   Digest endpoint = 0;
+  bool begun = false;         // the head of the response had arrived
+  std::vector<Digest> parts;  // shared parts of the prompt, if no event had arrived
+};
+
+// Sound responses on a part of prompts that the sender has seen.
+struct SoundPartEntry {
+  Digest part = 0;
+  std::uint64_t responses = 0;
+  Duration age{};  // of the last one
 };
 
 struct LoadUpdate {
@@ -349,6 +358,7 @@
   std::vector<std::uint64_t> ended;
   std::vector<Digest> unreachable_endpoints;
   std::vector<CrashEntry> crashes;
+  std::vector<SoundPartEntry> sound_parts;
 };
 
 // Asks a scheduler host to assign endpoints to one request.
@@ -400,6 +410,12 @@
   bool is_scheduler = false;
 };
 
+// Requests with all of these parts are refused, because endpoints crash on them.
+struct PartRefusalEntry {
+  std::vector<Digest> parts;
+  Duration last_crash_age{};
+};
+
 // Describes the sender's view of the configuration and the endpoints, and how recent that view is.
 // A host sends it after each read of the store, and from time to time as a heartbeat.
 struct DirectoryGossip {
@@ -417,6 +433,9 @@
   std::uint64_t live_hosts = 0;  // in the entire system, as known to the sender
   std::vector<PeerEntry> peers;  // some of the peers known to the sender, or none
   bool is_reply = false;         // to gossip of the receiver
+  // The sender asks for sound responses on these parts of prompts.
+  std::vector<Digest> suspected_parts;
+  std::vector<PartRefusalEntry> part_refusals;
 };
 
 // Asks a peer for the configuration and the endpoints when the store rejects the caller.
