Reject events that contain another response

Callers saw (report of another operator): the head of an error in the middle of a stream, which then ended as complete. Cause: an endpoint that breaks off within an event and sends another response on the same connection, without chunks or within a chunk, was forwarded: the part of the event and the head up to its empty line made one event with a valid id. Change: each line of an event must be a comment or a field whose name has no capital letters; other events break the attempt.

--- a/verbenaridge/forwarding/event_splitter.h
+++ b/verbenaridge/forwarding/event_splitter.h
@@ -18,6 +18,7 @@
 struct Event {
   std::string bytes;  // as received, with the empty line that ends it
   std::optional<std::uint64_t> id;
+  bool well_formed = false;  // each line is a comment or a field with a name of an event's field
 };
 
 class EventSplitter {
--- a/verbenaridge/forwarding/event_splitter_test.cc
+++ b/verbenaridge/forwarding/event_splitter_test.cc
@@ -37,5 +37,32 @@
   }
 }
 
+// Guards against a response that follows the part of an event and is forwarded as its rest.
+TEST_CASE("an event consists of fields") {
+  struct Row {
+    const char* name;
+    const char* bytes;
+    bool well_formed;
+  };
+  const Row rows[] = {
+      {"fields", "id: 1\nevent: token\nretry: 5\ndata: HTTP/1.1 503 X\n\n", true},
+      {"CRLF line endings", "id: 1\r\ndata: a\r\n\r\n", true},
+      {"name alone", "id: 1\ndata\n\n", true},
+      {"comment", ": HTTP/1.1\nid: 1\n\n", true},
+      {"field with hyphens", "weight-versions: 3\nid: 1\n\n", true},
+      {"status line", "id: 1\nHTTP/1.1 503 X\n\n", false},
+      {"status line after a part of a name", "id: 1\ndaHTTP/1.1 503 X\r\n\r\n", false},
+      {"header after a status line in the data",
+       "id: 1\ndata: xHTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n", false},
+      {"text", "id: 1\nan error\n\n", false},
+  };
+  for (const Row& row : rows) {
+    CAPTURE(row.name);
+    const auto events = EventSplitter().Feed(row.bytes);
+    REQUIRE(events.size() == 1);
+    CHECK(events[0].well_formed == row.well_formed);
+  }
+}
+
 }  // namespace
 }  // namespace verbenaridge::forwarding
--- a/verbenaridge/forwarding/request_run_answer.cc
+++ b/verbenaridge/forwarding/request_run_answer.cc
@@ -95,6 +95,10 @@
     AttemptFailed(AttemptFailure::kBroken, "event_without_id");
     return false;
   }
+  if (!event.well_formed) {
+    AttemptFailed(AttemptFailure::kBroken, "event_malformed");
+    return false;
+  }
   // A resumed stream must continue with the next event.
   if (before && *event.id != *before + 1) {
     AttemptFailed(AttemptFailure::kBroken, "event_out_of_order");
