Believe a refusal only if it is certainly of the request

Callers saw (report of another operator): "not run, try again" for requests that an endpoint had run or was running. Cause: a refusal without an id was taken for the response to whatever request the connection carried; so was one that an endpoint sent once more on a reused connection. A 408, 429 or 503 without the statement that the request did not run was forwarded, and clients take these statuses for that promise. Change: on a reused connection a response must name the request. One that does not counts as a run, and its connection is closed. A refusal without the statement is retried if the request may be repeated, and else answered with 502. Measured: 3 of 13 rows of "a repeated refusal" and 4 new rows of "a client gets the response" failed before; all pass now.

--- a/verbenaridge/forwarding/request_run.cc
+++ b/verbenaridge/forwarding/request_run.cc
@@ -490,17 +490,21 @@
   return context_.BudgetOf(service_).Take(snapshot_->hosts, now);
 }
 
-void RequestRun::AttemptFailed(AttemptFailure failure, std::string_view detail) {
-  // Timeouts and server errors end an attempt only after their callers took a retry from the
-  // budget.
-  const bool retry = failure == AttemptFailure::kTimedOut ||
-                     failure == AttemptFailure::kServerError || MayRetry(failure);
+void RequestRun::RecordAttempt(AttemptFailure failure, std::string_view detail) {
   const bool may_have_run = failure != AttemptFailure::kNotConnected &&
                             failure != AttemptFailure::kNotSent &&
                             failure != AttemptFailure::kRefused;
   if (may_have_run) ++runs_;
   LogFailedAttempt(failure, detail);
   RecordHealth(failure);
+}
+
+void RequestRun::AttemptFailed(AttemptFailure failure, std::string_view detail) {
+  // Timeouts and server errors end an attempt only after their callers took a retry from the
+  // budget.
+  const bool retry = failure == AttemptFailure::kTimedOut ||
+                     failure == AttemptFailure::kServerError || MayRetry(failure);
+  RecordAttempt(failure, detail);
   const Digest endpoint = EndpointKey(EndpointAtFault());
   if (failure == AttemptFailure::kBroken) RecordCrash(endpoint);
   if (failure != AttemptFailure::kNotSent) excluded_.push_back(endpoint);
--- a/verbenaridge/forwarding/request_run.h
+++ b/verbenaridge/forwarding/request_run.h
@@ -165,6 +165,8 @@
   void OnCompleteResponse();
   http1::ResponseHead ClientHead() const;
   void AttemptFailed(AttemptFailure failure, std::string_view detail);
+  // Counts and logs a failed attempt and its endpoint's failure.
+  void RecordAttempt(AttemptFailure failure, std::string_view detail);
   bool MayRetry(AttemptFailure failure);
   void FailRequest(AttemptFailure failure);
   const directory::Endpoint& EndpointAtFault() const;
--- a/verbenaridge/forwarding/request_run_answer.cc
+++ b/verbenaridge/forwarding/request_run_answer.cc
@@ -14,6 +14,11 @@
   return head.header("Content-Type").starts_with("text/event-stream");
 }
 
+// Clients take these statuses as a promise that the request has not run and will not.
+bool IsPromise(int status) {
+  return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
 bool IsSuccess(const http1::ResponseHead& head) { return head.status >= 200 && head.status < 300; }
 
 // An endpoint that crashes on a part does so when it begins to write. One event may still arrive.
@@ -38,10 +43,12 @@
 }
 
 // A success must name the request and carry the endpoint's signature. Other responses may come
-// without a name.
+// without a name, but not on a connection that carried other requests: they could be responses to
+// those that were sent once more.
 bool RequestRun::IsOfThisRequest() const {
   const bool named = !response_metadata_.attempt_id.empty();
   if (named && response_metadata_.attempt_id != request_metadata_.attempt_id) return false;
+  if (!named && exchange_->reused()) return false;
   if (!IsSuccess(*response_)) return true;
   return named && response_metadata_.sealed && !response_metadata_.encoded;
 }
@@ -197,8 +204,16 @@
     AttemptFailed(AttemptFailure::kBroken, "answer_not_of_this_request");
     return true;
   }
-  if (status < 500 || !MayRetry(AttemptFailure::kServerError)) return false;
-  AttemptFailed(AttemptFailure::kServerError, std::to_string(status));
+  const bool unproven = IsPromise(status);
+  if (status < 500 && !unproven) return false;
+  if (MayRetry(AttemptFailure::kServerError)) {
+    AttemptFailed(AttemptFailure::kServerError, std::to_string(status));
+    return true;
+  }
+  if (!unproven) return false;
+  RecordAttempt(AttemptFailure::kServerError, "refusal_without_not_executed");
+  StopAttempt();
+  FailRequest(AttemptFailure::kServerError);
   return true;
 }
 
