Do not take responses to requests for replies to reservations

Callers saw (report of another operator): refusals that an endpoint sent once more on a kept connection were believed. Cause: calls for reservations reuse connections and looked at the status alone. A late response to a request counted as memory that was reserved, and a late refusal as memory that was not, which then was not released. Change: a response that names a request ends the call with an unknown outcome and closes its connection, so the memory is released. Conclusion: a repeated reply to an earlier call still cannot be told from a reply, because neither has an id.

--- a/verbenaridge/forwarding/reservation_set.cc
+++ b/verbenaridge/forwarding/reservation_set.cc
@@ -10,8 +10,9 @@
 class ReservationSet::Call final : public ExchangeObserver,
                                    public std::enable_shared_from_this<Call> {
  public:
-  Call(asio::io_context& io_context, std::function<void(CallResult)> done)
-      : timer_(io_context), done_(std::move(done)) {}
+  Call(asio::io_context& io_context, const MessageAdapter& adapter,
+       std::function<void(CallResult)> done)
+      : adapter_(adapter), timer_(io_context), done_(std::move(done)) {}
 
   void Start(EndpointPool& pool, const directory::Endpoint& endpoint, std::string bytes,
              Duration limit) {
@@ -24,7 +25,16 @@
     });
   }
 
-  void OnResponseHead(http1::ResponseHead head) override { accepted_ = head.status == 200; }
+  // A response that names a request was sent late, or once more, for that request.
+  void OnResponseHead(http1::ResponseHead head) override {
+    const std::shared_ptr<Call> self = shared_from_this();
+    accepted_ = head.status == 200;
+    const std::string request = adapter_.ReadResponse(head).attempt_id;
+    if (request.empty()) return;
+    telemetry::Log(telemetry::Level::kInfo, "response_not_of_this_call", {{"id", request}});
+    exchange_->Cancel();
+    Finish(CallResult::kUnknown);
+  }
   void OnResponseBody(std::string_view /*data*/) override {}
   void OnResponseEnd() override {
     Finish(accepted_ ? CallResult::kAccepted : CallResult::kRefused);
@@ -39,6 +49,7 @@
     if (const auto done = std::exchange(done_, nullptr)) done(result);
   }
 
+  const MessageAdapter& adapter_;
   asio::steady_timer timer_;
   std::function<void(CallResult)> done_;
   std::shared_ptr<Exchange> exchange_;
@@ -68,7 +79,7 @@
 
 void ReservationSet::Send(const directory::Endpoint& endpoint, std::string bytes,
                           std::function<void(CallResult)> done) {
-  std::make_shared<Call>(io_context_, std::move(done))
+  std::make_shared<Call>(io_context_, adapter_, std::move(done))
       ->Start(pool_, endpoint, std::move(bytes), options_.call_timeout);
 }
 
