--- a/verbenaridge/directory/endpoint_table.cc
+++ b/verbenaridge/directory/endpoint_table.cc
@@ -1,10 +1,33 @@
 #include "verbenaridge/directory/endpoint_table.h"
 
+#include <algorithm>
+#include <string_view>
 #include <utility>
 
 #include "verbenaridge/mutation/mutation.h"
 
 namespace verbenaridge::directory {
+namespace {
+
+constexpr std::size_t kMaxNameBytes = 256;
+// Endpoints have up to some hundred slots. One with far more would never look full, and would
+// attract all requests.
+constexpr std::size_t kMaxSlots = 100'000;
+
+bool IsName(std::string_view text) {
+  return !text.empty() && text.size() <= kMaxNameBytes &&
+         std::none_of(text.begin(), text.end(), [](char c) {
+           const auto byte = static_cast<unsigned char>(c);
+           return byte < 0x20 || byte == 0x7f;
+         });
+}
+
+}  // namespace
+
+bool IsPlausible(const Endpoint& endpoint) {
+  return IsName(endpoint.id.value()) && IsName(endpoint.service.value()) &&
+         IsName(endpoint.data_centre.value()) && endpoint.port != 0 && endpoint.slots <= kMaxSlots;
+}
 
 std::vector<EndpointTable::Change> EndpointTable::OnEntriesRead(std::vector<Endpoint> entries,
                                                                 TimePoint now) {
--- a/verbenaridge/directory/endpoint_table.h
+++ b/verbenaridge/directory/endpoint_table.h
@@ -37,6 +37,11 @@
   friend bool operator==(const Endpoint&, const Endpoint&) = default;
 };
 
+// Whether the fields can be those of an endpoint. Other writers than endpoints can create entries.
+// Names are sent in headers, written to logs and passed to all hosts, so they are short and have no
+// control characters.
+bool IsPlausible(const Endpoint& endpoint);
+
 struct EndpointTableOptions {
   // Time within which a live endpoint renews its entry after an outage. Entries that are still
   // missing then are removed.
--- a/verbenaridge/directory/endpoint_table_test.cc
+++ b/verbenaridge/directory/endpoint_table_test.cc
@@ -2,6 +2,7 @@
 
 #include <doctest/doctest.h>
 
+#include <cstdint>
 #include <string>
 
 namespace verbenaridge::directory {
@@ -114,5 +115,43 @@
   }
 }
 
+// Guards against an entry of another writer that adds a header to requests, fills the messages
+// between hosts, or attracts all requests because it never looks full.
+TEST_CASE("only plausible endpoints are used") {
+  struct Row {
+    const char* name;
+    Endpoint endpoint;
+    bool plausible;
+  };
+  const Endpoint sound{.id = EndpointId("i-1"),
+                       .service = ServiceId("s"),
+                       .ip = "10.0.0.1",
+                       .port = 80,
+                       .data_centre = DataCentreId("z"),
+                       .slots = 6};
+  const auto with = [&](auto change) {
+    Endpoint endpoint = sound;
+    change(endpoint);
+    return endpoint;
+  };
+  const std::string text(100'000, 'x');
+  const Row rows[] = {
+      {"sound", sound, true},
+      {"last start time", with([](auto& e) { e.start_unix_ms = UINT64_MAX; }), true},
+      {"no slots", with([](auto& e) { e.slots = 0; }), true},
+      {"many slots", with([](auto& e) { e.slots = SIZE_MAX / 2 + 1; }), false},
+      {"port zero", with([](auto& e) { e.port = 0; }), false},
+      {"empty id", with([](auto& e) { e.id = EndpointId(); }), false},
+      {"id with a line break", with([](auto& e) { e.id = EndpointId("i\r\nX: y"); }), false},
+      {"long id", with([&](auto& e) { e.id = EndpointId(text); }), false},
+      {"long service", with([&](auto& e) { e.service = ServiceId(text); }), false},
+      {"long data centre", with([&](auto& e) { e.data_centre = DataCentreId(text); }), false},
+  };
+  for (const Row& row : rows) {
+    CAPTURE(row.name);
+    CHECK(IsPlausible(row.endpoint) == row.plausible);
+  }
+}
+
 }  // namespace
 }  // namespace verbenaridge::directory
