Keep the grace period of a stop when the settings change

Callers would see: a connection closed in the middle of a response, if the settings file gets a shorter grace_period_ms during a stop. Not reported. Cause: requests are limited by the grace period at the signal, the end of the process by the one in force at each check. Change: the end of the process is computed once, at the signal. Measured: the row 'grace period shortened' of planned_stop_test (3 s instead of 6, 0.5 s after the signal; a stream of 3.6 s) failed before and passes. The row 'second signal' passed before too: it guards the present behaviour.

--- a/verbenaridge/ingress/ingress.cc
+++ b/verbenaridge/ingress/ingress.cc
@@ -102,6 +102,7 @@
   std::unique_ptr<loop::Periodic> settings_tick_;
   bool draining_ = false;  // control loop
   TimePoint drain_start_{};
+  TimePoint drain_end_{};  // the last connections are closed
   std::promise<void> stopped_;
   bool stop_signalled_ = false;  // control loop
 };
@@ -225,8 +226,9 @@
   if (std::exchange(draining_, true)) return;
   drain_start_ = clock_.Now();
   Log(Level::kInfo, "draining", {{"requests_running", traffic_->busy()}});
-  traffic_->BeginDrain(drain_start_ + settings_.reloadable.grace_period - kExitMargin -
-                       kLastResponseTime);
+  // Settings that are reloaded during the drain do not change what its requests were promised.
+  drain_end_ = drain_start_ + settings_.reloadable.grace_period - kExitMargin;
+  traffic_->BeginDrain(drain_end_ - kLastResponseTime);
   ArmDrainCheck();
 }
 
@@ -238,11 +240,12 @@
 }
 
 void Ingress::Parts::CheckDrained() {
-  const Duration since = clock_.Now() - drain_start_;
-  if (since >= settings_.reloadable.grace_period - kExitMargin) {
+  const TimePoint now = clock_.Now();
+  if (now >= drain_end_) {
     FinishDrain();
     return;
   }
+  const Duration since = now - drain_start_;
   if (since >= kBalancerRemovalDelay) traffic_->StopAccepting();
   if (since < kBalancerRemovalDelay + kLastRequestDelay) {
     ArmDrainCheck();
