End requests in time at a stopping host that was suspended

Callers would see: a connection closed without a response, if a host is suspended for some seconds during its stop and wakes shortly before or after the end of its grace period. Not reported. Cause: the limits of a stop count the time of a suspension (SuspendAwareClock), the timers of the requests do not. They were late, and the drain closed all connections first. Change: 0.1 s before the connections are closed, and at once if the host wakes later, each request checks its deadline against the clock and responds. A request that has just been read is refused as not run meanwhile. Measured: the three rows 'suspended' of planned_stop_test (woken 5 and 9 s later, grace period 6 s) failed before and pass. daemon_test, request_path_test, reservation_test and client_server_test pass. Conclusion: found by reading. Deadlines of requests outside a stop are late after a suspension as before.

--- a/verbenaridge/forwarding/client_server.cc
+++ b/verbenaridge/forwarding/client_server.cc
@@ -45,6 +45,7 @@
   void Accept();
   void Close();
   void CloseIdle(bool also_new);
+  void TellStopping();
 
   asio::io_context& io_context_;
   const ServerOptions options_;
@@ -459,6 +460,11 @@
   for (const auto& connection : all) connection->CloseIfIdle(also_new);
 }
 
+void ClientServer::Impl::TellStopping() {
+  const std::vector<std::shared_ptr<Connection>> all(connections_.begin(), connections_.end());
+  for (const auto& connection : all) connection->OnStopping();
+}
+
 void ClientServer::Impl::Close() {
   closed_ = true;
   std::error_code ignored;  // the acceptor is closed either way
@@ -487,11 +493,11 @@
 void ClientServer::BeginDrain() {
   impl_->draining_ = true;
   impl_->CloseIdle(/*also_new=*/false);
-  const std::vector<std::shared_ptr<Connection>> all(impl_->connections_.begin(),
-                                                     impl_->connections_.end());
-  for (const auto& connection : all) connection->OnStopping();
+  impl_->TellStopping();
 }
 
+void ClientServer::EndRequests() { impl_->TellStopping(); }
+
 void ClientServer::CloseIdle() { impl_->CloseIdle(/*also_new=*/true); }
 
 void ClientServer::StopAccepting() { impl_->Close(); }
--- a/verbenaridge/forwarding/client_server.h
+++ b/verbenaridge/forwarding/client_server.h
@@ -60,7 +60,7 @@
   virtual void OnClientGone() = 0;
   // All pending bytes were written to the client.
   virtual void OnClientDrained() = 0;
-  // The process will end soon.
+  // The process will end soon. Called again shortly before.
   virtual void OnStopping() = 0;
   // The process ends, and the connection is closed after this call.
   virtual void OnServerStopped() = 0;
@@ -110,6 +110,9 @@
   // once. New ones are still served, also those that were accepted before. Requests in progress are
   // told.
   void BeginDrain();
+  // Tells the requests in progress that the time for their responses is over. Their timers may be
+  // late, because they do not count the time in which the host was suspended.
+  void EndRequests();
   // Closes all connections on which no request is in progress or has arrived.
   void CloseIdle();
   // Accepts no new connections.
--- a/verbenaridge/forwarding/request_run.cc
+++ b/verbenaridge/forwarding/request_run.cc
@@ -408,6 +408,10 @@
 void RequestRun::OnStopping() {
   if (finished_ || route_ == nullptr) return;
   ArmDeadline();
+  if (context_.clock.Now() >= deadline_) {
+    OnDeadline();
+    return;
+  }
   if (dispatch_id_ == 0) return;
   context_.placement.Cancel(dispatch_id_);
   FindEndpoint();
--- a/verbenaridge/ingress/ingress.cc
+++ b/verbenaridge/ingress/ingress.cc
@@ -1,5 +1,6 @@
 #include "verbenaridge/ingress/ingress.h"
 
+#include <algorithm>
 #include <asio/signal_set.hpp>
 #include <asio/steady_timer.hpp>
 #include <csignal>
@@ -79,6 +80,7 @@
   void BeginDrain();
   void ArmDrainCheck();
   void CheckDrained();
+  void EndRequests();
   void FinishDrain();
   void StopLoops();
 
@@ -102,7 +104,7 @@
   std::unique_ptr<loop::Periodic> settings_tick_;
   bool draining_ = false;  // control loop
   TimePoint drain_start_{};
-  TimePoint drain_end_{};  // the last connections are closed
+  TimePoint last_response_{};  // the responses must have ended
   std::promise<void> stopped_;
   bool stop_signalled_ = false;  // control loop
 };
@@ -227,13 +229,15 @@
   drain_start_ = clock_.Now();
   Log(Level::kInfo, "draining", {{"requests_running", traffic_->busy()}});
   // Settings that are reloaded during the drain do not change what its requests were promised.
-  drain_end_ = drain_start_ + settings_.reloadable.grace_period - kExitMargin;
-  traffic_->BeginDrain(drain_end_ - kLastResponseTime);
+  last_response_ =
+      drain_start_ + settings_.reloadable.grace_period - kExitMargin - kLastResponseTime;
+  traffic_->BeginDrain(last_response_);
   ArmDrainCheck();
 }
 
 void Ingress::Parts::ArmDrainCheck() {
-  drain_timer_->expires_after(kDrainCheckPeriod);
+  drain_timer_->expires_after(
+      std::clamp(last_response_ - clock_.Now(), Duration{}, kDrainCheckPeriod));
   drain_timer_->async_wait([this](std::error_code error) {
     if (!error) CheckDrained();
   });
@@ -241,8 +245,8 @@
 
 void Ingress::Parts::CheckDrained() {
   const TimePoint now = clock_.Now();
-  if (now >= drain_end_) {
-    FinishDrain();
+  if (now >= last_response_) {
+    EndRequests();
     return;
   }
   const Duration since = now - drain_start_;
@@ -256,6 +260,14 @@
   });
 }
 
+void Ingress::Parts::EndRequests() {
+  traffic_->EndRequests();
+  drain_timer_->expires_after(kLastResponseTime);
+  drain_timer_->async_wait([this](std::error_code error) {
+    if (!error) FinishDrain();
+  });
+}
+
 void Ingress::Parts::FinishDrain() {
   traffic_->CloseAll([this](std::size_t cut) {
     control_.Post([this, cut] {
--- a/verbenaridge/ingress/traffic.cc
+++ b/verbenaridge/ingress/traffic.cc
@@ -142,6 +142,10 @@
   loop_.Post([this] { server_.StopAccepting(); });
 }
 
+void Traffic::EndRequests() {
+  loop_.Post([this] { server_.EndRequests(); });
+}
+
 void Traffic::CloseIdle(std::function<void(std::size_t)> done) {
   loop_.Post([this, done = std::move(done)] {
     server_.CloseIdle();
--- a/verbenaridge/ingress/traffic.h
+++ b/verbenaridge/ingress/traffic.h
@@ -62,6 +62,8 @@
   // `end`: when the last response must have ended.
   void BeginDrain(TimePoint end);
   void StopAccepting();
+  // No response may start or go on.
+  void EndRequests();
   // Closes idle connections and calls `done` on the traffic thread with the number of the others.
   // If there are none and StopAccepting was called, no request can arrive any more.
   void CloseIdle(std::function<void(std::size_t)> done);
