Test a request that a stopped scheduler has queued

Change: a test only. It guards against requests that wait until their deadline at a scheduler whose process has ended. Conclusion: the asking host places the request by itself 0.4 s after the last message of the scheduler.

--- a/verbenaridge/ingress/placement_exchange_test.cc
+++ b/verbenaridge/ingress/placement_exchange_test.cc
@@ -76,6 +76,7 @@
           placement(io, clock, HostId(std::string("h").append(std::to_string(index))), exchange,
                     dispatcher) {}
     void OnDatagram(const wire::Datagram& datagram, const std::string& ip) override {
+      if (cut_off) return;
       if (placement.OnDatagram(datagram, ip)) return;
       if (const auto* update = std::get_if<wire::LoadUpdate>(&datagram)) {
         for (const std::uint64_t task : update->ended) dispatcher.OnPeerEnd(task);
@@ -84,6 +85,7 @@
     LoadExchange exchange;
     forwarding::Dispatcher dispatcher;
     PlacementExchange placement;
+    bool cut_off = false;  // receives nothing, as after the end of the other process
   };
 
  private:
@@ -176,5 +178,27 @@
   CHECK(pair.sides[1]->dispatcher.tasks() == 0);
 }
 
+// Guards against requests that wait until their deadline at a scheduler that has stopped.
+TEST_CASE("a request that a stopped scheduler has queued is placed by its own host") {
+  Pair pair(true);
+  std::vector<forwarding::Assignment> assigned;
+  const auto submit = [&] {
+    // Needs the memory of both endpoints.
+    pair.sides[0]->placement.Submit(pair.Request("lm", 400'000),
+                                    [&](forwarding::Assignment a) { assigned.push_back(a); });
+  };
+  submit();
+  pair.Run(milliseconds(50));
+  REQUIRE(assigned.size() == 1);
+  submit();
+  pair.Run(milliseconds(300));
+  REQUIRE(assigned.size() == 1);
+  pair.sides[0]->cut_off = true;
+  for (const std::uint64_t task : assigned[0].tasks) pair.sides[0]->dispatcher.OnEnd(task);
+  pair.Run(milliseconds(600));
+  REQUIRE(assigned.size() == 2);
+  CHECK(assigned[1].outcome == forwarding::Assignment::Outcome::kAssigned);
+}
+
 }  // namespace
 }  // namespace verbenaridge::ingress
