Keep relays of a read from passing for new reads

In virtual time with a network delay of 20 ms, no version reaches all hosts for 6 s. Cause: gossip carries the age of a read, and the receiver takes the time of the read from it without the time that the gossip took. Hosts that the store rejects relay what they hear. If two deliveries take longer than the 30 ms within which reports count as one read, the relay of a relay is a new read, and so on without end. The host that the store serves hears of reads all the time and never reads. A busy machine delays datagrams that long. Change: a host reports a read that it knows from a peer as 100 ms older than it knows it. A relay then makes a read look older unless its delivery takes longer.

--- a/verbenaridge/directory/refresh_schedule.h
+++ b/verbenaridge/directory/refresh_schedule.h
@@ -58,6 +58,8 @@
 
   // Time at which the value was last known to be current.
   TimePoint last_current() const { return last_current_; }
+  // Whether the last known read is one of this host.
+  bool is_reader() const { return is_reader_; }
   int failures() const { return failures_; }
 
  private:
@@ -69,8 +71,8 @@
   TimePoint due_;
   TimePoint last_current_{};
   bool read_in_progress_ = false;
-  bool reread_ = false;     // a peer has a value that the read in progress may miss
-  bool is_reader_ = false;  // the last known read is one of this host
+  bool reread_ = false;  // a peer has a value that the read in progress may miss
+  bool is_reader_ = false;
   int failures_ = 0;
 };
 
--- a/verbenaridge/ingress/directory_service.cc
+++ b/verbenaridge/ingress/directory_service.cc
@@ -29,6 +29,11 @@
 // the time between two reads.
 constexpr Duration kFreshReadAge = std::chrono::milliseconds(20);
 constexpr Duration kRelayMargin = std::chrono::milliseconds(250);
+// Added to the age of a read that this host knows from a peer, for the time that the gossip took.
+// Without it each datagram makes a read look younger by its delay. Relays by hosts that the store
+// rejects then passed for new reads without end, and the host that the store served waited for
+// them: with delays of 20 ms no version arrived for 6 s.
+constexpr Duration kMaxGossipDelay = std::chrono::milliseconds(100);
 
 double Milliseconds(Duration duration) { return ToSeconds(duration) * 1000; }
 
@@ -393,24 +398,30 @@
   if (peers_.IsScheduler()) SendGossip({.addresses = peers_.GossipTargets()});
 }
 
+Duration DirectoryService::AgeToReport(const directory::RefreshSchedule& schedule) const {
+  const Duration age = clock_.Now() - schedule.last_current();
+  return schedule.is_reader() ? age : age + kMaxGossipDelay;
+}
+
 void DirectoryService::SendGossip(bool news) {
   last_gossip_ = clock_.Now();
   SendGossip(peers_.StartRound(last_gossip_, news));
 }
 
 void DirectoryService::SendGossip(const PeerList::GossipRound& round) {
-  wire::DirectoryGossip gossip{.sender = options_.self,
-                               .ip = options_.ip,
-                               .incarnation = options_.incarnation,
-                               .configuration_version = version(),
-                               .configuration_age = configuration_age(),
-                               .endpoints_digest = last_digest_,
-                               .endpoints_age = table_.loaded() ? endpoints_age() : kNeverReadAge,
-                               .data_centre = options_.data_centre,
-                               .capacity = options_.capacity,
-                               .is_scheduler = peers_.IsScheduler(),
-                               .live_hosts = peers_.live_hosts(),
-                               .is_reply = round.is_reply};
+  wire::DirectoryGossip gossip{
+      .sender = options_.self,
+      .ip = options_.ip,
+      .incarnation = options_.incarnation,
+      .configuration_version = version(),
+      .configuration_age = AgeToReport(configuration_schedule_),
+      .endpoints_digest = last_digest_,
+      .endpoints_age = table_.loaded() ? AgeToReport(endpoints_schedule_) : kNeverReadAge,
+      .data_centre = options_.data_centre,
+      .capacity = options_.capacity,
+      .is_scheduler = peers_.IsScheduler(),
+      .live_hosts = peers_.live_hosts(),
+      .is_reply = round.is_reply};
   AddPartNotice(part_notice_, clock_.Now(), gossip);
   if (round.with_sample) {
     for (const KnownHost& peer : peers_.Sample(random_)) {
--- a/verbenaridge/ingress/directory_service.h
+++ b/verbenaridge/ingress/directory_service.h
@@ -146,6 +146,7 @@
   // `news`: about a read of the store.
   void SendGossip(bool news);
   void SendGossip(const PeerList::GossipRound& round);
+  Duration AgeToReport(const directory::RefreshSchedule& schedule) const;
   // Relays what gossip reported if this host is a scheduler and cannot read from the store.
   void RelayGossip();
   // Reports values that a scheduler fetched to the hosts that fetch from it.
--- a/verbenaridge/ingress/version_lag_test.cc
+++ b/verbenaridge/ingress/version_lag_test.cc
@@ -31,8 +31,9 @@
 using testing::TestSeed;
 using testing::VersionLag;
 
-// One way. Datagrams and fetches on loopback take less than a millisecond.
-constexpr Duration kNetworkDelays[] = {milliseconds(5)};
+// One way. Datagrams and fetches on loopback take less than a millisecond, those of a slow host
+// tens of milliseconds.
+constexpr Duration kNetworkDelays[] = {milliseconds(5), milliseconds(20), milliseconds(40)};
 constexpr Duration kStoreDelay = milliseconds(10);
 // As the client of the platform's store.
 constexpr Duration kStoreTimeout = milliseconds(700);
@@ -215,7 +216,8 @@
         DirectoryOutputs{.snapshot = [](forwarding::SnapshotPtr) {},
                          .schedulers = [](bool, const std::vector<std::string>&) {},
                          .peer_gone = [](Incarnation) {},
-                         .peer_started = [] {}});
+                         .peer_started = [] {},
+                         .part_notice = [](const PartNotice&) {}});
   }
 
   VirtualTime time_;
@@ -252,7 +254,8 @@
 }
 
 // Guards against versions that are in force too late while the store serves a single host: that
-// host waited for reads of all the others, which the store rejected.
+// host waited for reads of all the others, which the store rejected, or took relays of one read for
+// new ones.
 TEST_CASE("a takeover by the only host that the store serves delays no version too long") {
   // Versions are due 2 s after they were stored. Once a host reads for all, half of it is margin.
   constexpr Duration kBound = std::chrono::seconds(2);
