End attempts whose group lost a member and free the memory

The host renewed the reservation at the other member for 10 s, until the attempt timed out, and the client got 502. Cause: ReservationSet renewed at each member whatever the others answered, and nothing ended the attempt. Change: a renewal without an answer is repeated after 450 ms. After three in a row, at most 2.8 s after the member's last answer and before the first event, the attempt ends with `member_lost`: the member at fault is left out, the reservations are released, and the request goes on elsewhere, or gets 502 if it may run only once. One or two lost answers, refusals, and lost answers while events arrive end nothing. Each member has its own time of the last call, which bounds repeated releases.

--- a/verbenaridge/forwarding/request_metrics.cc
+++ b/verbenaridge/forwarding/request_metrics.cc
@@ -28,7 +28,7 @@
       reservations(
           registry.AddCounter({.name = "verbenaridge_ticket_orders_total",
                                .help = "Orders about memory at endpoints, by what came of them.",
-                               .labels = {{"event", 6}}})),
+                               .labels = {{"event", 7}}})),
       active_reservations(
           registry
               .AddGauge({.name = "verbenaridge_tickets_held",
--- a/verbenaridge/forwarding/request_run.cc
+++ b/verbenaridge/forwarding/request_run.cc
@@ -273,21 +273,32 @@
       context_.options.reservations);
   reservations_->Reserve(
       assignment_.members, assignment_.kv_shares,
-      [self = shared_from_this()](const ReservationResult& result) {
-        if (self->finished_) return;
-        if (!result.reserved) {
-          self->reservations_ = nullptr;
-          self->RetryReservation(result.refused_by);
-          return;
-        }
-        self->reservation_failures_ = 0;
-        std::vector<Helper> helpers;
-        for (const directory::Endpoint& member : self->assignment_.members) {
-          helpers.push_back(
-              {.ip = member.ip, .port = member.port, .ticket = self->reservations_->name()});
-        }
-        self->StartAttempt(std::move(helpers));
-      });
+      {.done =
+           [self = shared_from_this()](const ReservationResult& result) {
+             if (self->finished_) return;
+             if (!result.reserved) {
+               self->reservations_ = nullptr;
+               self->RetryReservation(result.refused_by);
+               return;
+             }
+             self->reservation_failures_ = 0;
+             std::vector<Helper> helpers;
+             for (const directory::Endpoint& member : self->assignment_.members) {
+               helpers.push_back(
+                   {.ip = member.ip, .port = member.port, .ticket = self->reservations_->name()});
+             }
+             self->StartAttempt(std::move(helpers));
+           },
+       .member_lost =
+           [self = shared_from_this()](const EndpointId& member) { self->OnMemberLost(member); }});
+}
+
+// The member that received the request may be gone and no event come, or another one without which
+// it cannot go on. The memory at the others must not wait for the timeout of the attempt.
+void RequestRun::OnMemberLost(const EndpointId& member) {
+  if (finished_ || exchange_ == nullptr) return;
+  response_metadata_.endpoint_at_fault = member;
+  AttemptFailed(AttemptFailure::kMemberLost, "renewals_unanswered");
 }
 
 // No request was sent, so waiting for memory is as safe as waiting for an endpoint.
@@ -455,6 +466,7 @@
   using dispatch::FailureKind;
   switch (failure) {
     case AttemptFailure::kNotConnected:
+    case AttemptFailure::kMemberLost:
       context_.dispatcher.OnFailure(endpoint, FailureKind::kUnreachable);
       return;
     case AttemptFailure::kNotSent:  // says nothing of the endpoint
@@ -616,8 +628,8 @@
 }
 
 void RequestRun::LogFailedAttempt(AttemptFailure failure, std::string_view detail) const {
-  constexpr std::string_view kNames[] = {"not_connected", "not_sent", "refused",
-                                         "silent",        "broken",   "server_error"};
+  constexpr std::string_view kNames[] = {"not_connected", "not_sent",     "refused",    "silent",
+                                         "broken",        "server_error", "member_lost"};
   const std::string_view name = kNames[static_cast<std::size_t>(failure)];
   context_.metrics.attempts.With({name}).Add();
   telemetry::Log(Level::kInfo, "attempt_failed",
--- a/verbenaridge/forwarding/request_run.h
+++ b/verbenaridge/forwarding/request_run.h
@@ -122,6 +122,7 @@
     kTimedOut,      // no event or response within the timeout
     kBroken,        // the connection was closed, or the response is invalid
     kServerError,   // a complete response that reports a failure
+    kMemberLost,    // a member of the group stopped answering before the first event
   };
 
   void Proceed();
@@ -142,6 +143,7 @@
   void ReserveMemory();
   // `refused_by`: the member without enough memory; empty if no member was asked.
   void RetryReservation(const EndpointId& refused_by);
+  void OnMemberLost(const EndpointId& member);
   void StartAttempt(std::vector<Helper> helpers);
   void ArmAttemptTimeout(Duration limit);
   void EndTasks();
--- a/verbenaridge/forwarding/reservation_set.cc
+++ b/verbenaridge/forwarding/reservation_set.cc
@@ -1,5 +1,6 @@
 #include "verbenaridge/forwarding/reservation_set.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "verbenaridge/telemetry/log.h"
@@ -84,14 +85,14 @@
 }
 
 void ReservationSet::Reserve(std::vector<directory::Endpoint> members,
-                             std::vector<TokenCount> tokens,
-                             std::function<void(const ReservationResult&)> done) {
+                             std::vector<TokenCount> tokens, ReservationCallbacks callbacks) {
   members_ = std::move(members);
   tokens_ = std::move(tokens);
-  done_ = std::move(done);
+  callbacks_ = std::move(callbacks);
+  last_calls_.assign(members_.size(), clock_.Now());
+  unanswered_.assign(members_.size(), 0);
   pending_ = members_.size();
   results_.assign(members_.size(), CallResult::kUnknown);
-  last_renewal_ = clock_.Now();
   for (std::size_t i = 0; i < members_.size(); ++i) {
     Send(members_[i],
          adapter_.WriteReservation(
@@ -105,7 +106,7 @@
   const bool accepted = result == CallResult::kAccepted;
   metrics_.reservations.With({accepted ? "reserved" : "not_reserved"}).Add();
   if (--pending_ > 0 || released_) return;
-  const auto done = std::exchange(done_, nullptr);
+  const auto done = std::exchange(callbacks_.done, nullptr);
   ReservationResult outcome{.reserved = true};
   for (std::size_t i = 0; i < members_.size(); ++i) {
     outcome.reserved = outcome.reserved && results_[i] == CallResult::kAccepted;
@@ -140,20 +141,47 @@
 }
 
 void ReservationSet::Renew() {
-  last_renewal_ = clock_.Now();
-  for (std::size_t i = 0; i < members_.size(); ++i) {
-    const directory::Endpoint& member = members_[i];
-    Send(member,
-         adapter_.WriteReservation(
-             member, {.ticket = name_, .tokens = tokens_[i], .lifetime = options_.lifetime}),
-         [self = shared_from_this(), id = member.id.value()](CallResult result) {
-           const bool accepted = result == CallResult::kAccepted;
-           self->metrics_.reservations.With({accepted ? "renewed" : "not_renewed"}).Add();
-           if (accepted || self->released_) return;
-           telemetry::Log(telemetry::Level::kWarning, "ticket_not_renewed",
-                          {{"ticket", self->name_}, {"endpoint", id}});
-         });
+  for (std::size_t i = 0; i < members_.size(); ++i) RenewAt(i);
+}
+
+void ReservationSet::RenewAt(std::size_t member) {
+  last_calls_[member] = clock_.Now();
+  Send(members_[member],
+       adapter_.WriteReservation(
+           members_[member],
+           {.ticket = name_, .tokens = tokens_[member], .lifetime = options_.lifetime}),
+       [self = shared_from_this(), member](CallResult result) { self->OnRenewed(member, result); });
+}
+
+void ReservationSet::OnRenewed(std::size_t member, CallResult result) {
+  const bool accepted = result == CallResult::kAccepted;
+  metrics_.reservations.With({accepted ? "renewed" : "not_renewed"}).Add();
+  if (result != CallResult::kUnknown) unanswered_[member] = 0;
+  if (accepted || released_) return;
+  telemetry::Log(
+      telemetry::Level::kWarning, "ticket_not_renewed",
+      {{"ticket", name_},
+       {"endpoint", members_[member].id.value()},
+       {"reason", result == CallResult::kRefused ? std::string_view("the endpoint refused it")
+                                                 : std::string_view("no answer")}});
+  if (result == CallResult::kUnknown) OnRenewalUnanswered(member);
+}
+
+// Events show that the request runs, and without them the renewal pauses by itself.
+void ReservationSet::OnRenewalUnanswered(std::size_t member) {
+  if (last_progress_) return;
+  if (++unanswered_[member] >= options_.max_unanswered_renewals) {
+    metrics_.reservations.With({"member_lost"}).Add();
+    if (const auto lost = std::exchange(callbacks_.member_lost, nullptr)) lost(members_[member].id);
+    return;
   }
+  // A call that failed at once, for example while the endpoint restarts, is not repeated at once.
+  auto timer = std::make_shared<asio::steady_timer>(io_context_);
+  timer->expires_after(
+      std::max(last_calls_[member] + options_.renewal_retry_interval - clock_.Now(), Duration{}));
+  timer->async_wait([self = shared_from_this(), member, timer](std::error_code code) {
+    if (!code && !self->released_ && !self->last_progress_) self->RenewAt(member);
+  });
 }
 
 void ReservationSet::OnProgress() {
@@ -165,7 +193,7 @@
 
 void ReservationSet::Release() {
   if (std::exchange(released_, true)) return;
-  done_ = nullptr;
+  callbacks_ = {};
   timer_.cancel();
   if (granted_) metrics_.active_reservations.Add(-static_cast<double>(members_.size()));
   for (std::size_t i = 0; i < members_.size(); ++i) {
@@ -183,7 +211,7 @@
 }
 
 void ReservationSet::OnReleaseFailed(std::size_t member) {
-  const Duration left = last_renewal_ + options_.lifetime - clock_.Now();
+  const Duration left = last_calls_[member] + options_.lifetime - clock_.Now();
   const bool expires_first = left <= options_.release_retry_delay;
   telemetry::Log(telemetry::Level::kWarning, "ticket_not_released",
                  {{"ticket", name_},
