Keep hosts from sending each other the same refusal without end

Callers saw: nothing yet; found in review. Cause: each host that hears of a refusal computes the time of its last crash from an age in the message, which is later by the delay of the message, and kept the later time. Two schedulers move it on with every exchange. Each move changes the notice, and a scheduler sends a changed notice to all hosts at once, so gossip goes to all hosts every 50 ms while the part is refused, and the ten minutes of the refusal start anew by a part of the time between two exchanges. Change: a refusal that a peer reports with a last crash later by less than a second is the known one. Measured: dispatch_test failed in two rows of four and passes. The gossip of a fleet was not counted. Conclusion: a peer moves the last crash only if it knows of a later one.

--- a/verbenaridge/dispatch/part_suspects.cc
+++ b/verbenaridge/dispatch/part_suspects.cc
@@ -195,7 +195,12 @@
   PartRefusal sorted = refusal;
   std::sort(sorted.parts.begin(), sorted.parts.end());
   if (IsRefuted(sorted)) return false;
-  return Add(std::move(sorted));
+  const bool is_known =
+      std::any_of(refusals_.begin(), refusals_.end(), [&](const PartRefusal& known) {
+        return known.parts == sorted.parts &&
+               sorted.last_crash - known.last_crash < options_.peer_tolerance;
+      });
+  return !is_known && Add(std::move(sorted));
 }
 
 void PartSuspects::EndRefuted() {
--- a/verbenaridge/dispatch/part_suspects.h
+++ b/verbenaridge/dispatch/part_suspects.h
@@ -76,6 +76,9 @@
   // How long a crash makes a part suspected.
   Duration suspicion_time = std::chrono::seconds(30);
   Duration retention = std::chrono::minutes(10);
+  // A refusal that a peer reports with a crash later by less than this is the known one. Ages in
+  // messages grow by their delay, so two hosts would otherwise move the crash on forever.
+  Duration peer_tolerance = std::chrono::seconds(1);
   std::size_t max_crashes = 256;
   std::size_t max_parts = 4'096;  // with a record of sound responses
   std::size_t max_refusals = 64;
--- a/verbenaridge/dispatch/part_suspects_test.cc
+++ b/verbenaridge/dispatch/part_suspects_test.cc
@@ -164,6 +164,31 @@
   }
 }
 
+// Guards against hosts that send each other the same refusal all the time, each with an age that
+// is later by the time that the message took.
+TEST_CASE("the last crash of a refusal moves only with a later crash") {
+  struct Row {
+    std::string name;
+    milliseconds later;
+    bool moved;
+  };
+  const Row rows[] = {
+      {"the same crash, a millisecond on its way", milliseconds(1), false},
+      {"the same crash, between distant hosts", milliseconds(300), false},
+      {"earlier", milliseconds(-5'000), false},
+      {"a later crash", milliseconds(2'000), true},
+  };
+  for (const Row& row : rows) {
+    CAPTURE(row.name);
+    PartSuspects suspects;
+    const TimePoint crash{seconds(100)};
+    suspects.OnRefusal({.parts = {kDeadly}, .last_crash = crash}, crash);
+    suspects.OnRefusal({.parts = {kDeadly}, .last_crash = crash + row.later}, crash + row.later);
+    REQUIRE(suspects.refusals().size() == 1);
+    CHECK(suspects.refusals()[0].last_crash == (row.moved ? crash + row.later : crash));
+  }
+}
+
 // Guards against a second endpoint that crashes on a request while the part is not refused yet,
 // and against sound requests that lose their retry with it.
 TEST_CASE("suspected requests are known before the refusal") {
