Retry requests whose endpoints are lost at once

Callers saw: nothing yet; found in review. Cause: a request that broke before its first event is not retried if a crash of another endpoint had one of its parts. When several endpoints are lost at once, their requests share the part of their route, so only those of the first one to be noticed are retried, and the others get 502. Change: a crash at which no response had begun makes no part suspected for 200 ms, the time within which PartSuspects counts such crashes as one. Measured: dispatch_test failed in one row of two and passes. Conclusion: such requests are retried again. The part that crashes endpoints is in a crash whose response had begun, or, on a host that does not see it, suspected after 200 ms.

--- a/verbenaridge/dispatch/part_suspects.cc
+++ b/verbenaridge/dispatch/part_suspects.cc
@@ -231,7 +231,10 @@
 bool PartSuspects::IsSuspected(std::span<const Digest> parts, Digest endpoint,
                                TimePoint now) const {
   return std::any_of(crashes_.begin(), crashes_.end(), [&](const Crash& crash) {
-    if (crash.endpoint == endpoint || now - crash.time > options_.suspicion_time) return false;
+    const Duration age = now - crash.time;
+    if (crash.endpoint == endpoint || age > options_.suspicion_time) return false;
+    // Endpoints that are lost at once.
+    if (!crash.begun && age < options_.unbegun_interval) return false;
     return std::any_of(crash.requests.begin(), crash.requests.end(), [&](const PartCrash& request) {
       return (request.begun || !crash.begun) &&
              std::any_of(request.parts.begin(), request.parts.end(), [&](Digest part) {
