Report sound responses also from hosts that saw a crash, and again

Callers saw: nothing yet; found in review. Cause: a host that records a crash marked its sound responses on the parts as reported, but sent nothing. When a scheduler asked, it stayed silent until the next sound response. Nor did it repeat a report that was lost if no sound response followed. Both hide objections from the schedulers on a quiet route, so a sound part may be refused. Change: a crash only makes later sound responses worth a report; a record that is still asked for is reported again after a second. Measured: dispatch_test failed in two rows of four and passes. Conclusion: every host that has objections sends them when asked.

--- a/verbenaridge/dispatch/part_suspects.cc
+++ b/verbenaridge/dispatch/part_suspects.cc
@@ -39,7 +39,7 @@
       std::any_of(entry.requests.begin(), entry.requests.end(),
                   [&](const PartCrash& known) { return known.request == crash.request; });
   if (!repeated) entry.requests.push_back(crash);
-  OnAsked(crash.parts, now);
+  MarkAsked(crash.parts, now);
   if (crashes_.size() > options_.max_crashes) crashes_.pop_front();
 }
 
@@ -56,20 +56,27 @@
 }
 
 std::vector<Digest> PartSuspects::OnAsked(std::span<const Digest> parts, TimePoint now) {
-  std::erase_if(asked_, [&](const auto& entry) { return entry.second.until < now; });
+  MarkAsked(parts, now);
   std::vector<Digest> report;
   for (const Digest part : parts) {
-    if (asked_.size() >= options_.max_parts && !asked_.contains(part)) break;
-    Asked& asked = asked_[part];
-    asked.until = now + options_.suspicion_time;
+    const auto asked = asked_.find(part);
+    if (asked == asked_.end()) continue;
     const SoundRecord own = OwnRecord(part);
-    if (own.responses > 0 && own.last >= asked.last_report && TakeReport(part, now)) {
-      report.push_back(part);
-    }
+    const TimePoint reported = asked->second.last_report;
+    const bool is_due = own.last >= reported || now - reported >= options_.repetition_interval;
+    if (own.responses > 0 && is_due && TakeReport(part, now)) report.push_back(part);
   }
   return report;
 }
 
+void PartSuspects::MarkAsked(std::span<const Digest> parts, TimePoint now) {
+  std::erase_if(asked_, [&](const auto& entry) { return entry.second.until < now; });
+  for (const Digest part : parts) {
+    if (asked_.size() >= options_.max_parts && !asked_.contains(part)) break;
+    asked_[part].until = now + options_.suspicion_time;
+  }
+}
+
 bool PartSuspects::TakeReport(Digest part, TimePoint now) {
   const auto found = asked_.find(part);
   if (found == asked_.end() || found->second.until < now) return false;
--- a/verbenaridge/dispatch/part_suspects.h
+++ b/verbenaridge/dispatch/part_suspects.h
@@ -73,6 +73,8 @@
   Duration settle_time = std::chrono::milliseconds(200);
   // Between two reports of sound responses on one part.
   Duration report_interval = std::chrono::milliseconds(200);
+  // The same record is reported again while it is asked for, since messages are lost.
+  Duration repetition_interval = std::chrono::seconds(1);
   // How long a crash makes a part suspected.
   Duration suspicion_time = std::chrono::seconds(30);
   Duration retention = std::chrono::minutes(10);
@@ -139,6 +141,8 @@
 
   // Whether the other part is in all crashes of the part and more likely to be their cause.
   bool Explains(const PartEvidence& other, const PartEvidence& part) const;
+  // Sound responses on these parts matter from now on.
+  void MarkAsked(std::span<const Digest> parts, TimePoint now);
   // Whether the record of the part is to be reported again.
   bool TakeReport(Digest part, TimePoint now);
   TimePoint LastSound(Digest part) const;
--- a/verbenaridge/dispatch/part_suspects_test.cc
+++ b/verbenaridge/dispatch/part_suspects_test.cc
@@ -232,6 +232,40 @@
   }
 }
 
+// Guards against objections that never reach a scheduler, so that it refuses a sound part: the host
+// saw a crash itself, or its first report was lost.
+TEST_CASE("a host reports its sound responses when another one asks") {
+  struct Row {
+    std::string name;
+    bool crash_here;
+    std::vector<milliseconds> asked;  // after the sound response
+    std::vector<std::size_t> reports;
+  };
+  const Row rows[] = {
+      {"asked once", false, {milliseconds(500)}, {1}},
+      {"its own request broke before", true, {milliseconds(500)}, {1}},
+      {"asked twice by the same gossip", false, {milliseconds(500), milliseconds(510)}, {1, 0}},
+      {"asked again: the report may be lost",
+       false,
+       {milliseconds(500), milliseconds(1'600)},
+       {1, 1}},
+  };
+  for (const Row& row : rows) {
+    CAPTURE(row.name);
+    PartSuspects suspects;
+    const TimePoint start{seconds(100)};
+    const std::vector<Digest> route = {kRoute};
+    CHECK(suspects.OnSoundResponse(route, start).empty());  // nobody asked
+    if (row.crash_here)
+      suspects.OnCrash({.endpoint = 1, .parts = route}, start + milliseconds(490));
+    std::vector<std::size_t> reports;
+    for (const milliseconds at : row.asked) {
+      reports.push_back(suspects.OnAsked(route, start + at).size());
+    }
+    CHECK(reports == row.reports);
+  }
+}
+
 // Guards against memory that grows with the number of crashes or parts.
 TEST_CASE("what is kept is bounded") {
   PartSuspects suspects({.max_crashes = 4, .max_parts = 8, .max_refusals = 2});
