Ask for sound responses on the parts of most crashes

Callers saw: nothing yet; found in review. Cause: gossip holds twelve suspected parts, the last ones of a list by first crash. The part of a route is in the first crash, so the parts of sessions in later ones, or of requests on lost endpoints, displaced it, and no host was asked for its sound responses. The list also took time with the square of its length. Change: the list is ordered by the number of crashes, with refused parts last, and has at most 64 others. Conclusion: parts that many crashes share are asked for, and those that a single request had are not.

--- a/verbenaridge/dispatch/part_suspects.cc
+++ b/verbenaridge/dispatch/part_suspects.cc
@@ -252,19 +252,33 @@
 }
 
 std::vector<Digest> PartSuspects::SuspectedParts(TimePoint now) const {
-  std::vector<Digest> parts;
-  const auto add = [&](Digest part) {
-    if (!Contains(parts, part)) parts.push_back(part);
+  struct Place {
+    std::size_t crashes = 0;
+    const Crash* last = nullptr;
   };
+  std::unordered_map<Digest, Place> places;
+  std::vector<Digest> parts;
   for (const Crash& crash : crashes_) {
     if (now - crash.time > options_.suspicion_time) continue;
     for (const PartCrash& request : crash.requests) {
       if (crash.begun && !request.begun) continue;
-      std::for_each(request.parts.begin(), request.parts.end(), add);
+      for (const Digest part : request.parts) {
+        Place& place = places[part];
+        if (std::exchange(place.last, &crash) == &crash) continue;
+        if (++place.crashes == 1) parts.push_back(part);
+      }
     }
   }
+  std::stable_sort(parts.begin(), parts.end(),
+                   [&](Digest a, Digest b) { return places[a].crashes < places[b].crashes; });
+  if (parts.size() > options_.max_suspected) {
+    parts.erase(parts.begin(), parts.end() - static_cast<std::ptrdiff_t>(options_.max_suspected));
+  }
   for (const PartRefusal& refusal : refusals_) {
-    std::for_each(refusal.parts.begin(), refusal.parts.end(), add);
+    for (const Digest part : refusal.parts) {
+      std::erase(parts, part);
+      parts.push_back(part);
+    }
   }
   return parts;
 }
--- a/verbenaridge/dispatch/part_suspects.h
+++ b/verbenaridge/dispatch/part_suspects.h
@@ -84,6 +84,7 @@
   std::size_t max_crashes = 256;
   std::size_t max_parts = 4'096;  // with a record of sound responses
   std::size_t max_refusals = 64;
+  std::size_t max_suspected = 64;  // that other hosts are asked for, beside refused ones
 };
 
 class PartSuspects {
@@ -114,7 +115,8 @@
   // Whether a crash other than that of `endpoint` makes one of the parts suspected. Such a request
   // is not sent to a second endpoint.
   bool IsSuspected(std::span<const Digest> parts, Digest endpoint, TimePoint now) const;
-  // The parts that crashes which this host knows of make suspected, and the refused ones.
+  // The parts that crashes which this host knows of make suspected, those of the most crashes last,
+  // and then the refused ones.
   std::vector<Digest> SuspectedParts(TimePoint now) const;
 
  private:
--- a/verbenaridge/dispatch/part_suspects_test.cc
+++ b/verbenaridge/dispatch/part_suspects_test.cc
@@ -266,6 +266,24 @@
   }
 }
 
+// Guards against objections that are not asked for: gossip holds only the last suspected parts, and
+// requests on lost endpoints have many others that no two of them share.
+TEST_CASE("the parts of most crashes are the last of the suspected ones") {
+  PartSuspects suspects;
+  const TimePoint start{seconds(100)};
+  suspects.OnRefusal({.parts = {kTenant}, .last_crash = start}, start);
+  for (Digest i = 0; i < 50; ++i) {
+    const Digest of_session = 1'000 + i;
+    suspects.OnCrash({.endpoint = i, .request = i, .parts = {kRoute, of_session}}, start);
+    if (i > 10) continue;
+    suspects.OnCrash({.endpoint = i, .request = 100 + i, .parts = {kDeadly, 2'000 + i}}, start);
+  }
+  const std::vector<Digest> parts = suspects.SuspectedParts(start);
+  REQUIRE(parts.size() >= 3);
+  CHECK(std::vector<Digest>(parts.end() - 3, parts.end()) ==
+        std::vector<Digest>{kDeadly, kRoute, kTenant});
+}
+
 // Guards against memory that grows with the number of crashes or parts.
 TEST_CASE("what is kept is bounded") {
   PartSuspects suspects({.max_crashes = 4, .max_parts = 8, .max_refusals = 2});
