Bound the time that judgments on prompt parts take

Callers saw: nothing yet; found in review. Cause: each request started a judgment, which looks at all requests of up to 256 crashes and, for each of their parts, at the reports of all hosts. A new part in a full table of sound responses looked at all its 4,096 entries; parts of sessions are new all the time. Change: one judgment in 50 ms, sums of the reports are kept, and an eighth of the table is removed at once.

--- a/verbenaridge/dispatch/part_suspects.cc
+++ b/verbenaridge/dispatch/part_suspects.cc
@@ -86,15 +86,28 @@
 }
 
 void PartSuspects::OnSound(Digest part, const SoundRecord& record, Digest reporter) {
-  if (!sound_.contains(part) && sound_.size() >= options_.max_parts) {
-    sound_.erase(std::min_element(sound_.begin(), sound_.end(), [&](const auto& a, const auto& b) {
-      return LastSound(a.first) < LastSound(b.first);
-    }));
-  }
-  sound_[part].by_reporter[reporter] = record;
+  if (!sound_.contains(part) && sound_.size() >= options_.max_parts) RemoveOldestSound();
+  Sound& sound = sound_[part];
+  SoundRecord& known = sound.by_reporter[reporter];
+  sound.total.responses += record.responses - known.responses;
+  sound.total.last = std::max(sound.total.last, record.last);
+  known = record;
   EndRefuted();
 }
 
+// An eighth at once, so that the search is rare.
+void PartSuspects::RemoveOldestSound() {
+  std::vector<TimePoint> times;
+  times.reserve(sound_.size());
+  for (const auto& [part, sound] : sound_) times.push_back(sound.total.last);
+  const auto newest = times.begin() + static_cast<std::ptrdiff_t>(times.size() / 8);
+  std::nth_element(times.begin(), newest, times.end());
+  std::size_t left = times.size() / 8 + 1;  // of many records of the same time
+  std::erase_if(sound_, [&](const auto& entry) {
+    return left > 0 && entry.second.total.last <= *newest && left-- > 0;
+  });
+}
+
 SoundRecord PartSuspects::OwnRecord(Digest part) const {
   const auto found = sound_.find(part);
   if (found == sound_.end()) return {};
@@ -103,21 +116,13 @@
 }
 
 TimePoint PartSuspects::LastSound(Digest part) const {
-  TimePoint last{};
   const auto found = sound_.find(part);
-  if (found == sound_.end()) return last;
-  for (const auto& [reporter, record] : found->second.by_reporter) {
-    last = std::max(last, record.last);
-  }
-  return last;
+  return found == sound_.end() ? TimePoint{} : found->second.total.last;
 }
 
 std::uint64_t PartSuspects::SoundResponses(Digest part) const {
-  std::uint64_t responses = 0;
   const auto found = sound_.find(part);
-  if (found == sound_.end()) return responses;
-  for (const auto& [reporter, record] : found->second.by_reporter) responses += record.responses;
-  return responses;
+  return found == sound_.end() ? 0 : found->second.total.responses;
 }
 
 std::map<Digest, PartSuspects::Evidence> PartSuspects::CollectEvidence() const {
@@ -158,6 +163,8 @@
 std::vector<PartRefusal> PartSuspects::Judge(TimePoint now) {
   RemoveOld(now);
   if (crashes_.size() < options_.crashes_to_refuse) return {};
+  if (now - last_judgment_ < options_.judgment_interval) return {};
+  last_judgment_ = now;
   std::map<Digest, Evidence> all = CollectEvidence();
   std::erase_if(all, [&](const auto& entry) {
     const Evidence& evidence = entry.second;
--- a/verbenaridge/dispatch/part_suspects.h
+++ b/verbenaridge/dispatch/part_suspects.h
@@ -71,6 +71,8 @@
   Duration unbegun_interval = std::chrono::milliseconds(200);
   // After the last crash that is needed. The other hosts report sound responses meanwhile.
   Duration settle_time = std::chrono::milliseconds(200);
+  // A judgment takes milliseconds after many crashes, and each request asks for one.
+  Duration judgment_interval = std::chrono::milliseconds(50);
   // Between two reports of sound responses on one part.
   Duration report_interval = std::chrono::milliseconds(200);
   // The same record is reported again while it is asked for, since messages are lost.
@@ -128,6 +130,7 @@
   };
   struct Sound {
     std::map<Digest, SoundRecord> by_reporter;  // 0: this host
+    SoundRecord total;
   };
   // The crashes that count against one part.
   struct Evidence {
@@ -151,6 +154,7 @@
   std::uint64_t SoundResponses(Digest part) const;
   std::map<Digest, Evidence> CollectEvidence() const;
   void RemoveOld(TimePoint now);
+  void RemoveOldestSound();
   void EndRefuted();
   // A response on one of its parts was sound after the last crash.
   bool IsRefuted(const PartRefusal& refusal) const;
@@ -158,6 +162,7 @@
 
   const PartSuspectsOptions options_;
   std::deque<Crash> crashes_;  // by time
+  TimePoint last_judgment_{};
   std::unordered_map<Digest, Sound> sound_;
   std::vector<PartRefusal> refusals_;
   // Parts on which sound responses matter.
