Tell all hosts when a refused prompt part is sound

Callers saw: nothing yet; found in review. Cause: a host ends a refusal only when it has a sound response on the part itself, but it refuses all requests with it. Reports of other hosts go to schedulers alone. So a part refused in error, such as that of a route, stayed refused for ten minutes on every host that had no such response in progress, and hosts that started learned the refusal from those. Change: gossip carries the parts whose refusal a host ended in the last 30 s. Conclusion: one sound response in the fleet ends a refusal everywhere.

--- a/verbenaridge/dispatch/part_suspects.cc
+++ b/verbenaridge/dispatch/part_suspects.cc
@@ -218,9 +218,36 @@
 }
 
 void PartSuspects::EndRefuted() {
+  for (const PartRefusal& refusal : refusals_) {
+    for (const Digest part : refusal.parts) {
+      const TimePoint last = LastSound(part);
+      if (last <= refusal.last_crash) continue;
+      std::erase_if(refuted_, [&](const RefutedPart& known) { return known.part == part; });
+      if (refuted_.size() >= options_.max_refuted) refuted_.erase(refuted_.begin());
+      refuted_.push_back({.part = part, .last_sound = last});
+    }
+  }
   std::erase_if(refusals_, [&](const PartRefusal& refusal) { return IsRefuted(refusal); });
 }
 
+std::vector<RefutedPart> PartSuspects::RefutedParts(TimePoint now) const {
+  std::vector<RefutedPart> parts;
+  for (const RefutedPart& refuted : refuted_) {
+    if (now - refuted.last_sound <= options_.suspicion_time) parts.push_back(refuted);
+  }
+  return parts;
+}
+
+void PartSuspects::OnRefuted(const RefutedPart& refuted) {
+  const bool is_refused = std::any_of(
+      refusals_.begin(), refusals_.end(),
+      [&](const PartRefusal& refusal) { return Contains(refusal.parts, refuted.part); });
+  if (!is_refused) return;
+  TimePoint& last = sound_[refuted.part].total.last;
+  last = std::max(last, refuted.last_sound);
+  EndRefuted();
+}
+
 bool PartSuspects::IsRefuted(const PartRefusal& refusal) const {
   return std::any_of(refusal.parts.begin(), refusal.parts.end(),
                      [&](Digest part) { return LastSound(part) > refusal.last_crash; });
--- a/verbenaridge/dispatch/part_suspects.h
+++ b/verbenaridge/dispatch/part_suspects.h
@@ -57,6 +57,14 @@
   bool operator==(const PartRefusal&) const = default;
 };
 
+// A part that was refused and on which a response was sound afterwards.
+struct RefutedPart {
+  Digest part = 0;
+  TimePoint last_sound{};
+
+  bool operator==(const RefutedPart&) const = default;
+};
+
 // The parts as hexadecimal numbers.
 std::string ToText(const PartRefusal& refusal);
 
@@ -86,6 +94,7 @@
   std::size_t max_crashes = 256;
   std::size_t max_parts = 4'096;  // with a record of sound responses
   std::size_t max_refusals = 64;
+  std::size_t max_refuted = 64;
   std::size_t max_suspected = 64;  // that other hosts are asked for, beside refused ones
 };
 
@@ -108,6 +117,12 @@
   // Another host refuses these parts. Returns true if this host did not.
   bool OnRefusal(const PartRefusal& refusal, TimePoint now);
 
+  // Parts whose refusal ended by a sound response in the last `suspicion_time`. Hosts that refuse
+  // all requests with them cannot see one themselves.
+  std::vector<RefutedPart> RefutedParts(TimePoint now) const;
+  // Another host knows of a sound response on a refused part.
+  void OnRefuted(const RefutedPart& refuted);
+
   // Decides which parts are refused. Returns the refusals that are new.
   std::vector<PartRefusal> Judge(TimePoint now);
 
@@ -165,6 +180,7 @@
   TimePoint last_judgment_{};
   std::unordered_map<Digest, Sound> sound_;
   std::vector<PartRefusal> refusals_;
+  std::vector<RefutedPart> refuted_;  // oldest first
   // Parts on which sound responses matter.
   struct Asked {
     TimePoint until{};
--- a/verbenaridge/dispatch/part_suspects_test.cc
+++ b/verbenaridge/dispatch/part_suspects_test.cc
@@ -284,6 +284,36 @@
         std::vector<Digest>{kDeadly, kRoute, kTenant});
 }
 
+// Guards against a host that goes on refusing a sound part: it has no sound response on it, because
+// it refuses all requests with it.
+TEST_CASE("a host that hears that a refused part is sound ends the refusal") {
+  struct Row {
+    std::string name;
+    milliseconds sound;  // after the crash
+    bool refused;
+  };
+  const Row rows[] = {
+      {"sound after the crash", milliseconds(500), false},
+      {"sound before the crash", milliseconds(-500), true},
+  };
+  for (const Row& row : rows) {
+    CAPTURE(row.name);
+    const TimePoint crash{seconds(100)};
+    const TimePoint now = crash + seconds(2);
+    const PartRefusal refusal{.parts = {kRoute}, .last_crash = crash};
+    PartSuspects scheduler;
+    PartSuspects host;
+    scheduler.OnRefusal(refusal, crash);
+    host.OnRefusal(refusal, crash);
+    scheduler.OnSound(kRoute, {.responses = 1, .last = crash + row.sound}, kOtherHost);
+    for (const RefutedPart& part : scheduler.RefutedParts(now)) host.OnRefuted(part);
+    CHECK(host.Refuses(std::vector<Digest>{kRoute}) == row.refused);
+    host.OnRefusal(refusal, now);  // of a third host
+    CHECK(host.Refuses(std::vector<Digest>{kRoute}) == row.refused);
+    CHECK(scheduler.RefutedParts(now + seconds(60)).empty());
+  }
+}
+
 // Guards against memory that grows with the number of crashes or parts.
 TEST_CASE("what is kept is bounded") {
   PartSuspects suspects({.max_crashes = 4, .max_parts = 8, .max_refusals = 2});
--- a/verbenaridge/ingress/directory_service.cc
+++ b/verbenaridge/ingress/directory_service.cc
@@ -323,7 +323,8 @@
     outputs_.peer_started();
   }
   if (result.reply) SendGossip({.addresses = {ip}, .with_sample = true, .is_reply = true});
-  if (!gossip.suspected_parts.empty() || !gossip.part_refusals.empty()) {
+  if (!gossip.suspected_parts.empty() || !gossip.part_refusals.empty() ||
+      !gossip.refuted_parts.empty()) {
     outputs_.part_notice(PartNoticeOf(gossip, now));
   }
   OnConfigurationGossip(gossip, ip);
--- a/verbenaridge/ingress/part_notice.h
+++ b/verbenaridge/ingress/part_notice.h
@@ -15,6 +15,7 @@
 struct PartNotice {
   std::vector<Digest> suspected;  // asks for sound responses on them
   std::vector<dispatch::PartRefusal> refusals;
+  std::vector<dispatch::RefutedPart> refuted;
 
   bool operator==(const PartNotice&) const = default;
 };
--- a/verbenaridge/ingress/traffic.cc
+++ b/verbenaridge/ingress/traffic.cc
@@ -212,6 +212,7 @@
 void Traffic::OnPartNotice(PartNotice notice) {
   loop_.Post([this, notice = std::move(notice)] {
     for (const dispatch::PartRefusal& refusal : notice.refusals) context_.OnRefusalOfPeer(refusal);
+    for (const dispatch::RefutedPart& part : notice.refuted) context_.suspects.OnRefuted(part);
     for (const Digest part : context_.suspects.OnAsked(notice.suspected, clock_.Now())) {
       exchange_.OnSoundPart(part, context_.suspects.OwnRecord(part));
     }
@@ -222,7 +223,8 @@
   context_.JudgeParts();
   const std::span<const dispatch::PartRefusal> refusals = context_.suspects.refusals();
   PartNotice notice{.suspected = context_.suspects.SuspectedParts(clock_.Now()),
-                    .refusals = {refusals.begin(), refusals.end()}};
+                    .refusals = {refusals.begin(), refusals.end()},
+                    .refuted = context_.suspects.RefutedParts(clock_.Now())};
   if (notice == part_notice_) return;
   part_notice_ = std::move(notice);
   if (part_notice_output_) part_notice_output_(part_notice_);
--- a/verbenaridge/ingress/wire_conversions.cc
+++ b/verbenaridge/ingress/wire_conversions.cc
@@ -70,6 +70,11 @@
     gossip.part_refusals.push_back(
         {.parts = refusal->parts, .last_crash_age = now - refusal->last_crash});
   }
+  for (auto refuted = notice.refuted.rbegin(); refuted != notice.refuted.rend(); ++refuted) {
+    parts += 2;  // with its age
+    if (parts > kMaxRefusedParts) break;
+    gossip.refuted_parts.push_back({.part = refuted->part, .age = now - refuted->last_sound});
+  }
 }
 
 PartNotice PartNoticeOf(const wire::DirectoryGossip& gossip, TimePoint now) {
@@ -77,6 +82,9 @@
   for (const wire::PartRefusalEntry& entry : gossip.part_refusals) {
     notice.refusals.push_back({.parts = entry.parts, .last_crash = now - entry.last_crash_age});
   }
+  for (const wire::SoundPartEntry& entry : gossip.refuted_parts) {
+    notice.refuted.push_back({.part = entry.part, .last_sound = now - entry.age});
+  }
   return notice;
 }
 
--- a/verbenaridge/ingress/wire_conversions_test.cc
+++ b/verbenaridge/ingress/wire_conversions_test.cc
@@ -59,9 +59,13 @@
     std::size_t parts;  // of each refusal
     std::size_t suspected_sent;
     std::size_t refusals_sent;
+    std::size_t refuted = 0;
+    std::size_t refuted_sent = 0;
   };
   const Row rows[] = {
       {"nothing", 0, 0, 0, 0, 0},
+      {"parts that are sound", 0, 1, 1, 0, 1, 3, 3},
+      {"many parts that are sound", 0, 4, 1, 0, 4, 50, 10},
       {"one part", 1, 1, 1, 1, 1},
       {"several parts", 3, 2, 3, 3, 2},
       {"too many", 50, 64, 2, 12, 12},
@@ -76,12 +80,17 @@
       notice.refusals.push_back(
           {.parts = std::vector<Digest>(row.parts, i), .last_crash = now - milliseconds(i)});
     }
+    for (std::size_t i = 0; i < row.refuted; ++i) {
+      notice.refuted.push_back({.part = i, .last_sound = now - milliseconds(i)});
+    }
     wire::DirectoryGossip gossip;
     AddPartNotice(notice, now, gossip);
     const PartNotice received = PartNoticeOf(gossip, now);
     CHECK(received.suspected.size() == row.suspected_sent);
     REQUIRE(received.refusals.size() == row.refusals_sent);
     if (row.suspected_sent > 0) CHECK(received.suspected.back() == notice.suspected.back());
+    REQUIRE(received.refuted.size() == row.refuted_sent);
+    if (row.refuted_sent > 0) CHECK(received.refuted.front() == notice.refuted.back());
     if (row.refusals_sent > 0) CHECK(received.refusals.front() == notice.refusals.back());
   }
 }
--- a/verbenaridge/wire/messages.h
+++ b/verbenaridge/wire/messages.h
@@ -436,6 +436,8 @@
   // The sender asks for sound responses on these parts of prompts.
   std::vector<Digest> suspected_parts;
   std::vector<PartRefusalEntry> part_refusals;
+  // Parts whose refusal ended by a sound response.
+  std::vector<SoundPartEntry> refuted_parts;
 };
 
 // Asks a peer for the configuration and the endpoints when the store rejects the caller.
