Do not refuse the part of a route for crashes that others explain

Callers saw: nothing yet; found in review. Cause: a part was spared only if a single part with fewer sound responses was in all of its crashes. With two deadly parts, or one lost endpoint beside three crashes of one, no single part is, so the part of the route was refused in spite of its sound responses, until the next one that a scheduler heard of. On a quiet route, or while all its endpoints restart, all callers are refused. Change: the crashes that parts with fewer sound responses have in common, together, do not count against a part. Two crashes suffice for that, since the part of the route collects those of all deadly parts and is complete first. Measured: dispatch_test failed in three rows and passes. Conclusion: a part with sound responses is refused only for crashes that nothing else explains.

--- a/verbenaridge/dispatch/part_suspects.cc
+++ b/verbenaridge/dispatch/part_suspects.cc
@@ -135,14 +135,16 @@
         Evidence& evidence = all[part];
         evidence.requests.insert(request.request);
         if (!evidence.endpoints.insert(crash.endpoint).second) continue;
+        double& weight = evidence.weights.emplace_back(crash.endpoint, 0.0).second;
         evidence.last_crash = crash.time;
         const double before = evidence.weight;
         if (crash.begun) {
-          evidence.weight += 1;
+          weight = 1;
         } else if (crash.time - evidence.last_unbegun >= options_.unbegun_interval) {
-          evidence.weight += options_.unbegun_weight;
+          weight = options_.unbegun_weight;
           evidence.last_unbegun = crash.time;
         }
+        evidence.weight += weight;
         const auto needed = static_cast<double>(options_.crashes_to_refuse);
         if (before < needed && evidence.weight >= needed) evidence.complete_since = crash.time;
       }
@@ -151,13 +153,28 @@
   return all;
 }
 
-bool PartSuspects::Explains(const PartEvidence& other, const PartEvidence& part) const {
-  const std::set<Digest>& others = other.second.endpoints;
+bool PartSuspects::IsExplained(const PartEvidence& part,
+                               const std::map<Digest, Evidence>& all) const {
   const std::set<Digest>& own = part.second.endpoints;
-  if (!std::includes(others.begin(), others.end(), own.begin(), own.end())) return false;
-  const std::uint64_t other_sound = SoundResponses(other.first);
   const std::uint64_t sound = SoundResponses(part.first);
-  return other_sound < sound || (other_sound == sound && others.size() > own.size());
+  std::set<Digest> explained;
+  for (const auto& [key, other] : all) {
+    if (key == part.first || other.requests.size() < options_.min_requests ||
+        other.endpoints.size() < options_.min_requests) {
+      continue;
+    }
+    const std::uint64_t other_sound = SoundResponses(key);
+    if (other_sound < sound) explained.insert(other.endpoints.begin(), other.endpoints.end());
+    const bool has_more =
+        other.endpoints.size() > own.size() &&
+        std::includes(other.endpoints.begin(), other.endpoints.end(), own.begin(), own.end());
+    if (other_sound == sound && has_more) return true;
+  }
+  double left = 0;
+  for (const auto& [endpoint, weight] : part.second.weights) {
+    if (!explained.contains(endpoint)) left += weight;
+  }
+  return left < static_cast<double>(options_.crashes_to_refuse);
 }
 
 std::vector<PartRefusal> PartSuspects::Judge(TimePoint now) {
@@ -165,21 +182,16 @@
   if (crashes_.size() < options_.crashes_to_refuse) return {};
   if (now - last_judgment_ < options_.judgment_interval) return {};
   last_judgment_ = now;
-  std::map<Digest, Evidence> all = CollectEvidence();
-  std::erase_if(all, [&](const auto& entry) {
-    const Evidence& evidence = entry.second;
-    return evidence.weight < static_cast<double>(options_.crashes_to_refuse) ||
-           evidence.requests.size() < options_.min_requests ||
-           now - evidence.complete_since < options_.settle_time;
-  });
+  const std::map<Digest, Evidence> all = CollectEvidence();
   // Parts of the same crashes that nothing tells apart.
   std::map<std::set<Digest>, PartRefusal> found;
   for (const auto& entry : all) {
     const Evidence& evidence = entry.second;
-    const bool explained = std::any_of(all.begin(), all.end(), [&](const auto& other) {
-      return other.first != entry.first && Explains(other, entry);
-    });
-    if (explained) continue;
+    if (evidence.weight < static_cast<double>(options_.crashes_to_refuse) ||
+        evidence.requests.size() < options_.min_requests ||
+        now - evidence.complete_since < options_.settle_time || IsExplained(entry, all)) {
+      continue;
+    }
     PartRefusal& refusal = found[evidence.endpoints];
     refusal.parts.push_back(entry.first);
     refusal.last_crash = std::max(refusal.last_crash, evidence.last_crash);
--- a/verbenaridge/dispatch/part_suspects.h
+++ b/verbenaridge/dispatch/part_suspects.h
@@ -10,9 +10,9 @@
 // All requests that run there break with it, so one crash only yields suspects: the requests whose
 // response had begun without an event or, if no host reports one, all without an event. Parts are
 // shared with sound requests; the first one may be that of a whole route. A part is refused if
-// several crashes have it in common and no response on it was sound since. If they have several
-// such parts in common, those with the fewest sound responses before are refused, and only
-// together if these are equal. A sound response on a refused part ends the refusal.
+// several crashes have it in common and no response on it was sound since. Crashes that parts with
+// fewer sound responses have in common do not count against it. Parts of the same crashes with
+// equally many are refused only together. A sound response on a refused part ends the refusal.
 //
 // Each host records what it sees itself. Schedulers also get the reports of all hosts, ask them
 // for sound responses on suspected parts, and tell them what to refuse. Used by one thread.
@@ -151,6 +151,7 @@
   struct Evidence {
     std::set<Digest> endpoints;
     std::set<Digest> requests;
+    std::vector<std::pair<Digest, double>> weights;  // of each endpoint
     double weight = 0;
     TimePoint last_crash{};
     TimePoint complete_since{};  // when the weight sufficed
@@ -159,8 +160,9 @@
 
   using PartEvidence = std::pair<const Digest, Evidence>;
 
-  // Whether the other part is in all crashes of the part and more likely to be their cause.
-  bool Explains(const PartEvidence& other, const PartEvidence& part) const;
+  // Whether parts that are more likely to be their cause are in so many crashes of the part that
+  // too few are left. Requests on lost endpoints and those with another deadly part share it too.
+  bool IsExplained(const PartEvidence& part, const std::map<Digest, Evidence>& all) const;
   // Sound responses on these parts matter from now on.
   void MarkAsked(std::span<const Digest> parts, TimePoint now);
   // Whether the record of the part is to be reported again.
--- a/verbenaridge/dispatch/part_suspects_test.cc
+++ b/verbenaridge/dispatch/part_suspects_test.cc
@@ -17,6 +17,7 @@
 constexpr Digest kOtherRoute = 12;
 constexpr Digest kTenant = 21;
 constexpr Digest kDeadly = 31;
+constexpr Digest kOtherDeadly = 32;
 constexpr Digest kOtherHost = 7;
 
 struct Event {
@@ -102,6 +103,20 @@
             {{milliseconds(1'500), Kind::kCrash, {kOtherRoute, kDeadly}, 150, 250},
              {milliseconds(1'600), Kind::kCrash, {kOtherRoute, kDeadly}, 151, 251}}),
        true},
+      {"an endpoint lost beside three crashes",
+       Join(Join({route_sound_before}, Crashes(3, deadly)),
+            {{milliseconds(1'015), Kind::kUnbegun, {kRoute, kTenant}, 150, 250}}),
+       true},
+      {"two deadly parts",
+       Join(Join({route_sound_before}, Crashes(3, deadly)),
+            {{milliseconds(1'012), Kind::kCrash, {kRoute, kOtherDeadly}, 150, 250},
+             {milliseconds(1'014), Kind::kCrash, {kRoute, kOtherDeadly}, 151, 251}}),
+       true},
+      {"two deadly parts, of which none has crashed three endpoints",
+       Join(Join({route_sound_before}, Crashes(2, deadly)),
+            {{milliseconds(1'012), Kind::kCrash, {kRoute, kOtherDeadly}, 150, 250},
+             {milliseconds(1'014), Kind::kCrash, {kRoute, kOtherDeadly}, 151, 251}}),
+       false},
       {"deadly as the first part",
        Join({{milliseconds(100), Kind::kSound, {kTenant}}}, Crashes(3, {kDeadly, kTenant})), true},
       {"the part is sound after the crashes",
