Send nothing new to endpoints that say that they leave

What callers saw: an endpoint that says in its answers that it leaves got further requests until the store said so, which it may never do, or which this host cannot read during an outage.

Cause: the header was not read.

Change: the adapter decodes the header once, in any answer. The endpoint pool sees the head of every answer, also those to calls about reservations, and passes it to NoticeRecorder; dispatch::EndpointNotices decides. From the answer on, the endpoint is no candidate of this host, its idle connections are closed, placement requests exclude it, a scheduler's choice of it is overruled, and a group whose reservation answer says so is released and placed again. A notice ends with the process of the endpoint. Values other than 1 are ignored, with one log line for each process.

The pause that an endpoint may ask for is not part of this change.

--- a/verbenaridge/forwarding/dispatcher.cc
+++ b/verbenaridge/forwarding/dispatcher.cc
@@ -39,15 +39,18 @@
 void Dispatcher::SetSnapshot(SnapshotPtr snapshot) {
   snapshot_ = std::move(snapshot);
   groups_.clear();
+  std::vector<Digest> listed;
   for (const directory::Endpoint& endpoint : snapshot_->endpoints) {
     Group& group = groups_[endpoint.service];
     group.endpoints.push_back({&endpoint, EndpointKey(endpoint)});
+    listed.push_back(group.endpoints.back().key);
     if (group.model != nullptr || snapshot_->configuration == nullptr) continue;
     const directory::Service* service = snapshot_->configuration->FindService(endpoint.service);
     if (service != nullptr && service->engine) {
       group.model = std::make_unique<dispatch::PassModel>(*service->engine);
     }
   }
+  notices_.Retain(listed);
   TryQueued();
 }
 
@@ -85,6 +88,7 @@
   assignment.candidates = candidates.size();
   if (candidates.empty()) {
     assignment.outcome = Assignment::Outcome::kNoEndpoint;
+    if (found != groups_.end() && HasLeft(found->second, now)) return true;
     return now - request.arrived >= options_.no_endpoint_wait;
   }
   dispatch::Demand demand = request.demand;
@@ -114,6 +118,16 @@
   return false;
 }
 
+bool Dispatcher::HasLeft(const Group& group, TimePoint now) const {
+  bool left = false;
+  for (const auto& [endpoint, key] : group.endpoints) {
+    if (endpoint->draining) continue;
+    if (notices_.MayServeAsLast(key, now)) return false;
+    left = true;
+  }
+  return left;
+}
+
 Duration Dispatcher::RetryAfter(const DispatchRequest& request, const Group& group,
                                 std::span<const dispatch::Candidate> candidates) {
   dispatch::Backlog backlog{.engines = candidates.size()};
@@ -137,9 +151,10 @@
     std::vector<const directory::Endpoint*>& endpoints) {
   const TimePoint now = clock_.Now();
   std::vector<dispatch::Candidate> candidates;
-  const auto collect = [&](bool healthy_only, bool untried_only) {
+  const auto collect = [&](bool healthy_only, bool untried_only, bool leaving) {
     for (const auto& [endpoint, key] : group.endpoints) {
-      if (endpoint->draining) continue;
+      if (endpoint->draining || notices_.IsLeaving(key) != leaving) continue;
+      if (!notices_.MayServeAsLast(key, now)) continue;
       if (healthy_only && !health_.Usable(key, now)) continue;
       if (healthy_only && reach_.IsUnreachable(endpoint->data_centre, now)) continue;
       if (untried_only && std::find(request.excluded.begin(), request.excluded.end(), key) !=
@@ -155,10 +170,11 @@
                             .remote = endpoint->data_centre != options_.data_centre});
     }
   };
-  collect(true, true);
+  collect(true, true, false);
   // All remaining endpoints failed recently. One of them may have recovered, and a wrong view must
   // not refuse every request.
-  if (candidates.empty()) collect(false, true);
+  if (candidates.empty()) collect(false, true, false);
+  if (candidates.empty()) collect(false, true, true);
   return candidates;
 }
 
@@ -228,6 +244,11 @@
     }
   }
   if (assignment.members.size() != members.size()) return false;
+  // The scheduler did not know it.
+  if (std::any_of(assignment.members.begin(), assignment.members.end(),
+                  [this](const auto& member) { return IsLeaving(member); })) {
+    return false;
+  }
   if (assignment.reserve) {
     assignment.kv_shares = dispatch::MemoryShares(request.demand.kv_tokens(), assignment.free_kv);
   }
@@ -345,6 +366,41 @@
   }
 }
 
+bool Dispatcher::OnLeaving(const directory::Endpoint& endpoint) {
+  return notices_.OnLeaving(EndpointKey(endpoint), clock_.Now());
+}
+
+bool Dispatcher::OnMalformedNotice(const directory::Endpoint& endpoint) {
+  return notices_.OnMalformed(EndpointKey(endpoint), clock_.Now());
+}
+
+bool Dispatcher::IsLeaving(const directory::Endpoint& endpoint) const {
+  return notices_.IsLeaving(EndpointKey(endpoint));
+}
+
+bool Dispatcher::MaySend(const directory::Endpoint& endpoint) const {
+  return notices_.MayServeAsLast(EndpointKey(endpoint), clock_.Now());
+}
+
+std::vector<Digest> Dispatcher::AvoidedEndpoints(const ServiceId& service) const {
+  std::vector<Digest> avoided;
+  const auto group = groups_.find(service);
+  if (group == groups_.end()) return avoided;
+  for (const auto& [endpoint, key] : group->second.endpoints) {
+    if (!endpoint->draining && notices_.IsLeaving(key)) avoided.push_back(key);
+  }
+  return avoided;
+}
+
+bool Dispatcher::AvoidsAllEndpoints(const ServiceId& service) const {
+  const auto group = groups_.find(service);
+  if (group == groups_.end()) return false;
+  const auto& endpoints = group->second.endpoints;
+  return std::all_of(endpoints.begin(), endpoints.end(), [this](const Member& member) {
+    return member.endpoint->draining || notices_.IsLeaving(member.key);
+  });
+}
+
 void Dispatcher::OnPeerBegin(const dispatch::EndpointTask& task) {
   load_table_.Begin(task, clock_.Now());
 }
@@ -362,12 +418,23 @@
   }
 }
 
+std::vector<EndpointId> Dispatcher::LeavingEndpoints() const {
+  std::vector<EndpointId> leaving;
+  for (const auto& [service, group] : groups_) {
+    for (const auto& [endpoint, key] : group.endpoints) {
+      if (!endpoint->draining && notices_.IsLeaving(key)) leaving.push_back(endpoint->id);
+    }
+  }
+  return leaving;
+}
+
 std::vector<EndpointId> Dispatcher::EjectedEndpoints() const {
   const TimePoint now = clock_.Now();
   std::vector<EndpointId> ejected;
   for (const auto& [service, group] : groups_) {
     for (const auto& [endpoint, key] : group.endpoints) {
-      if (!endpoint->draining && !health_.Usable(key, now)) ejected.push_back(endpoint->id);
+      const bool in_use = !endpoint->draining && !notices_.IsLeaving(key);
+      if (in_use && !health_.Usable(key, now)) ejected.push_back(endpoint->id);
     }
   }
   return ejected;
--- a/verbenaridge/forwarding/dispatcher.h
+++ b/verbenaridge/forwarding/dispatcher.h
@@ -32,6 +32,7 @@
 #include "verbenaridge/dispatch/data_centre_reach.h"
 #include "verbenaridge/dispatch/endpoint_chooser.h"
 #include "verbenaridge/dispatch/endpoint_health.h"
+#include "verbenaridge/dispatch/endpoint_notices.h"
 #include "verbenaridge/dispatch/load_table.h"
 #include "verbenaridge/dispatch/part_suspects.h"
 
@@ -158,6 +159,19 @@
 
   void OnSuccess(const directory::Endpoint& endpoint);
   void OnFailure(const directory::Endpoint& endpoint, dispatch::FailureKind kind);
+  // The endpoint told in a response that it leaves, or something that is not understood. Returns
+  // true for the first such response.
+  bool OnLeaving(const directory::Endpoint& endpoint);
+  bool OnMalformedNotice(const directory::Endpoint& endpoint);
+  bool IsLeaving(const directory::Endpoint& endpoint) const;
+  // Whether a request that was assigned to the endpoint may still be sent to it.
+  bool MaySend(const directory::Endpoint& endpoint) const;
+  // The service's endpoints that this host does not use because of their notices, for schedulers
+  // that do not know them.
+  std::vector<Digest> AvoidedEndpoints(const ServiceId& service) const;
+  // Whether no endpoint of the service would remain without the avoided ones.
+  bool AvoidsAllEndpoints(const ServiceId& service) const;
+
   // The endpoint's connection failed while it ran the request.
   void OnCrash(const dispatch::PartCrash& crash) { announcements_.OnCrash(crash); }
   void OnSoundPart(Digest part, const dispatch::SoundRecord& record) {
@@ -178,6 +192,8 @@
   std::size_t tasks() const { return load_table_.size(); }
   // Endpoints that this host ejects now after failures, without those that are draining.
   std::vector<EndpointId> EjectedEndpoints() const;
+  // Endpoints that told this host that they leave, without those that are draining.
+  std::vector<EndpointId> LeavingEndpoints() const;
 
  private:
   struct QueuedRequest {
@@ -196,6 +212,9 @@
   using QueuePosition = std::pair<std::pair<int, TimePoint>, DispatchId>;
 
   bool Try(const DispatchRequest& request, Assignment& assignment);
+  // Whether the group's endpoints said that they leave and none may be used any more. Waiting for
+  // one of them is useless then.
+  bool HasLeft(const Group& group, TimePoint now) const;
   dispatch::EndpointChooser& ChooserFor(bool generation);
   std::vector<dispatch::Candidate> Candidates(const Group& group, const DispatchRequest& request,
                                               std::vector<const directory::Endpoint*>& endpoints);
@@ -226,6 +245,7 @@
   std::unique_ptr<dispatch::EndpointChooser> least_busy_;
   dispatch::LoadTable load_table_;
   dispatch::EndpointHealth health_;
+  dispatch::EndpointNotices notices_;
   dispatch::DataCentreReach reach_;
   struct OwnTask {
     dispatch::EndpointTask task;
--- a/verbenaridge/forwarding/endpoint_pool.cc
+++ b/verbenaridge/forwarding/endpoint_pool.cc
@@ -226,8 +226,11 @@
 
   // http1::ResponseObserver
   void OnHead(http1::ResponseHead head) override {
-    keep_alive_ = head.keep_alive && !head.close_delimited;
-    idle_limit_ = pool_->adapter_.ReadResponse(head).idle_timeout;
+    const ResponseMetadata metadata = pool_->adapter_.ReadResponse(head);
+    keep_alive_ = head.keep_alive && !head.close_delimited && !metadata.endpoint_leaving;
+    idle_limit_ = metadata.idle_timeout;
+    if (metadata.endpoint_leaving) pool_->Forget(endpoint_.id);
+    if (pool_->monitor_ != nullptr) pool_->monitor_->OnResponse(endpoint_, head.status, metadata);
     if (observer_ != nullptr) observer_->OnResponseHead(std::move(head));
   }
   void OnBody(std::string_view data) override {
@@ -257,8 +260,13 @@
 };
 
 EndpointPool::EndpointPool(asio::io_context& io_context, const Clock& clock,
-                           const MessageAdapter& adapter, const PoolOptions& options)
-    : io_context_(io_context), clock_(clock), adapter_(adapter), options_(options) {}
+                           const MessageAdapter& adapter, const PoolOptions& options,
+                           ResponseMonitor* monitor)
+    : io_context_(io_context),
+      clock_(clock),
+      adapter_(adapter),
+      options_(options),
+      monitor_(monitor) {}
 
 EndpointPool::~EndpointPool() {
   for (auto& [id, connections] : idle_) {
--- a/verbenaridge/forwarding/endpoint_pool.h
+++ b/verbenaridge/forwarding/endpoint_pool.h
@@ -68,6 +68,15 @@
   virtual bool reused() const = 0;
 };
 
+// Learns from the head of each response which endpoint it came from.
+class ResponseMonitor {
+ public:
+  virtual ~ResponseMonitor() = default;
+
+  virtual void OnResponse(const directory::Endpoint& endpoint, int status,
+                          const ResponseMetadata& metadata) = 0;
+};
+
 struct PoolOptions {
   // A round trip within a region takes 2 ms, and a host with a small share of a processor adds some
   // tens of milliseconds. A lost SYN packet is retransmitted only after 1 s, so trying another
@@ -88,7 +97,7 @@
 class EndpointPool {
  public:
   EndpointPool(asio::io_context& io_context, const Clock& clock, const MessageAdapter& adapter,
-               const PoolOptions& options);
+               const PoolOptions& options, ResponseMonitor* monitor = nullptr);
   ~EndpointPool();
 
   EndpointPool(const EndpointPool&) = delete;
@@ -112,6 +121,7 @@
   const Clock& clock_;
   const MessageAdapter& adapter_;
   PoolOptions options_;
+  ResponseMonitor* const monitor_;
   std::unordered_map<EndpointId, std::vector<std::shared_ptr<Connection>>> idle_;
 };
 
--- a/verbenaridge/forwarding/message_adapter.h
+++ b/verbenaridge/forwarding/message_adapter.h
@@ -71,6 +71,8 @@
   bool encoded = false;                  // has a content encoding, which is never requested
   std::optional<Duration> idle_timeout;  // of the connection
   EndpointId endpoint_at_fault;          // named by the response; empty: none
+  bool endpoint_leaving = false;         // the endpoint stops serving soon
+  bool malformed_notice = false;         // what the endpoint tells about itself is not understood
 };
 
 // Request to reserve memory at an endpoint.
--- /dev/null
+++ b/verbenaridge/forwarding/notice_recorder.cc
@@ -0,0 +1,32 @@
+#include "verbenaridge/forwarding/notice_recorder.h"
+
+#include "verbenaridge/telemetry/log.h"
+
+namespace verbenaridge::forwarding {
+namespace {
+
+using telemetry::Level;
+
+// Status of a process that is not the endpoint to which the request was addressed.
+constexpr int kMisdirected = 421;
+
+}  // namespace
+
+void NoticeRecorder::OnResponse(const directory::Endpoint& endpoint, int status,
+                                const ResponseMetadata& metadata) {
+  if (status == kMisdirected) return;
+  if (metadata.endpoint_leaving && dispatcher_.OnLeaving(endpoint)) {
+    metrics_.endpoint_notices.With({"leaving"}).Add();
+    telemetry::Log(Level::kInfo, "endpoint_leaving",
+                   {{"endpoint", endpoint.id.value()},
+                    {"service", endpoint.service.value()},
+                    {"status", status}});
+  }
+  if (metadata.malformed_notice && dispatcher_.OnMalformedNotice(endpoint)) {
+    metrics_.endpoint_notices.With({"malformed"}).Add();
+    telemetry::Log(Level::kWarning, "endpoint_notice_malformed",
+                   {{"endpoint", endpoint.id.value()}, {"status", status}});
+  }
+}
+
+}  // namespace verbenaridge::forwarding
--- a/verbenaridge/forwarding/request_metrics.cc
+++ b/verbenaridge/forwarding/request_metrics.cc
@@ -37,6 +37,10 @@
       connections_closed(
           registry.AddCounter({.name = "verbenaridge_client_connections_closed_total",
                                .help = "Connections of clients that the host closed, by reason.",
-                               .labels = {{"reason", 4}}})) {}
+                               .labels = {{"reason", 4}}})),
+      endpoint_notices(
+          registry.AddCounter({.name = "verbenaridge_endpoint_notices_total",
+                               .help = "What endpoints told about themselves in answers.",
+                               .labels = {{"notice", 6}}})) {}
 
 }  // namespace verbenaridge::forwarding
--- a/verbenaridge/forwarding/request_metrics.h
+++ b/verbenaridge/forwarding/request_metrics.h
@@ -19,6 +19,7 @@
   telemetry::Family<telemetry::Counter>& reservations;  // event
   telemetry::Gauge& active_reservations;
   telemetry::Family<telemetry::Counter>& connections_closed;  // reason
+  telemetry::Family<telemetry::Counter>& endpoint_notices;    // notice
 };
 
 }  // namespace verbenaridge::forwarding
--- a/verbenaridge/forwarding/request_run.cc
+++ b/verbenaridge/forwarding/request_run.cc
@@ -317,6 +317,17 @@
   });
 }
 
+bool RequestRun::HasLostMember() {
+  for (const directory::Endpoint& member : assignment_.members) {
+    if (!context_.dispatcher.MaySend(member)) return true;
+    // Once only, because no other members may be left.
+    const bool told_by_reservation =
+        reservations_ != nullptr && context_.dispatcher.IsLeaving(member);
+    if (told_by_reservation && !std::exchange(moved_reservation_, true)) return true;
+  }
+  return false;
+}
+
 void RequestRun::StartAttempt(std::vector<Helper> helpers) {
   const TimePoint now = context_.clock.Now();
   if (now >= deadline_) {  // after a pause, the assignment may arrive before the deadline's timer
@@ -324,6 +335,14 @@
     OnDeadline();
     return;
   }
+  if (HasLostMember()) {
+    context_.metrics.endpoint_notices.With({"placed_again"}).Add();
+    telemetry::Log(Level::kInfo, "placed_again",
+                   {{"id", request_metadata_.attempt_id}, {"endpoints", Endpoints()}});
+    StopAttempt();
+    FindEndpoint();
+    return;
+  }
   const directory::Endpoint& endpoint = assignment_.members.front();
   ++attempts_;
   attempt_started_ = now;
--- a/verbenaridge/forwarding/request_run.h
+++ b/verbenaridge/forwarding/request_run.h
@@ -144,6 +144,8 @@
   // `refused_by`: the member without enough memory; empty if no member was asked.
   void RetryReservation(const EndpointId& refused_by);
   void OnMemberLost(const EndpointId& member);
+  // Whether a member told meanwhile that it leaves, so that the request must go elsewhere.
+  bool HasLostMember();
   void StartAttempt(std::vector<Helper> helpers);
   void ArmAttemptTimeout(Duration limit);
   void EndTasks();
@@ -202,6 +204,7 @@
   Assignment assignment_;
   std::shared_ptr<ReservationSet> reservations_;
   int reservation_failures_ = 0;  // in a row
+  bool moved_reservation_ = false;
   std::shared_ptr<Exchange> exchange_;
   std::vector<Digest> excluded_;
   TimePoint attempt_started_{};
--- a/verbenaridge/ingress/host_status.cc
+++ b/verbenaridge/ingress/host_status.cc
@@ -15,10 +15,14 @@
   return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
 }
 
-std::string_view StateOf(const directory::Endpoint& endpoint, std::span<const EndpointId> ejected) {
+bool Contains(std::span<const EndpointId> endpoints, const EndpointId& id) {
+  return std::find(endpoints.begin(), endpoints.end(), id) != endpoints.end();
+}
+
+std::string_view StateOf(const directory::Endpoint& endpoint, const TrafficStatus& traffic) {
   if (endpoint.draining) return "draining";
-  const bool is_ejected = std::find(ejected.begin(), ejected.end(), endpoint.id) != ejected.end();
-  return is_ejected ? "left_out" : "ready";
+  if (Contains(traffic.leaving_endpoints, endpoint.id)) return "leaving, told by answer";
+  return Contains(traffic.ejected_endpoints, endpoint.id) ? "left_out" : "ready";
 }
 
 }  // namespace
@@ -34,10 +38,9 @@
   json["endpoints_age_ms"] = Milliseconds(status.endpoints_age);
   ordered_json& endpoints = json["endpoints"] = ordered_json::object();
   for (const directory::Endpoint& endpoint : status.endpoints) {
-    endpoints[endpoint.id.value()] = {
-        {"service", endpoint.service.value()},
-        {"data_centre", endpoint.data_centre.value()},
-        {"state", StateOf(endpoint, status.traffic.ejected_endpoints)}};
+    endpoints[endpoint.id.value()] = {{"service", endpoint.service.value()},
+                                      {"data_centre", endpoint.data_centre.value()},
+                                      {"state", StateOf(endpoint, status.traffic)}};
   }
   json["keeps_board"] = status.is_scheduler;
   json["hosts"] = status.hosts;
--- a/verbenaridge/ingress/host_status.h
+++ b/verbenaridge/ingress/host_status.h
@@ -29,6 +29,7 @@
   std::size_t known_tasks = 0;  // at endpoints, of all hosts
   std::size_t client_connections = 0;
   std::vector<EndpointId> ejected_endpoints;
+  std::vector<EndpointId> leaving_endpoints;  // according to their responses
   std::vector<BudgetStatus> budgets;
   std::vector<std::string> blocked_parts;  // of prompts; entries with several parts: together only
 };
--- a/verbenaridge/ingress/placement_exchange.cc
+++ b/verbenaridge/ingress/placement_exchange.cc
@@ -1,6 +1,7 @@
 #include "verbenaridge/ingress/placement_exchange.h"
 
 #include <algorithm>
+#include <utility>
 #include <variant>
 
 #include "verbenaridge/telemetry/log.h"
@@ -12,6 +13,9 @@
 
 // Maximum number of engines for one prompt, as limited by the endpoint chooser.
 constexpr std::size_t kMaxTasks = 16;
+// Keeps the placement request within one datagram. A scheduler that chooses an endpoint beyond this
+// number is overruled.
+constexpr std::size_t kMaxExcluded = 64;
 // Longer than a host keeps repeating one placement request.
 constexpr Duration kSentReplyRetention = std::chrono::seconds(2);
 constexpr std::size_t kSentRepliesBeforeCleanup = 512;
@@ -46,7 +50,9 @@
   pending.request = std::move(request);
   pending.callback = std::move(callback);
   // Choosing among endpoints without an engine model does not need the load table.
-  if (is_scheduler_ || dispatcher_.ModelOf(pending.request.service) == nullptr) {
+  const ServiceId& service = pending.request.service;
+  if (is_scheduler_ || dispatcher_.ModelOf(service) == nullptr ||
+      dispatcher_.AvoidsAllEndpoints(service)) {
     DecideLocally(id);
   } else {
     pending.timer = std::make_unique<asio::steady_timer>(io_context_);
@@ -97,6 +103,10 @@
   pending.request.first_task = dispatcher_.ReserveTaskIds(kMaxTasks);
   const TimePoint now = clock_.Now();
   const forwarding::DispatchRequest& request = pending.request;
+  std::vector<Digest> excluded = request.excluded;
+  for (const Digest key : dispatcher_.AvoidedEndpoints(request.service)) {
+    if (excluded.size() < kMaxExcluded) excluded.push_back(key);
+  }
   exchange_.Send(ip, wire::PlacementRequest{.sender = self_,
                                             .request_id = id,
                                             .first_task_id = request.first_task,
@@ -108,7 +118,7 @@
                                             .waited = now - request.arrived,
                                             .remaining = request.deadline - now,
                                             .urgency = request.urgency,
-                                            .excluded = request.excluded});
+                                            .excluded = std::move(excluded)});
   Arm(id, options_.reply_timeout);
 }
 
--- a/verbenaridge/ingress/placement_exchange_test.cc
+++ b/verbenaridge/ingress/placement_exchange_test.cc
@@ -3,6 +3,7 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <asio/io_context.hpp>
 #include <memory>
 #include <string>
@@ -24,7 +25,7 @@
 // Two hosts with a load table each. The second is the scheduler of the first.
 class Pair {
  public:
-  explicit Pair(bool scheduler_replies) : port_(NextPort()) {
+  explicit Pair(bool scheduler_replies, const PlacementOptions& options = {}) : port_(NextPort()) {
     auto snapshot = std::make_shared<forwarding::DirectorySnapshot>();
     directory::EngineTiming timing{.slots = 16,
                                    .kv_tokens = 232'000,
@@ -41,7 +42,7 @@
     snapshot->endpoints.push_back(
         {.id = EndpointId("i-3"), .service = ServiceId("plain"), .slots = 6});
     for (std::size_t i = 0; i < 2; ++i) {
-      sides.push_back(std::make_unique<Side>(io_, clock_, random_, i, port_));
+      sides.push_back(std::make_unique<Side>(io_, clock_, random_, i, port_, options));
       if (i == 0 || scheduler_replies) REQUIRE(sides[i]->exchange.Open().has_value());
       sides[i]->dispatcher.SetSnapshot(snapshot);
     }
@@ -64,7 +65,7 @@
 
   struct Side final : LoadReceiver {
     Side(asio::io_context& io, const Clock& clock, RandomSource& random, std::size_t index,
-         std::uint16_t port)
+         std::uint16_t port, const PlacementOptions& options)
         : exchange(io, clock,
                    {.self = HostId(std::string("h").append(std::to_string(index))),
                     .ip = Ip(index),
@@ -74,7 +75,7 @@
           dispatcher(io, clock, random, exchange,
                      {.data_centre = DataCentreId("a"), .incarnation = index + 1}),
           placement(io, clock, HostId(std::string("h").append(std::to_string(index))), exchange,
-                    dispatcher) {}
+                    dispatcher, options) {}
     void OnDatagram(const wire::Datagram& datagram, const std::string& ip) override {
       if (cut_off) return;
       if (placement.OnDatagram(datagram, ip)) return;
@@ -166,6 +167,49 @@
   }
 }
 
+// Guards against requests to an endpoint that told only the host, not the scheduler, that it
+// leaves, and against services whose last endpoint leaves and gets none although it still serves.
+TEST_CASE("endpoints that told the host that they leave are placed around") {
+  struct Row {
+    const char* name;
+    std::vector<std::size_t> leaving;  // before the request
+    bool told_while_pending;           // i-1, after the request was sent to the scheduler
+    std::vector<std::string> members;  // allowed
+    bool by_scheduler;                 // that knows the load; not checked if told while pending
+  };
+  const Row rows[] = {
+      {"none", {}, false, {"i-1", "i-2"}, true},
+      {"one", {0}, false, {"i-2"}, true},
+      {"the other", {1}, false, {"i-1"}, true},
+      {"while the scheduler decides", {}, true, {"i-2"}, false},
+      {"all: one of them may serve", {0, 1}, false, {"i-1", "i-2"}, false},
+  };
+  for (const Row& row : rows) {
+    CAPTURE(row.name);
+    Pair pair(true, {.reply_timeout = std::chrono::seconds(2)});  // also on a busy machine
+    forwarding::Dispatcher& dispatcher = pair.sides[0]->dispatcher;
+    const auto endpoints = dispatcher.snapshot()->endpoints;
+    for (const std::size_t index : row.leaving) dispatcher.OnLeaving(endpoints[index]);
+    std::vector<forwarding::Assignment> assigned;
+    for (int i = 0; i < 6; ++i) {
+      pair.sides[0]->placement.Submit(pair.Request("lm", 5'000),
+                                      [&](forwarding::Assignment a) { assigned.push_back(a); });
+    }
+    if (row.told_while_pending) dispatcher.OnLeaving(endpoints[0]);
+    for (int i = 0; i < 40 && assigned.size() < 6; ++i) pair.Run(milliseconds(25));
+    REQUIRE(assigned.size() == 6);
+    for (const forwarding::Assignment& assignment : assigned) {
+      REQUIRE(assignment.members.size() == 1);
+      CHECK(std::count(row.members.begin(), row.members.end(), assignment.members[0].id.value()) ==
+            1);
+    }
+    CHECK(dispatcher.tasks() == 6);
+    if (!row.told_while_pending) {
+      CHECK(pair.sides[1]->dispatcher.tasks() == (row.by_scheduler ? 6 : 0));
+    }
+  }
+}
+
 // Guards against a task that remains at an endpoint for a request whose client has disconnected.
 TEST_CASE("a cancelled placement request leaves no task behind") {
   Pair pair(true);
--- a/verbenaridge/ingress/traffic.cc
+++ b/verbenaridge/ingress/traffic.cc
@@ -43,7 +43,7 @@
       queued_(AddGauge(registry, "verbenaridge_held_requests", "Requests that wait here.")),
       endpoints_(registry.AddGauge({.name = "verbenaridge_endpoints_by_state",
                                     .help = "Endpoints in the table, as this host uses them.",
-                                    .labels = {{"state", 3}}})),
+                                    .labels = {{"state", 5}}})),
       retries_left_(registry.AddGauge({.name = "verbenaridge_retries_left",
                                        .help = "What this host may still send again.",
                                        .labels = {{"service", 50}}})),
@@ -57,7 +57,8 @@
       dispatcher_(loop_.io_context(), clock, random_, exchange_,
                   {.data_centre = settings.data_centre, .incarnation = incarnation}),
       placement_(loop_.io_context(), clock, settings.host, exchange_, dispatcher_),
-      pool_(loop_.io_context(), clock, adapter, {}),
+      notices_(dispatcher_, metrics_),
+      pool_(loop_.io_context(), clock, adapter, {}, &notices_),
       context_{.io_context = loop_.io_context(),
                .clock = clock,
                .random = random_,
@@ -235,7 +236,8 @@
                        .requests_queued = dispatcher_.queued(),
                        .known_tasks = dispatcher_.tasks(),
                        .client_connections = server_.connections(),
-                       .ejected_endpoints = dispatcher_.EjectedEndpoints()};
+                       .ejected_endpoints = dispatcher_.EjectedEndpoints(),
+                       .leaving_endpoints = dispatcher_.LeavingEndpoints()};
   for (auto& [service, budget] : context_.budgets) {
     status.budgets.push_back(
         {service, budget.Remaining(dispatcher_.snapshot()->hosts, clock_.Now())});
@@ -261,8 +263,9 @@
       all.begin(), all.end(), [](const auto& endpoint) { return endpoint.draining; }));
   endpoints_.With({"draining"}).Set(static_cast<double>(draining));
   endpoints_.With({"left_out"}).Set(static_cast<double>(status.ejected_endpoints.size()));
-  endpoints_.With({"ready"}).Set(
-      static_cast<double>(all.size() - draining - status.ejected_endpoints.size()));
+  endpoints_.With({"leaving"}).Set(static_cast<double>(status.leaving_endpoints.size()));
+  endpoints_.With({"ready"}).Set(static_cast<double>(
+      all.size() - draining - status.ejected_endpoints.size() - status.leaving_endpoints.size()));
 }
 
 }  // namespace verbenaridge::ingress
--- a/verbenaridge/ingress/traffic.h
+++ b/verbenaridge/ingress/traffic.h
@@ -19,6 +19,7 @@
 #include "verbenaridge/forwarding/client_server.h"
 #include "verbenaridge/forwarding/dispatcher.h"
 #include "verbenaridge/forwarding/message_adapter.h"
+#include "verbenaridge/forwarding/notice_recorder.h"
 #include "verbenaridge/forwarding/request_run.h"
 #include "verbenaridge/ingress/host_status.h"
 #include "verbenaridge/ingress/load_exchange.h"
@@ -108,6 +109,7 @@
   LoadExchange exchange_;
   forwarding::Dispatcher dispatcher_;
   PlacementExchange placement_;
+  forwarding::NoticeRecorder notices_;
   forwarding::EndpointPool pool_;
   forwarding::RunContext context_;
   forwarding::ClientServer server_;
