--- /dev/null
+++ b/verbenaridge/forwarding/request_run_failure.cc
@@ -0,0 +1,161 @@
+// The part of RequestRun that handles failed attempts.
+#include <string>
+#include <string_view>
+#include <utility>
+
+#include "verbenaridge/forwarding/request_run.h"
+#include "verbenaridge/telemetry/log.h"
+
+namespace verbenaridge::forwarding {
+namespace {
+
+using telemetry::Level;
+
+double Milliseconds(Duration duration) { return ToSeconds(duration) * 1000; }
+
+}  // namespace
+
+void RequestRun::OnExchangeFailed(ExchangeFailure failure) {
+  const std::shared_ptr<RequestRun> self = shared_from_this();
+  exchange_ = nullptr;
+  if (finished_) return;
+  AttemptFailure attempt_failure = AttemptFailure::kBroken;
+  if (failure == ExchangeFailure::kNotConnected) attempt_failure = AttemptFailure::kNotConnected;
+  if (failure == ExchangeFailure::kNotSent) attempt_failure = AttemptFailure::kNotSent;
+  if (failure == ExchangeFailure::kBroken) {
+    OnConnectionLost(ToText(failure));
+  } else {
+    AttemptFailed(attempt_failure, ToText(failure));
+  }
+}
+
+void RequestRun::OnConnectionLost(std::string_view detail) {
+  connection_lost_ = true;
+  AttemptFailed(AttemptFailure::kBroken, detail);
+}
+
+// Returns the member that the response names as the cause, or else the one that received the
+// request.
+const directory::Endpoint& RequestRun::EndpointAtFault() const {
+  for (const directory::Endpoint& member : assignment_.members) {
+    if (member.id == response_metadata_.endpoint_at_fault) return member;
+  }
+  return assignment_.members.front();
+}
+
+void RequestRun::RecordHealth(AttemptFailure failure) {
+  const directory::Endpoint& endpoint = EndpointAtFault();
+  using dispatch::FailureKind;
+  switch (failure) {
+    case AttemptFailure::kNotConnected:
+    case AttemptFailure::kMemberLost:
+      context_.dispatcher.OnFailure(endpoint, FailureKind::kUnreachable);
+      return;
+    case AttemptFailure::kNotSent:  // says nothing of the endpoint
+      return;
+    case AttemptFailure::kTimedOut:  // the connection works
+      context_.dispatcher.OnFailure(endpoint, FailureKind::kError);
+      return;
+    case AttemptFailure::kRefused:
+      context_.dispatcher.OnFailure(endpoint, FailureKind::kFull);
+      return;
+    case AttemptFailure::kBroken:
+      context_.dispatcher.OnFailure(endpoint, FailureKind::kBroken);
+      return;
+    case AttemptFailure::kServerError:
+      context_.dispatcher.OnFailure(endpoint, FailureKind::kError);
+      return;
+  }
+}
+
+// Returns whether a retry is allowed and, if so, takes it from the retry budget. Called before the
+// failed attempt is counted.
+bool RequestRun::MayRetry(AttemptFailure failure) {
+  const TimePoint now = context_.clock.Now();
+  if (attempts_ >= context_.options.max_attempts || now >= deadline_) return false;
+  if (passing_through_) return false;  // only a stream can be resumed
+  if (failure == AttemptFailure::kNotConnected || failure == AttemptFailure::kNotSent) return true;
+  const bool may_have_run = failure != AttemptFailure::kRefused;
+  if (may_have_run) {
+    if (!route_->idempotent() || runs_ + 1 >= route_->max_attempts) return false;
+    if (context_.crashes.ShouldRefuse(digest_, now)) return false;
+    // A second endpoint is not risked for a request that may be the cause of crashes.
+    if (connection_lost_ && attempt_events_ == 0 &&
+        context_.suspects.IsSuspected(shared_parts_, EndpointKey(EndpointAtFault()), now)) {
+      return false;
+    }
+  }
+  return context_.BudgetOf(service_).Take(snapshot_->hosts, now);
+}
+
+void RequestRun::RecordAttempt(AttemptFailure failure, std::string_view detail) {
+  const bool may_have_run = failure != AttemptFailure::kNotConnected &&
+                            failure != AttemptFailure::kNotSent &&
+                            failure != AttemptFailure::kRefused;
+  if (may_have_run) ++runs_;
+  LogFailedAttempt(failure, detail);
+  RecordHealth(failure);
+}
+
+void RequestRun::AttemptFailed(AttemptFailure failure, std::string_view detail) {
+  // Timeouts and server errors end an attempt only after their callers took a retry from the
+  // budget.
+  const bool retry = failure == AttemptFailure::kTimedOut ||
+                     failure == AttemptFailure::kServerError || MayRetry(failure);
+  RecordAttempt(failure, detail);
+  const Digest endpoint = EndpointKey(EndpointAtFault());
+  if (failure == AttemptFailure::kBroken) RecordCrash(endpoint);
+  if (failure != AttemptFailure::kNotSent) excluded_.push_back(endpoint);
+  StopAttempt();
+  if (retry) {
+    FindEndpoint();
+  } else {
+    FailRequest(failure);
+  }
+}
+
+void RequestRun::RecordCrash(Digest endpoint) {
+  const TimePoint now = context_.clock.Now();
+  dispatch::PartCrash crash{.endpoint = endpoint, .request = digest_};
+  if (connection_lost_ && attempt_events_ == 0) {
+    crash.begun = response_.has_value();
+    crash.parts = shared_parts_;
+  }
+  const bool is_new = context_.crashes.OnCrash(digest_, endpoint, now);
+  context_.suspects.OnCrash(crash, now);
+  if (is_new) context_.dispatcher.OnCrash(crash);
+}
+
+void RequestRun::FailRequest(AttemptFailure failure) {
+  if (response_started_) {
+    Finish("stream_broken", 0);
+    sink_->Abort();
+  } else if (runs_ == 0) {
+    Refuse(503, failure == AttemptFailure::kRefused ? "endpoints_full" : "endpoints_unreachable");
+  } else {
+    Refuse(502, "outcome_unknown");
+  }
+}
+
+void RequestRun::LogFailedAttempt(AttemptFailure failure, std::string_view detail) const {
+  constexpr std::string_view kNames[] = {"not_connected", "not_sent",     "refused",    "silent",
+                                         "broken",        "server_error", "member_lost"};
+  const std::string_view name = kNames[static_cast<std::size_t>(failure)];
+  context_.metrics.attempts.With({name}).Add();
+  telemetry::Log(Level::kInfo, "attempt_failed",
+                 {{"id", request_metadata_.attempt_id},
+                  {"end", name},
+                  {"detail", detail},
+                  {"endpoint", EndpointAtFault().id.value()},
+                  {"offer", attempts_},
+                  {"runs", runs_},
+                  {"after_ms", Milliseconds(context_.clock.Now() - attempt_started_)},
+                  {"reused_connection", exchange_ != nullptr && exchange_->reused()},
+                  {"predicted_ms", Milliseconds(assignment_.predicted)},
+                  {"events", events_sent_},
+                  {"status", response_ ? response_->status : 0},
+                  {"event_received", attempt_events_ > 0},
+                  {"prompt_parts", PromptParts()},
+                  {"candidates", assignment_.candidates}});
+}
+}  // namespace verbenaridge::forwarding
