Use the project's words in a test, and mend an example in a header

Change: client account in the names of the test, whose checks are the same; the example has one statement a line. Conclusion: no logic changes.

--- a/verbenaridge/dispatch/part_suspects_test.cc
+++ b/verbenaridge/dispatch/part_suspects_test.cc
@@ -12,10 +12,10 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-// Parts of prompts. Those of a route, of a tenant, and one that crashes endpoints.
+// Parts of prompts. Those of a route, of a client account, and one that crashes endpoints.
 constexpr Digest kRoute = 11;
 constexpr Digest kOtherRoute = 12;
-constexpr Digest kTenant = 21;
+constexpr Digest kAccount = 21;
 constexpr Digest kDeadly = 31;
 constexpr Digest kOtherDeadly = 32;
 constexpr Digest kOtherHost = 7;
@@ -76,8 +76,8 @@
     std::string name;
     std::vector<Event> events;
     bool deadly_refused;
-    bool route_refused = false;   // sound requests of the same route
-    bool tenant_refused = false;  // of the same tenant
+    bool route_refused = false;    // sound requests of the same route
+    bool account_refused = false;  // of the same client account
   };
   const std::vector<Digest> deadly = {kRoute, kDeadly};
   const Event route_sound_before{milliseconds(100), Kind::kSound, {kRoute}};
@@ -105,7 +105,7 @@
        true},
       {"an endpoint lost beside three crashes",
        Join(Join({route_sound_before}, Crashes(3, deadly)),
-            {{milliseconds(1'015), Kind::kUnbegun, {kRoute, kTenant}, 150, 250}}),
+            {{milliseconds(1'015), Kind::kUnbegun, {kRoute, kAccount}, 150, 250}}),
        true},
       {"two deadly parts",
        Join(Join({route_sound_before}, Crashes(3, deadly)),
@@ -118,18 +118,19 @@
              {milliseconds(1'014), Kind::kCrash, {kRoute, kOtherDeadly}, 151, 251}}),
        false},
       {"deadly as the first part",
-       Join({{milliseconds(100), Kind::kSound, {kTenant}}}, Crashes(3, {kDeadly, kTenant})), true},
+       Join({{milliseconds(100), Kind::kSound, {kAccount}}}, Crashes(3, {kDeadly, kAccount})),
+       true},
       {"the part is sound after the crashes",
        Join(Crashes(3, deadly), {{milliseconds(1'100), Kind::kSound, deadly}}), false},
       {"sound between the crashes",
        Join(Crashes(3, deadly), {{milliseconds(1'015), Kind::kSound, deadly}}), false},
       {"bystanders whose response had not begun",
        Join(Join({route_sound_before}, Crashes(3, deadly)),
-            {{milliseconds(1'000), Kind::kUnbegun, {kTenant}, 100, 300},
-             {milliseconds(1'010), Kind::kUnbegun, {kTenant}, 101, 301},
-             {milliseconds(1'020), Kind::kUnbegun, {kTenant}, 102, 302}}),
+            {{milliseconds(1'000), Kind::kUnbegun, {kAccount}, 100, 300},
+             {milliseconds(1'010), Kind::kUnbegun, {kAccount}, 101, 301},
+             {milliseconds(1'020), Kind::kUnbegun, {kAccount}, 102, 302}}),
        true},
-      {"many endpoints lost at once", Crashes(12, {kTenant}, Kind::kUnbegun), false},
+      {"many endpoints lost at once", Crashes(12, {kAccount}, Kind::kUnbegun), false},
       {"crashes before each response began",
        Join({route_sound_before}, Crashes(6, deadly, Kind::kUnbegun, milliseconds(250))), true},
   };
@@ -146,7 +147,7 @@
     suspects.Judge(start + seconds(3));
     CHECK(suspects.Refuses(std::vector<Digest>{kRoute, kDeadly}) == row.deadly_refused);
     CHECK(suspects.Refuses(std::vector<Digest>{kRoute}) == row.route_refused);
-    CHECK(suspects.Refuses(std::vector<Digest>{kRoute, kTenant}) == row.tenant_refused);
+    CHECK(suspects.Refuses(std::vector<Digest>{kRoute, kAccount}) == row.account_refused);
     CHECK(suspects.Judge(start + seconds(4)).empty());
   }
 }
@@ -218,7 +219,7 @@
   const Row rows[] = {
       {"only its own crash", {own}, deadly, false},
       {"another crash", {Crashes(1, deadly)[0], own}, deadly, true},
-      {"another crash, other parts", {Crashes(1, {kTenant})[0], own}, deadly, false},
+      {"another crash, other parts", {Crashes(1, {kAccount})[0], own}, deadly, false},
       {"sound since",
        {Crashes(1, {kRoute})[0], {milliseconds(1'200), Event::Kind::kSound, {kRoute}}, own},
        deadly,
@@ -286,7 +287,7 @@
 TEST_CASE("the parts of most crashes are the last of the suspected ones") {
   PartSuspects suspects;
   const TimePoint start{seconds(100)};
-  suspects.OnRefusal({.parts = {kTenant}, .last_crash = start}, start);
+  suspects.OnRefusal({.parts = {kAccount}, .last_crash = start}, start);
   for (Digest i = 0; i < 50; ++i) {
     const Digest of_session = 1'000 + i;
     suspects.OnCrash({.endpoint = i, .request = i, .parts = {kRoute, of_session}}, start);
@@ -296,7 +297,7 @@
   const std::vector<Digest> parts = suspects.SuspectedParts(start);
   REQUIRE(parts.size() >= 3);
   CHECK(std::vector<Digest>(parts.end() - 3, parts.end()) ==
-        std::vector<Digest>{kDeadly, kRoute, kTenant});
+        std::vector<Digest>{kDeadly, kRoute, kAccount});
 }
 
 // Guards against a host that goes on refusing a sound part: it has no sound response on it, because
--- a/verbenaridge/ingress/directory_link.h
+++ b/verbenaridge/ingress/directory_link.h
@@ -1,7 +1,8 @@
 // Connects the directory of this host to those of the others, and runs its tick.
 //
-//   SocketDirectoryLink link(io_context, {.self = host, .ip = ip, .port = port, .keys = keys},
-//   clock); Status opened = link.Open(events); Status sent = link.Send("10.1.0.40", gossip);
+//   SocketDirectoryLink link(io_context, {.self = host, .ip = ip, .port = port}, clock);
+//   Status opened = link.Open(events);
+//   Status sent = link.Send("10.1.0.40", gossip);
 //
 // The directory reads time through its clock alone, so that with a link of a test's own several
 // hosts run in virtual time.
