Give up an attempt only when another endpoint takes the request

Cause: the timeout of an attempt took a retry from the budget, closed the exchange and only then asked the placement. No other endpoint could begin before the host's end, so nothing was left of the stream. The same order ended streams that were too slow for their deadline, services that take over 0.4 of the time left, and responses that report a failure, which became 502.

Change: RequestRun::SeekHandOver asks the placement while the attempt continues or its failed response is held. A retry is taken and the old exchange closed only when an endpoint is found; otherwise the attempt continues and asks again after 1.2 s, or the held response is returned, at the deadline at the latest. A group that has not begun is still closed first, since its memory must not wait. Place() also tells its own decision from that of a nested search, whose id it overwrote before.

--- a/verbenaridge/forwarding/request_metrics.cc
+++ b/verbenaridge/forwarding/request_metrics.cc
@@ -12,6 +12,10 @@
       attempts(registry.AddCounter({.name = "verbenaridge_attempts_failed_total",
                                     .help = "Attempts at endpoints that failed, by their end.",
                                     .labels = {{"end", 8}}})),
+      hand_overs(registry.AddCounter(
+          {.name = "verbenaridge_hand_overs_total",
+           .help = "Attempts for which another endpoint was sought before their end, by outcome.",
+           .labels = {{"outcome", 2}}})),
       blocked_requests(registry.AddCounter(
           {.name = "verbenaridge_requests_blocked_total",
            .help = "Equal requests that are refused because endpoints crash on them.",
--- a/verbenaridge/forwarding/request_run.cc
+++ b/verbenaridge/forwarding/request_run.cc
@@ -191,7 +191,10 @@
 }
 
 void RequestRun::OnDeadline() {
-  if (response_started_) {
+  if (HoldsResponse() && exchange_ == nullptr) {
+    CancelHandOver();
+    ReturnHeldResponse();
+  } else if (response_started_) {
     Finish(deadline_reason_, 0);
     sink_->Abort();
   } else if (runs_ == 0 && exchange_ == nullptr) {
@@ -201,26 +204,31 @@
   }
 }
 
-void RequestRun::FindEndpoint() {
+bool RequestRun::Place(std::vector<Digest> excluded, AssignmentHandler handler) {
   dispatch_id_ = 0;
-  const TokenCount prompt = request_metadata_.prompt_tokens;
-  // The callback may run before Submit returns.
-  const DispatchId id =
-      context_.placement.Submit({.service = service_,
-                                 .demand = {.prompt_tokens = prompt,
-                                            .output_tokens = request_metadata_.max_output_tokens,
-                                            .target_latency = route_->target_latency,
-                                            .target_gap = route_->target_gap},
-                                 .arrived = request_.arrived,
-                                 .deadline = LatestStart(),
-                                 .urgency = priority_,
-                                 .excluded = excluded_},
-                                [self = shared_from_this()](Assignment assignment) {
-                                  self->dispatch_id_ = 0;
-                                  self->OnAssigned(std::move(assignment));
-                                });
-  if (finished_ || exchange_ != nullptr || reservations_ != nullptr) return;
+  const auto decided = std::make_shared<bool>(false);
+  const DispatchId id = context_.placement.Submit(
+      {.service = service_,
+       .demand = {.prompt_tokens = request_metadata_.prompt_tokens,
+                  .output_tokens = request_metadata_.max_output_tokens,
+                  .target_latency = route_->target_latency,
+                  .target_gap = route_->target_gap},
+       .arrived = request_.arrived,
+       .deadline = LatestStart(),
+       .urgency = priority_,
+       .excluded = std::move(excluded)},
+      [self = shared_from_this(), decided, handler](Assignment assignment) {
+        *decided = true;
+        self->dispatch_id_ = 0;
+        ((*self).*handler)(std::move(assignment));
+      });
+  if (*decided) return false;
   dispatch_id_ = id;
+  return true;
+}
+
+void RequestRun::FindEndpoint() {
+  if (!Place(excluded_, &RequestRun::OnAssigned)) return;
   telemetry::Log(Level::kInfo, "held",
                  {{"id", request_metadata_.attempt_id},
                   {"waited_ms", Milliseconds(Elapsed())},
@@ -416,15 +424,21 @@
       self->ArmAttemptTimeout(self->context_.options.min_gap_timeout);
       return;
     }
-    // A timeout of an endpoint is a reason to try another one, but not to fail the request.
-    if (self->MayRetry(AttemptFailure::kTimedOut)) {
-      self->AttemptFailed(AttemptFailure::kTimedOut, "");
-    } else {
-      self->ArmAttemptTimeout(self->context_.options.first_event_timeout_margin);
-    }
+    self->OnAttemptTimeout();
   });
 }
 
+// A timeout of an endpoint is a reason to try another one, but not to fail the request.
+void RequestRun::OnAttemptTimeout() {
+  // Another group may need the memory that this one has reserved without using it.
+  const bool release_first = reservations_ != nullptr && attempt_events_ == 0;
+  if (release_first && MayRetry(AttemptFailure::kTimedOut)) {
+    AttemptFailed(AttemptFailure::kTimedOut, "");
+  } else if (release_first || !SeekHandOver(AttemptFailure::kTimedOut, "")) {
+    ArmAttemptTimeout(context_.options.first_event_timeout_margin);
+  }
+}
+
 void RequestRun::EndTasks() {
   for (const dispatch::TaskId task : assignment_.tasks) context_.dispatcher.OnEnd(task);
   assignment_.tasks.clear();
@@ -456,7 +470,11 @@
   }
   if (dispatch_id_ == 0) return;
   context_.placement.Cancel(dispatch_id_);
-  FindEndpoint();
+  if (const auto hand_over = std::exchange(hand_over_, std::nullopt)) {
+    if (!SeekHandOver(hand_over->failure, hand_over->detail)) KeepAttempt(*hand_over, "no_retry");
+  } else {
+    FindEndpoint();
+  }
 }
 
 void RequestRun::OnServerStopped() {
@@ -486,6 +504,7 @@
 void RequestRun::Finish(std::string_view outcome, int status) {
   finished_ = true;
   deadline_timer_.cancel();
+  hand_over_.reset();
   if (dispatch_id_ != 0) context_.placement.Cancel(dispatch_id_);
   const std::string endpoints = Endpoints();
   StopAttempt();
--- a/verbenaridge/forwarding/request_run.h
+++ b/verbenaridge/forwarding/request_run.h
@@ -125,6 +125,16 @@
     kServerError,   // a complete response that reports a failure
     kMemberLost,    // a member of the group stopped answering before the first event
   };
+  // Name in logs and metrics.
+  static std::string_view NameOf(AttemptFailure failure);
+  // Clients take these statuses as a promise that the request has not run and will not.
+  static bool IsPromise(int status);
+
+  // Why another endpoint is sought although the attempt has not ended or its response is held.
+  struct HandOver {
+    AttemptFailure failure;
+    std::string detail;
+  };
 
   void Proceed();
   void AwaitConfiguration();
@@ -138,6 +148,9 @@
   TimePoint LatestStart() const;
   void OnDeadline();
 
+  using AssignmentHandler = void (RequestRun::*)(Assignment);
+  // Submits the request to the placement. Returns false if the handler ran before this returns.
+  bool Place(std::vector<Digest> excluded, AssignmentHandler handler);
   void FindEndpoint();
   void OnAssigned(Assignment assignment);
   void RefuseUnplaced(std::string_view reason);
@@ -149,14 +162,31 @@
   bool HasLostMember();
   void StartAttempt(std::vector<Helper> helpers);
   void ArmAttemptTimeout(Duration limit);
+  void OnAttemptTimeout();
   void EndTasks();
   void StopAttempt();
 
+  // Looks for another endpoint while the attempt continues or its failed response is held. The
+  // attempt ends only when an endpoint is found and a retry is taken from the budget. Returns false
+  // if no retry is allowed.
+  bool SeekHandOver(AttemptFailure failure, std::string_view detail);
+  void OnHandOverAssigned(Assignment assignment);
+  // Continues the attempt, or returns its held response.
+  void KeepAttempt(const HandOver& hand_over, std::string_view reason);
+  void CancelHandOver();
+  void LogHandOver(const HandOver& hand_over, std::string_view outcome,
+                   std::string_view reason) const;
+  // Whether a complete or long failed response is held until the hand-over is decided.
+  bool HoldsResponse() const;
+  // Returns the held response, or an error if it is a refusal that may not be true.
+  void ReturnHeldResponse();
+
   bool IsOfThisRequest() const;
-  // Ends the attempt if its response must not be returned, or another endpoint may give a better
-  // one. Returns false otherwise.
+  // Ends the attempt if its response must not be returned, or holds the response while another
+  // endpoint is sought that may give a better one. Returns false otherwise.
   bool TryElsewhere();
   void ObserveLatency();
+  void BeginPassThrough();
   void PassThrough(std::string_view data);
   void OnEvents(std::string_view data);
   bool AcceptEvent(const Event& event);
@@ -170,11 +200,15 @@
   // Whether the stream can end before its deadline only at another endpoint.
   bool IsTooSlow(TimePoint now) const;
   void OnCompleteResponse();
+  void ReturnResponse();
   http1::ResponseHead ClientHead() const;
   void AttemptFailed(AttemptFailure failure, std::string_view detail);
   // Counts and logs a failed attempt and its endpoint's failure.
   void RecordAttempt(AttemptFailure failure, std::string_view detail);
+  // Whether another attempt is allowed now. Called before the failed attempt is counted.
   bool MayRetry(AttemptFailure failure);
+  // Takes the retry from the budget, unless the failed attempt sent nothing.
+  bool TakeRetry(AttemptFailure failure);
   void FailRequest(AttemptFailure failure);
   const directory::Endpoint& EndpointAtFault() const;
   void RecordHealth(AttemptFailure failure);
@@ -205,6 +239,8 @@
   asio::steady_timer wait_timer_;
 
   DispatchId dispatch_id_ = 0;
+  std::optional<HandOver> hand_over_;
+  TimePoint next_pace_check_{};  // earliest hand-over of a slow stream after one that failed
   Assignment assignment_;
   std::shared_ptr<ReservationSet> reservations_;
   int reservation_failures_ = 0;  // in a row
--- a/verbenaridge/forwarding/request_run_answer.cc
+++ b/verbenaridge/forwarding/request_run_answer.cc
@@ -14,11 +14,6 @@
   return head.header("Content-Type").starts_with("text/event-stream");
 }
 
-// Clients take these statuses as a promise that the request has not run and will not.
-bool IsPromise(int status) {
-  return status == 408 || status == 421 || status == 429 || status == 503;
-}
-
 bool IsSuccess(const http1::ResponseHead& head) { return head.status >= 200 && head.status < 300; }
 
 // Length of the body as the head states it; empty if the body is sent in chunks or until the close.
@@ -29,6 +24,10 @@
 
 }  // namespace
 
+bool RequestRun::IsPromise(int status) {
+  return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
 void RequestRun::OnResponseHead(http1::ResponseHead head) {
   const std::shared_ptr<RequestRun> self = shared_from_this();
   response_metadata_ = context_.adapter.ReadResponse(head);
@@ -62,17 +61,22 @@
     return;
   }
   body_.append(data);
-  if (body_.size() <= context_.options.max_held_response) return;
-  const std::optional<std::uint64_t> length = BodyLength(*response_);
-  if (!length) {
+  if (body_.size() <= context_.options.max_held_response || HoldsResponse()) return;
+  if (!BodyLength(*response_)) {
     AttemptFailed(AttemptFailure::kBroken, "longer_than_max_held_response_bytes");
-    return;
+  } else if (!TryElsewhere()) {
+    BeginPassThrough();
+  } else if (HoldsResponse()) {
+    exchange_->Pause();
   }
-  if (TryElsewhere()) return;
+}
+
+void RequestRun::BeginPassThrough() {
+  CancelHandOver();
   passing_through_ = response_started_ = true;
   wait_timer_.cancel();  // from here on, the deadline limits the time
   ObserveLatency();
-  sink_->Begin(ClientHead(), length);
+  sink_->Begin(ClientHead(), BodyLength(*response_));
   PassThrough(std::exchange(body_, {}));
 }
 
@@ -122,11 +126,14 @@
       std::max(FromSeconds(context_.options.gap_timeout_factor * ToSeconds(route_->target_gap)),
                context_.options.min_gap_timeout));
   pace_.OnEvent(now);
-  if (IsTooSlow(now) && MayRetry(AttemptFailure::kTimedOut)) {
-    AttemptFailed(AttemptFailure::kTimedOut, "too_slow_for_deadline");
-    return false;
+  if (!IsTooSlow(now)) {
+    CancelHandOver();  // the endpoint was silent, but has not stalled
+    return true;
   }
-  return true;
+  if (now < next_pace_check_) return true;
+  const std::shared_ptr<Exchange> exchange = exchange_;
+  SeekHandOver(AttemptFailure::kTimedOut, "too_slow_for_deadline");
+  return exchange_ == exchange;
 }
 
 bool RequestRun::IsTooSlow(TimePoint now) const {
@@ -191,6 +198,8 @@
 }
 
 bool RequestRun::TryElsewhere() {
+  if (HoldsResponse()) return true;
+  CancelHandOver();  // what timed out has responded
   const int status = response_->status;
   if (response_metadata_.not_executed || status == 421) {
     AttemptFailed(AttemptFailure::kRefused, std::to_string(status));
@@ -202,19 +211,17 @@
   }
   const bool unproven = IsPromise(status);
   if (status < 500 && !unproven) return false;
-  if (MayRetry(AttemptFailure::kServerError)) {
-    AttemptFailed(AttemptFailure::kServerError, std::to_string(status));
-    return true;
-  }
+  if (SeekHandOver(AttemptFailure::kServerError, std::to_string(status))) return true;
   if (!unproven) return false;
-  RecordAttempt(AttemptFailure::kServerError, "refusal_without_not_executed");
-  StopAttempt();
-  FailRequest(AttemptFailure::kServerError);
+  ReturnHeldResponse();
   return true;
 }
 
 void RequestRun::OnCompleteResponse() {
-  if (!passing_through_ && TryElsewhere()) return;
+  if (passing_through_ || !TryElsewhere()) ReturnResponse();
+}
+
+void RequestRun::ReturnResponse() {
   const int status = response_->status;
   if (status < 500) context_.dispatcher.OnSuccess(assignment_.members.front());
   if (IsSuccess(*response_)) OnSoundResponse();
--- a/verbenaridge/forwarding/request_run_failure.cc
+++ b/verbenaridge/forwarding/request_run_failure.cc
@@ -69,8 +69,6 @@
   }
 }
 
-// Returns whether a retry is allowed and, if so, takes it from the retry budget. Called before the
-// failed attempt is counted.
 bool RequestRun::MayRetry(AttemptFailure failure) {
   const TimePoint now = context_.clock.Now();
   if (attempts_ >= context_.options.max_attempts || now >= deadline_) return false;
@@ -85,7 +83,12 @@
       return false;
     }
   }
-  return context_.BudgetOf(service_).Take(snapshot_->hosts, now);
+  return context_.BudgetOf(service_).Remaining(snapshot_->hosts, now) >= 1;
+}
+
+bool RequestRun::TakeRetry(AttemptFailure failure) {
+  if (failure == AttemptFailure::kNotConnected || failure == AttemptFailure::kNotSent) return true;
+  return context_.BudgetOf(service_).Take(snapshot_->hosts, context_.clock.Now());
 }
 
 void RequestRun::RecordAttempt(AttemptFailure failure, std::string_view detail) {
@@ -98,10 +101,8 @@
 }
 
 void RequestRun::AttemptFailed(AttemptFailure failure, std::string_view detail) {
-  // Timeouts and server errors end an attempt only after their callers took a retry from the
-  // budget.
-  const bool retry = failure == AttemptFailure::kTimedOut ||
-                     failure == AttemptFailure::kServerError || MayRetry(failure);
+  CancelHandOver();
+  const bool retry = MayRetry(failure) && TakeRetry(failure);
   RecordAttempt(failure, detail);
   const Digest endpoint = EndpointKey(EndpointAtFault());
   if (failure == AttemptFailure::kBroken && MayBeCauseOfCrash()) RecordCrash(endpoint);
@@ -138,10 +139,14 @@
   }
 }
 
-void RequestRun::LogFailedAttempt(AttemptFailure failure, std::string_view detail) const {
+std::string_view RequestRun::NameOf(AttemptFailure failure) {
   constexpr std::string_view kNames[] = {"not_connected", "not_sent",     "refused",    "silent",
                                          "broken",        "server_error", "member_lost"};
-  const std::string_view name = kNames[static_cast<std::size_t>(failure)];
+  return kNames[static_cast<std::size_t>(failure)];
+}
+
+void RequestRun::LogFailedAttempt(AttemptFailure failure, std::string_view detail) const {
+  const std::string_view name = NameOf(failure);
   context_.metrics.attempts.With({name}).Add();
   telemetry::Log(Level::kInfo, "attempt_failed",
                  {{"id", request_metadata_.attempt_id},
