Read the configuration itself when its history cannot be polled

Cause: a poll of the store returns all events since the revision that the host read last. After 25 versions of 1,402 routes that is 15 MB, of which the host reads 4 MB and fails, and the same poll was repeated until the store forgot its history. A store that returns a part of the events was taken to have returned all of them, and peers were told so.

Change: a poll whose history is gone, too large or malformed is followed by a read of the key, at once. Polls continue from the revision that the store names. A response that ends with the event whose revision it names may be a part, so the key is read before the read is reported to peers.

Conclusion: the class is "a retry repeats a call that cannot succeed".

--- a/verbenaridge/directory/directory_store.h
+++ b/verbenaridge/directory/directory_store.h
@@ -2,8 +2,7 @@
 // adapter.
 //
 //   store.ReadConfiguration([](Result<StoredConfiguration> stored) { ... });
-//   store.PollConfiguration(revision, [](Result<std::optional<StoredConfiguration>> newer) { ...
-//   });
+//   store.PollConfiguration(revision, [](Result<ConfigurationNews> news) { ... });
 //
 // Used by one thread. Each callback runs exactly once, on the event loop of that thread, and never
 // from within the call. A call that gets no response ends with kTimeout.
@@ -29,6 +28,13 @@
   std::string document;  // as stored; passed to hosts that the store rejects
 };
 
+// What was stored after a revision.
+struct ConfigurationNews {
+  std::uint64_t revision = 0;                 // from which the next poll continues
+  std::optional<StoredConfiguration> newest;  // none: the configuration is unchanged
+  bool complete = true;                       // no newer one is left out
+};
+
 struct StoredEndpoints {
   std::vector<Endpoint> endpoints;
   std::size_t malformed = 0;  // entries that could not be decoded
@@ -41,12 +47,11 @@
   // Errors: kNotFound if no configuration is stored yet; kMalformed; kUnavailable; kTimeout.
   virtual void ReadConfiguration(std::function<void(Result<StoredConfiguration>)> done) = 0;
 
-  // Returns the newest configuration stored after `revision`, or nothing. Errors are those of
-  // ReadConfiguration, and kConflict if the store no longer has its history since `revision`; the
-  // caller then uses ReadConfiguration.
-  virtual void PollConfiguration(
-      std::uint64_t revision,
-      std::function<void(Result<std::optional<StoredConfiguration>>)> done) = 0;
+  // Returns what was stored after `revision`. Errors are those of ReadConfiguration, kConflict if
+  // the store no longer has its history since `revision`, and kTooLarge if that history is too
+  // large. The caller then uses ReadConfiguration, as it does if the news are not complete.
+  virtual void PollConfiguration(std::uint64_t revision,
+                                 std::function<void(Result<ConfigurationNews>)> done) = 0;
 
   virtual void ReadEndpoints(std::function<void(Result<StoredEndpoints>)> done) = 0;
 
--- a/verbenaridge/ingress/directory_service.h
+++ b/verbenaridge/ingress/directory_service.h
@@ -128,7 +128,7 @@
 
   void ReadConfiguration();
   void OnConfigurationRead(Result<directory::StoredConfiguration> stored);
-  void OnConfigurationPolled(Result<std::optional<directory::StoredConfiguration>> stored);
+  void OnConfigurationPolled(Result<directory::ConfigurationNews> news);
   // Returns true if it is newer than the configuration in force.
   bool Adopt(std::shared_ptr<const directory::Configuration> configuration,
              std::string_view source);
--- a/verbenaridge/ingress/hosts_test.cc
+++ b/verbenaridge/ingress/hosts_test.cc
@@ -47,14 +47,13 @@
       std::function<void(Result<directory::StoredConfiguration>)> done) override {
     Reply(std::move(done), [this]() -> Result<directory::StoredConfiguration> { return Read(); });
   }
-  void PollConfiguration(
-      std::uint64_t revision,
-      std::function<void(Result<std::optional<directory::StoredConfiguration>>)> done) override {
-    Reply(std::move(done),
-          [this, revision]() -> Result<std::optional<directory::StoredConfiguration>> {
-            if (shared_.version <= revision) return std::optional<directory::StoredConfiguration>();
-            return std::optional<directory::StoredConfiguration>(Read());
-          });
+  void PollConfiguration(std::uint64_t revision,
+                         std::function<void(Result<directory::ConfigurationNews>)> done) override {
+    Reply(std::move(done), [this, revision]() -> Result<directory::ConfigurationNews> {
+      directory::ConfigurationNews news{.revision = shared_.version};
+      if (shared_.version > revision) news.newest = Read();
+      return news;
+    });
   }
   void ReadEndpoints(std::function<void(Result<directory::StoredEndpoints>)> done) override {
     Reply(std::move(done), [this]() -> Result<directory::StoredEndpoints> {
--- a/verbenaridge/ingress/version_lag_test.cc
+++ b/verbenaridge/ingress/version_lag_test.cc
@@ -112,6 +112,14 @@
 // A document is its version in decimal. There are no endpoints.
 class SimulatedStore final : public directory::DirectoryStore {
  public:
+  // What a poll returns of the versions since its revision.
+  enum class Watch : std::uint8_t {
+    kAll,
+    kNext,       // the first of them
+    kLimited,    // nothing if they are many
+    kCompacted,  // nothing, as the history is gone
+  };
+
   SimulatedStore(VirtualTime& time, const std::uint64_t& version)
       : time_(time), version_(version) {}
 
@@ -119,14 +127,24 @@
       std::function<void(Result<directory::StoredConfiguration>)> done) override {
     Reply(std::move(done), [this]() -> Result<directory::StoredConfiguration> { return Read(); });
   }
-  void PollConfiguration(
-      std::uint64_t revision,
-      std::function<void(Result<std::optional<directory::StoredConfiguration>>)> done) override {
-    Reply(std::move(done),
-          [this, revision]() -> Result<std::optional<directory::StoredConfiguration>> {
-            if (version_ <= revision) return std::optional<directory::StoredConfiguration>();
-            return std::optional<directory::StoredConfiguration>(Read());
-          });
+  void PollConfiguration(std::uint64_t revision,
+                         std::function<void(Result<directory::ConfigurationNews>)> done) override {
+    Reply(std::move(done), [this, revision]() -> Result<directory::ConfigurationNews> {
+      if (version_ <= revision) return directory::ConfigurationNews{.revision = version_};
+      switch (watch) {
+        case Watch::kAll:
+          break;
+        case Watch::kNext:
+          return directory::ConfigurationNews{
+              .revision = revision + 1, .newest = Version(revision + 1), .complete = false};
+        case Watch::kLimited:
+          if (version_ - revision > kMaxVersionsOfPoll) return Errc::kTooLarge;
+          break;
+        case Watch::kCompacted:
+          return Errc::kConflict;
+      }
+      return directory::ConfigurationNews{.revision = version_, .newest = Version(version_)};
+    });
   }
   void ReadEndpoints(std::function<void(Result<directory::StoredEndpoints>)> done) override {
     Reply(std::move(done),
@@ -139,12 +157,16 @@
 
   bool rejects = false;
   bool silent = false;  // rejected calls get no reply
+  Watch watch = Watch::kAll;
 
  private:
-  directory::StoredConfiguration Read() const {
-    return {.revision = version_,
-            .configuration = directory::Configuration::Create({.version = version_}),
-            .document = std::to_string(version_)};
+  static constexpr std::uint64_t kMaxVersionsOfPoll = 4;
+
+  directory::StoredConfiguration Read() const { return Version(version_); }
+  static directory::StoredConfiguration Version(std::uint64_t version) {
+    return {.revision = version,
+            .configuration = directory::Configuration::Create({.version = version}),
+            .document = std::to_string(version)};
   }
 
   template <class Done, class Value>
@@ -317,5 +339,49 @@
   }
 }
 
+// Guards against hosts that keep polling a history that the store cannot return in one response,
+// and serve an old version meanwhile (review/3: for 10 s after a series of large versions).
+TEST_CASE("a series of versions delays the last one not too long") {
+  struct Row {
+    std::string name;
+    std::size_t hosts;
+    SimulatedStore::Watch watch;
+  };
+  using Watch = SimulatedStore::Watch;
+  const Row rows[] = {
+      {"all versions, 15 hosts", 15, Watch::kAll},
+      {"too large, 4 hosts", 4, Watch::kLimited},
+      {"too large, 15 hosts", 15, Watch::kLimited},
+      {"too large, 104 hosts", 104, Watch::kLimited},
+      {"one version at a time, 4 hosts", 4, Watch::kNext},
+      {"one version at a time, 15 hosts", 15, Watch::kNext},
+      {"one version at a time, 104 hosts", 104, Watch::kNext},
+      {"history gone, 15 hosts", 15, Watch::kCompacted},
+  };
+  constexpr int kVersions = 25;
+  constexpr Duration kVersionInterval = milliseconds(60);
+  // Versions are due 2 s after they were stored. Half of it is margin.
+  constexpr Duration kBound = std::chrono::seconds(1);
+  for (const Row& row : rows) {
+    CAPTURE(row.name);
+    for (const Duration delay : kNetworkDelays) {
+      CAPTURE(ToSeconds(delay));
+      SimulatedHosts fleet(TestSeed(), delay, row.hosts);
+      for (const auto& store : fleet.stores) store->watch = row.watch;
+      fleet.Start();
+      fleet.Run(milliseconds(1'500));
+      REQUIRE(fleet.all_current());
+      for (int i = 0; i < kVersions; ++i) {
+        fleet.StoreVersion();
+        fleet.Run(kVersionInterval);
+      }
+      fleet.Run(milliseconds(500));
+      fleet.StoreVersion();
+      fleet.Run(kBound);
+      CHECK(fleet.all_current());
+    }
+  }
+}
+
 }  // namespace
 }  // namespace verbenaridge::ingress
