Weigh crashes beside begun streams and at many hosts at once

Cause: two rules of CrashSuspects left out evidence to protect innocent requests. A request whose response had not begun counted nothing beside a stream that had begun, and crashes before a response began counted once in 200 ms, also twelve of one request.

Change: the first counts three quarters for the whole request and nothing for its parts; of a request that was never sound each further crash within 200 ms counts half. Of two requests of the same crashes the one that weighs more explains the other.

Conclusion: recurrence separates the cause from bystanders without a window.

--- a/verbenaridge/dispatch/crash_suspects.cc
+++ b/verbenaridge/dispatch/crash_suspects.cc
@@ -133,27 +133,37 @@
   return found == sound_.end() ? 0 : found->second.total.responses;
 }
 
+std::vector<Digest> CrashSuspects::SuspectsOf(const Crash& crash, const EndpointCrash& request) {
+  return IsBystander(crash, request) ? std::vector<Digest>{request.request} : KeysOf(request);
+}
+
+double CrashSuspects::WeightOf(const Crash& crash, const EndpointCrash& request, Digest key,
+                               TimePoint last_unbegun) const {
+  if (crash.begun) return request.begun ? 1 : options_.bystander_weight;
+  const bool whole_request = key == request.request;
+  if (crash.time - last_unbegun < options_.unbegun_interval) {
+    return whole_request && SoundResponses(key) == 0 ? options_.coincident_weight : 0;
+  }
+  // That the same request runs at several endpoints as they crash is rarely chance.
+  return whole_request ? 1 : options_.unbegun_weight;
+}
+
 std::map<Digest, CrashSuspects::Evidence> CrashSuspects::CollectEvidence() const {
   std::map<Digest, Evidence> all;
   for (const Crash& crash : crashes_) {
     for (const EndpointCrash& request : crash.requests) {
-      if (crash.begun && !request.begun) continue;
-      for (const Digest key : KeysOf(request)) {
+      for (const Digest key : SuspectsOf(crash, request)) {
         if (crash.time <= LastSound(key)) continue;
         Evidence& evidence = all[key];
         evidence.whole_request = key == request.request;
         evidence.requests.insert(request.request);
         if (!evidence.endpoints.insert(crash.endpoint).second) continue;
-        double& weight = evidence.weights.emplace_back(crash.endpoint, 0.0).second;
+        const double weight = WeightOf(crash, request, key, evidence.last_unbegun);
+        evidence.weights.emplace_back(crash.endpoint, weight);
         evidence.last_crash = crash.time;
+        const bool is_apart = crash.time - evidence.last_unbegun >= options_.unbegun_interval;
+        if (!crash.begun && is_apart) evidence.last_unbegun = crash.time;
         const double before = evidence.weight;
-        if (crash.begun) {
-          weight = 1;
-        } else if (crash.time - evidence.last_unbegun >= options_.unbegun_interval) {
-          // That the same request runs at several endpoints as they crash is rarely chance.
-          weight = evidence.whole_request ? 1 : options_.unbegun_weight;
-          evidence.last_unbegun = crash.time;
-        }
         evidence.weight += weight;
         const auto needed = static_cast<double>(options_.crashes_to_refuse);
         if (before < needed && evidence.weight >= needed) evidence.complete_since = crash.time;
@@ -183,7 +193,9 @@
     const std::uint64_t other_sound = SoundResponses(key);
     if (other_sound < sound) explained.insert(other.endpoints.begin(), other.endpoints.end());
     const bool is_sole_request = other.whole_request && !own.whole_request;
-    const bool has_more = is_sole_request || other.endpoints.size() > own.endpoints.size();
+    const bool weighs_more = own.whole_request && other.weight > own.weight;
+    const bool has_more =
+        is_sole_request || weighs_more || other.endpoints.size() > own.endpoints.size();
     if (other_sound == sound && has_more && Includes(other.endpoints, own.endpoints)) return true;
   }
   double left = 0;
@@ -320,12 +332,12 @@
     // Endpoints that are lost at once.
     const bool may_be_chance = !crash.begun && age < options_.unbegun_interval;
     for (const EndpointCrash& request : crash.requests) {
-      if (crash.begun && !request.begun) continue;
       if (is_suspect(request.request)) {
         if (request.begun) return true;
         if (++unbegun_crashes + 1 >= options_.crashes_to_refuse) return true;
       }
-      if (!may_be_chance && std::any_of(request.parts.begin(), request.parts.end(), is_suspect)) {
+      if (!may_be_chance && !IsBystander(crash, request) &&
+          std::any_of(request.parts.begin(), request.parts.end(), is_suspect)) {
         return true;
       }
     }
@@ -343,8 +355,7 @@
   for (const Crash& crash : crashes_) {
     if (now - crash.time > options_.suspicion_time) continue;
     for (const EndpointCrash& request : crash.requests) {
-      if (crash.begun && !request.begun) continue;
-      for (const Digest key : KeysOf(request)) {
+      for (const Digest key : SuspectsOf(crash, request)) {
         Place& place = places[key];
         if (std::exchange(place.last, &crash) == &crash) continue;
         if (++place.crashes == 1) keys.push_back(key);
--- a/verbenaridge/dispatch/crash_suspects.h
+++ b/verbenaridge/dispatch/crash_suspects.h
@@ -10,7 +10,9 @@
 // comes again, or a part of prompts, whatever else they have. An endpoint that begins to write a
 // response on such a key crashes. All requests that run there break with it, so one crash only
 // yields suspects: the requests whose response had begun without proof that it is sound or, if no
-// host reports one, all without that proof. Parts are shared with sound requests; the first one may
+// host reports one, all without that proof. A request that had not begun beside one that had stays
+// a suspect itself, with less weight, but its parts do not: others break once, the cause each time.
+// Parts are shared with sound requests; the first one may
 // be that of a whole route. A key is refused if several crashes have it in common and no response
 // on it was sound since. Crashes that keys with fewer sound responses have in common do not count
 // against it, nor do those that a single request explains. Parts of the same crashes with equally
@@ -77,9 +79,13 @@
   std::size_t min_requests = 2;
   // A part that was only in requests whose response had not begun counts this much for a crash.
   double unbegun_weight = 0.5;
+  // A request whose response had not begun counts this much if another one's had.
+  double bystander_weight = 0.75;
   // Unbegun requests break together for other reasons too, such as a reset of all connections of a
-  // host. Such crashes within this time count as one.
+  // host. Such crashes within this time count as one, unless they are of one request that
+  // was never sound: then each further one has the coincident weight.
   Duration unbegun_interval = std::chrono::milliseconds(200);
+  double coincident_weight = 0.5;
   // After the last crash that is needed. The other hosts report sound responses meanwhile.
   Duration settle_time = std::chrono::milliseconds(200);
   // A judgment takes milliseconds after many crashes, and each request asks for one.
@@ -166,6 +172,16 @@
 
   using KeyEvidence = std::pair<const Digest, Evidence>;
 
+  // Whether the response had not begun, although that of another request had.
+  static bool IsBystander(const Crash& crash, const EndpointCrash& request) {
+    return crash.begun && !request.begun;
+  }
+  // The keys of the request that the crash makes suspected.
+  static std::vector<Digest> SuspectsOf(const Crash& crash, const EndpointCrash& request);
+  // How much the crash counts against the key of the request.
+  double WeightOf(const Crash& crash, const EndpointCrash& request, Digest key,
+                  TimePoint last_unbegun) const;
+
   // Whether the crashes suffice to take the key for the cause of others.
   bool CanExplain(const Evidence& evidence) const;
   // Whether keys that are more likely to be their cause are in so many crashes of the suspect that
--- a/verbenaridge/dispatch/crash_suspects_test.cc
+++ b/verbenaridge/dispatch/crash_suspects_test.cc
@@ -185,8 +185,30 @@
     return crashes(endpoints, kRequest, Kind::kCrash);
   };
   const Event route_sound{milliseconds(100), Kind::kSound, {kRoute, kAccount}};
+  // A stream of its own has begun at each endpoint that crashes.
+  const auto beside_streams = [&](const std::vector<Digest>& endpoints) {
+    std::vector<Event> events = crashes(endpoints, kRequest, Kind::kUnbegun);
+    for (std::size_t i = 0; i < endpoints.size(); ++i) {
+      Event stream = events[i];
+      stream.kind = Kind::kCrash;
+      stream.request = 60 + i;
+      stream.parts = {70 + i};
+      events.push_back(stream);
+    }
+    return Join({}, events);
+  };
+  const std::vector<Digest> six = {1, 2, 3, 4, 5, 6};
+  const Event request_sound{milliseconds(100), Kind::kSound, {kRequest}};
   const Row rows[] = {
       {"no crash", {}, false},
+      {"three crashes, each beside a stream that has begun", beside_streams({1, 2, 3}), false},
+      {"four crashes, each beside a stream that has begun", beside_streams({1, 2, 3, 4}), true},
+      {"the neighbour waits at four crashes",
+       Join(begun({1, 2, 3, 4}), crashes({1, 2, 3, 4}, kNeighbour, Kind::kUnbegun)), true},
+      {"copies at many hosts at once", crashes(six, kRequest, Kind::kUnbegun, milliseconds(3)),
+       true},
+      {"copies at once, sound before",
+       Join({request_sound}, crashes(six, kRequest, Kind::kUnbegun, milliseconds(3))), false},
       {"two crashes", begun({1, 2}), false},
       {"three crashes", begun({1, 2, 3}), true},
       {"three crashes within a moment", crashes({1, 2, 3}, kRequest, Kind::kCrash, milliseconds(5)),
