Limit the bytes that all responses in progress hold

Operators of other systems saw a host run out of memory, and the requests of other clients end, because an endpoint sent bytes that were no answer without end.

Cause here: each response had a limit (a head 64 KB, a body without a length or an event 256 KB), all together had none. 40 endpoints that send at the same pace held 10.1 MB at a time.

Change: while the requests of a traffic thread hold more than 32 MB, each may hold an eighth of max_held_response_bytes. A gauge shows what is held.

Evidence: "bytes without end at many endpoints hold bounded memory" fails in three of four rows without the limit for all (10.1 MB where 2.3 MB are allowed), and passes with it (1.04 MB at a limit of 1 MB); a sound request beside them is answered. The row of heads passes either way. request_path_test passes.

Conclusion: a limit for each of many needs one for all. Heads and what clients do not read are not counted in it.

--- a/verbenaridge/forwarding/request_metrics.cc
+++ b/verbenaridge/forwarding/request_metrics.cc
@@ -42,6 +42,10 @@
               .AddGauge({.name = "verbenaridge_tickets_held",
                          .help = "Reservations of memory that requests of this host use."})
               .With({})),
+      held_bytes(registry
+                     .AddGauge({.name = "verbenaridge_held_response_bytes",
+                                .help = "Bytes of responses and events that are not yet whole."})
+                     .With({})),
       connections_closed(
           registry.AddCounter({.name = "verbenaridge_client_connections_closed_total",
                                .help = "Connections of clients that the host closed, by reason.",
--- a/verbenaridge/forwarding/request_metrics.h
+++ b/verbenaridge/forwarding/request_metrics.h
@@ -20,6 +20,7 @@
   telemetry::Family<telemetry::Histogram>& queued;      // priority
   telemetry::Family<telemetry::Counter>& reservations;  // event
   telemetry::Gauge& active_reservations;
+  telemetry::Gauge& held_bytes;
   telemetry::Family<telemetry::Counter>& connections_closed;  // reason
   telemetry::Family<telemetry::Counter>& endpoint_notices;    // notice
 };
--- a/verbenaridge/forwarding/request_run.h
+++ b/verbenaridge/forwarding/request_run.h
@@ -61,6 +61,11 @@
   // by that of a retry. A longer one of known length passes through; one of unknown length is taken
   // for bytes without end.
   std::size_t max_held_response = std::size_t{256} * 1024;
+  // While the requests of a traffic thread hold more than this, each may hold
+  // `held_share_when_full` of `max_held_response`, so that many endpoints that send bytes without
+  // end fill no memory.
+  std::size_t max_held_total = std::size_t{32} * 1024 * 1024;
+  double held_share_when_full = 0.125;
   // Reading from the endpoint pauses while more than this is not yet written to the client.
   std::size_t max_unsent_bytes = std::size_t{256} * 1024;
   // Events of a stream until its endpoint counts as having survived the request. An engine that
@@ -86,6 +91,7 @@
   std::unordered_map<ServiceId, dispatch::RetryBudget> budgets{};
   dispatch::CrashSuspects suspects{};
   dispatch::StopWindow stop{};
+  std::size_t held_bytes = 0;  // of responses and events that are not yet whole
   std::uint64_t reservations_made = 0;
   std::string ticket_prefix{};
 
@@ -100,6 +106,10 @@
                          public std::enable_shared_from_this<RequestRun> {
  public:
   RequestRun(RunContext& context, IncomingRequest request, std::shared_ptr<ResponseSink> sink);
+  ~RequestRun() override;
+
+  RequestRun(const RequestRun&) = delete;
+  RequestRun& operator=(const RequestRun&) = delete;
 
   void Start();
 
@@ -186,6 +196,8 @@
   // endpoint is sought that may give a better one. Returns false otherwise.
   bool TryElsewhere();
   void ObserveLatency();
+  // Updates the bytes that this request holds. Returns false if they are too many.
+  bool MayHold(std::size_t bytes);
   void BeginPassThrough();
   void PassThrough(std::string_view data);
   void OnEvents(std::string_view data);
@@ -261,6 +273,7 @@
   bool finished_ = false;
   std::string body_;
   EventSplitter splitter_;
+  std::size_t held_bytes_ = 0;
   dispatch::StreamPace pace_{{}};  // of this attempt
   std::optional<std::uint64_t> last_event_;
   std::size_t events_sent_ = 0;
--- a/verbenaridge/forwarding/request_run_answer.cc
+++ b/verbenaridge/forwarding/request_run_answer.cc
@@ -61,7 +61,7 @@
     return;
   }
   body_.append(data);
-  if (body_.size() <= context_.options.max_held_response || HoldsResponse()) return;
+  if (MayHold(body_.size()) || HoldsResponse()) return;
   if (!BodyLength(*response_)) {
     AttemptFailed(AttemptFailure::kBroken, "longer_than_max_held_response_bytes");
   } else if (!TryElsewhere()) {
@@ -71,12 +71,22 @@
   }
 }
 
+bool RequestRun::MayHold(std::size_t bytes) {
+  context_.held_bytes += bytes - std::exchange(held_bytes_, bytes);
+  context_.metrics.held_bytes.Set(static_cast<double>(context_.held_bytes));
+  const auto limit = static_cast<double>(context_.options.max_held_response);
+  const bool full = context_.held_bytes > context_.options.max_held_total;
+  return static_cast<double>(bytes) <=
+         (full ? limit * context_.options.held_share_when_full : limit);
+}
+
 void RequestRun::BeginPassThrough() {
   CancelHandOver();
   passing_through_ = response_started_ = true;
   wait_timer_.cancel();  // from here on, the deadline limits the time
   ObserveLatency();
   sink_->Begin(ClientHead(), BodyLength(*response_));
+  MayHold(0);
   PassThrough(std::exchange(body_, {}));
 }
 
@@ -89,7 +99,7 @@
   for (const Event& event : splitter_.Feed(data)) {
     if (!AcceptEvent(event)) return;
   }
-  if (splitter_.too_long()) {
+  if (!MayHold(splitter_.size()) || splitter_.too_long()) {
     AttemptFailed(AttemptFailure::kBroken, "event_too_long");
     return;
   }
