Keep a held response paused, and survive a client that leaves as it begins

ReturnHeldResponse resumed the exchange after it had sent the held part to the client; the sink may report there that the client is gone, which ends the request and its exchange. A client that reads on could have resumed an exchange that is paused while its failed response is held.

Change: both resume only if the request still runs and holds no response.

Result: request_path_test passes; no test shows either case, since the sink of the tests does not fail within Send.

Conclusion: the same guard stands at PassThrough.

--- a/verbenaridge/forwarding/request_run.cc
+++ b/verbenaridge/forwarding/request_run.cc
@@ -461,7 +461,7 @@
 }
 
 void RequestRun::OnClientDrained() {
-  if (exchange_ != nullptr) exchange_->Resume();
+  if (exchange_ != nullptr && !HoldsResponse()) exchange_->Resume();
 }
 
 void RequestRun::OnStopping() {
--- a/verbenaridge/forwarding/request_run_hand_over.cc
+++ b/verbenaridge/forwarding/request_run_hand_over.cc
@@ -93,7 +93,7 @@
     FailRequest(AttemptFailure::kServerError);
   } else if (exchange_ != nullptr) {
     BeginPassThrough();
-    exchange_->Resume();
+    if (!finished_) exchange_->Resume();
   } else {
     ReturnResponse();
   }
