Keep the limit of events apart from that of held responses

The limit for all responses,, also applied max_held_response_bytes to events, so that a host with a small setting would have ended sound streams; the limit of events is a constant. One function both recorded bytes and judged them. A response of the store that may be a part led to a decision without a log line, and a header comment was out of date.

Change: SetHeldBytes records, IsWithinLimit judges by the limit that it is given; events have kMaxEventBytes again. Log line store_history_partial.

--- a/verbenaridge/dispatch/crash_suspects.h
+++ b/verbenaridge/dispatch/crash_suspects.h
@@ -12,11 +12,11 @@
 // yields suspects: the requests whose response had begun without proof that it is sound or, if no
 // host reports one, all without that proof. A request that had not begun beside one that had stays
 // a suspect itself, with less weight, but its parts do not: others break once, the cause each time.
-// Parts are shared with sound requests; the first one may
-// be that of a whole route. A key is refused if several crashes have it in common and no response
-// on it was sound since. Crashes that keys with fewer sound responses have in common do not count
-// against it, nor do those that a single request explains. Parts of the same crashes with equally
-// many are refused only together. A sound response on a refused key ends the refusal.
+// Parts are shared with sound requests; the first one may be that of a whole route. A key is
+// refused if several crashes have it in common and no response on it was sound since. Crashes that
+// keys with fewer sound responses have in common do not count against it, nor do those that a
+// single request explains. Parts of the same crashes with equally many are refused only together. A
+// sound response on a refused key ends the refusal.
 //
 // Each host records what it sees itself. Schedulers also get the reports of all hosts, ask them
 // for sound responses on suspected keys, and tell them what to refuse. Used by one thread.
--- a/verbenaridge/forwarding/event_splitter.h
+++ b/verbenaridge/forwarding/event_splitter.h
@@ -30,7 +30,6 @@
 
   bool partial() const { return !buffer_.empty(); }
   std::size_t size() const { return buffer_.size(); }  // of the event that is not yet whole
-  bool too_long() const { return buffer_.size() > kMaxEventBytes; }
   void Reset() { buffer_.clear(); }
 
  private:
--- a/verbenaridge/forwarding/request_run.cc
+++ b/verbenaridge/forwarding/request_run.cc
@@ -69,7 +69,7 @@
       deadline_timer_(context.io_context),
       wait_timer_(context.io_context) {}
 
-RequestRun::~RequestRun() { MayHold(0); }
+RequestRun::~RequestRun() { SetHeldBytes(0); }
 
 Duration RequestRun::Elapsed() const { return context_.clock.Now() - request_.arrived; }
 
@@ -374,7 +374,7 @@
   attempt_events_ = 0;
   body_.clear();
   splitter_.Reset();
-  MayHold(0);
+  SetHeldBytes(0);
   pace_.Reset();
   const std::string priority = std::to_string(priority_);
   if (attempts_ == 1) context_.metrics.queued.With({priority}).Observe(ToSeconds(Elapsed()));
--- a/verbenaridge/forwarding/request_run.h
+++ b/verbenaridge/forwarding/request_run.h
@@ -62,7 +62,7 @@
   // for bytes without end.
   std::size_t max_held_response = std::size_t{256} * 1024;
   // While the requests of a traffic thread hold more than this, each may hold
-  // `held_share_when_full` of `max_held_response`, so that many endpoints that send bytes without
+  // `held_share_when_full` of its limit, so that many endpoints that send bytes without
   // end fill no memory.
   std::size_t max_held_total = std::size_t{32} * 1024 * 1024;
   double held_share_when_full = 0.125;
@@ -196,8 +196,10 @@
   // endpoint is sought that may give a better one. Returns false otherwise.
   bool TryElsewhere();
   void ObserveLatency();
-  // Updates the bytes that this request holds. Returns false if they are too many.
-  bool MayHold(std::size_t bytes);
+  // Records the bytes of a response or event of this request that is not yet whole.
+  void SetHeldBytes(std::size_t bytes);
+  // Whether this request holds no more than `limit`, or its share if all requests hold too much.
+  bool IsWithinLimit(std::size_t limit) const;
   void BeginPassThrough();
   void PassThrough(std::string_view data);
   void OnEvents(std::string_view data);
--- a/verbenaridge/forwarding/request_run_answer.cc
+++ b/verbenaridge/forwarding/request_run_answer.cc
@@ -61,7 +61,8 @@
     return;
   }
   body_.append(data);
-  if (MayHold(body_.size()) || HoldsResponse()) return;
+  SetHeldBytes(body_.size());
+  if (IsWithinLimit(context_.options.max_held_response) || HoldsResponse()) return;
   if (!BodyLength(*response_)) {
     AttemptFailed(AttemptFailure::kBroken, "longer_than_max_held_response_bytes");
   } else if (!TryElsewhere()) {
@@ -71,13 +72,15 @@
   }
 }
 
-bool RequestRun::MayHold(std::size_t bytes) {
+void RequestRun::SetHeldBytes(std::size_t bytes) {
   context_.held_bytes += bytes - std::exchange(held_bytes_, bytes);
   context_.metrics.held_bytes.Set(static_cast<double>(context_.held_bytes));
-  const auto limit = static_cast<double>(context_.options.max_held_response);
+}
+
+bool RequestRun::IsWithinLimit(std::size_t limit) const {
   const bool full = context_.held_bytes > context_.options.max_held_total;
-  return static_cast<double>(bytes) <=
-         (full ? limit * context_.options.held_share_when_full : limit);
+  const double share = full ? context_.options.held_share_when_full : 1;
+  return static_cast<double>(held_bytes_) <= static_cast<double>(limit) * share;
 }
 
 void RequestRun::BeginPassThrough() {
@@ -86,7 +89,7 @@
   wait_timer_.cancel();  // from here on, the deadline limits the time
   ObserveLatency();
   sink_->Begin(ClientHead(), BodyLength(*response_));
-  MayHold(0);
+  SetHeldBytes(0);
   PassThrough(std::exchange(body_, {}));
 }
 
@@ -99,7 +102,8 @@
   for (const Event& event : splitter_.Feed(data)) {
     if (!AcceptEvent(event)) return;
   }
-  if (!MayHold(splitter_.size()) || splitter_.too_long()) {
+  SetHeldBytes(splitter_.size());
+  if (!IsWithinLimit(EventSplitter::kMaxEventBytes)) {
     AttemptFailed(AttemptFailure::kBroken, "event_too_long");
     return;
   }
--- a/verbenaridge/ingress/directory_service.h
+++ b/verbenaridge/ingress/directory_service.h
@@ -190,7 +190,7 @@
   // uncompressed, and one host sends it to all others of its data centre over a link of perhaps
   // 14 Mbit/s.
   std::string compressed_document_;
-  bool full_read_needed_ = true;  // never read, or the store lost the history since the last read
+  bool full_read_needed_ = true;  // a poll cannot tell what is newest
   directory::EndpointTable table_;
   std::vector<directory::Endpoint> last_entries_;  // sorted by id
   Digest last_digest_ = 0;
--- a/verbenaridge/ingress/directory_service_configuration.cc
+++ b/verbenaridge/ingress/directory_service_configuration.cc
@@ -55,6 +55,7 @@
   revision_ = std::max(revision_, news.value().revision);
   if (!news.value().complete) {
     if (news.value().newest) OnNewConfiguration(std::move(*news.value().newest));
+    Log(Level::kInfo, "store_history_partial", {{"revision", revision_}});
     full_read_needed_ = true;
     ReadConfiguration();
     return;
