Log until when a response may start, and input that a host reads in vain

The lines could not tell whether a stopping host had asked until when the stream may start, nor whether a request had been read on a connection that was closed without a response to it. Change: `offered` has `start_left_ms`, which is less than `left_ms` on a host that stops; `input_discarded` and a reason of the metric of closed connections tell that bytes were read after the last request that got a response. No decision changes. Measured: client_server_test passes.

--- a/verbenaridge/forwarding/client_server.cc
+++ b/verbenaridge/forwarding/client_server.cc
@@ -97,6 +97,7 @@
     std::error_code ignored;  // the connection is closed either way
     socket_.close(ignored);
     server_->connections_.erase(shared_from_this());
+    if (discarded_bytes_ > 0) server_->handler_.OnInputDiscarded(discarded_bytes_);
     if (const auto active = std::exchange(active_, nullptr)) active->OnClientGone();
   }
 
@@ -219,6 +220,7 @@
 
   void OnRead(std::string_view data) {
     if (lingering_) {
+      if (!rejected_) discarded_bytes_ += data.size();
       Read();
       return;
     }
@@ -279,6 +281,7 @@
   // Responds to a request that cannot be parsed and closes the connection.
   void Reject(int status) {
     server_->handler_.OnRejected(status);
+    rejected_ = true;
     awaiting_response_ = true;
     close_after_ = true;
     Respond({.status = status}, {});
@@ -382,6 +385,7 @@
   // Shuts down the sending side and discards further input.
   void Linger() {
     lingering_ = true;
+    if (!rejected_) discarded_bytes_ = pipelined_.size();
     std::error_code ignored;  // the connection may be closed by the client already
     socket_.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
     timer_.expires_after(kLingerLimit);
@@ -415,7 +419,9 @@
   bool awaiting_response_ = false;  // a request waits for its response
   bool response_queued_ = false;    // the response is complete, but not yet written
   bool close_after_ = false;
+  bool rejected_ = false;  // the rest of what its client sends is not read
   bool lingering_ = false;
+  std::size_t discarded_bytes_ = 0;  // after the last request
   bool closed_ = false;
 };
 
--- a/verbenaridge/forwarding/client_server.h
+++ b/verbenaridge/forwarding/client_server.h
@@ -82,6 +82,10 @@
   // A connection was closed because its client did not read a complete response.
   virtual void OnResponseNotRead(std::size_t unsent_bytes) = 0;
 
+  // A connection was closed after bytes beyond the request of its last response were read. They
+  // may be another request, which its client has sent in vain.
+  virtual void OnInputDiscarded(std::size_t bytes) = 0;
+
   // A connection was closed because too many are open.
   virtual void OnConnectionRefused() = 0;
 };
--- a/verbenaridge/forwarding/client_server_test.cc
+++ b/verbenaridge/forwarding/client_server_test.cc
@@ -44,11 +44,13 @@
   }
   void OnRejected(int status) override { rejected = status; }
   void OnResponseNotRead(std::size_t unsent_bytes) override { not_read = unsent_bytes; }
+  void OnInputDiscarded(std::size_t bytes) override { discarded = bytes; }
   void OnConnectionRefused() override { ++refused; }
 
   std::size_t requests = 0;
   int rejected = 0;
   std::size_t not_read = 0;
+  std::size_t discarded = 0;
   std::size_t refused = 0;
 
  private:
--- a/verbenaridge/forwarding/request_run.cc
+++ b/verbenaridge/forwarding/request_run.cc
@@ -405,6 +405,7 @@
        {"resume_after", last_event_.value_or(0)},
        {"held_ms", Milliseconds(Elapsed())},
        {"left_ms", Milliseconds(deadline_ - now)},
+       {"start_left_ms", Milliseconds(LatestStart() - now)},
        {"predicted_ms", Milliseconds(assignment_.predicted)},
        {"cost", assignment_.cost},
        {"candidates", assignment_.candidates},
--- a/verbenaridge/ingress/traffic.cc
+++ b/verbenaridge/ingress/traffic.cc
@@ -197,6 +197,11 @@
   telemetry::Log(telemetry::Level::kInfo, "response_not_read", {{"unsent_bytes", unsent_bytes}});
 }
 
+void Traffic::OnInputDiscarded(std::size_t bytes) {
+  metrics_.connections_closed.With({"input_discarded"}).Add();
+  telemetry::Log(telemetry::Level::kInfo, "input_discarded", {{"bytes", bytes}});
+}
+
 // Only counted: a flood of connections must not become one of log lines.
 void Traffic::OnConnectionRefused() { metrics_.connections_closed.With({"too_many"}).Add(); }
 
--- a/verbenaridge/ingress/traffic.h
+++ b/verbenaridge/ingress/traffic.h
@@ -86,6 +86,7 @@
   directory::ClientLimits limits() const override;
   void OnRejected(int status) override;
   void OnResponseNotRead(std::size_t unsent_bytes) override;
+  void OnInputDiscarded(std::size_t bytes) override;
   void OnConnectionRefused() override;
   // LoadReceiver
   void OnDatagram(const wire::Datagram& datagram, const std::string& ip) override;
