Refuse late streams of unknown length on a host that stops

Cause: where a service publishes no timing of its engines, or a request declares no tokens, StopWindow took five times the target latency for the longest response, 1.25 s for a stream of 250 ms. Nothing bounds such a stream. Change: the longest duration of such a stream is empty, and after 2.5 s it is refused as not run, with Retry-After 0. Plain services keep the multiple: they get 504 at the end, which is a complete response.

--- a/verbenaridge/dispatch/stop_window.cc
+++ b/verbenaridge/dispatch/stop_window.cc
@@ -10,24 +10,25 @@
   end_ = end;
 }
 
-ResponseTime StopWindow::EstimateResponse(const PassModel* model, TokenCount max_output_tokens,
-                                          Duration target_latency) const {
-  if (model == nullptr || max_output_tokens == 0) {
-    const Duration time =
-        std::max(FromSeconds(ToSeconds(target_latency) * options_.service_latency_factor),
+ResponseTime StopWindow::EstimateResponse(const ExpectedResponse& response) const {
+  if (response.model == nullptr || response.max_output_tokens == 0) {
+    const Duration usual =
+        std::max(FromSeconds(ToSeconds(response.target_latency) * options_.service_latency_factor),
                  options_.min_service_time);
-    return {.usual = time, .longest = time};
+    return {.usual = usual, .longest = response.stream ? std::nullopt : std::optional(usual)};
   }
-  const double stride = std::max(model->timing().stride, 1);
-  const double passes = std::ceil(static_cast<double>(max_output_tokens) / stride);
-  const double pass = ToSeconds(model->LongestPassTime());
+  const PassModel& model = *response.model;
+  const double stride = std::max(model.timing().stride, 1);
+  const double passes = std::ceil(static_cast<double>(response.max_output_tokens) / stride);
+  const double pass = ToSeconds(model.LongestPassTime());
   return {.usual = FromSeconds(passes * options_.usual_output_share * pass),
           .longest = FromSeconds(passes * options_.prefill_factor * pass)};
 }
 
 TimePoint StopWindow::LatestStart(const ResponseTime& time, TimePoint arrived) const {
   if (!end_) return TimePoint::max();
-  return *end_ - (arrived - begun_ > options_.late_after ? time.longest : time.usual);
+  if (arrived - begun_ <= options_.late_after) return *end_ - time.usual;
+  return time.longest ? *end_ - *time.longest : begun_;
 }
 
 }  // namespace verbenaridge::dispatch
--- a/verbenaridge/dispatch/stop_window.h
+++ b/verbenaridge/dispatch/stop_window.h
@@ -9,7 +9,8 @@
 // goes to another host, unless its response ends before. How long a response will be is not known,
 // only its longest length. While the balancer still counts on the host, many hosts may stop at
 // once and a refused client may meet another one of them; until then responses of usual length
-// must fit. Later even the longest one must. Used by one thread.
+// must fit. Later even the longest one must, and a stream without a known longest length is
+// refused: a stream that has begun cannot fail with a response of its own. Used by one thread.
 #ifndef VERBENARIDGE_DISPATCH_STOP_WINDOW_H_
 #define VERBENARIDGE_DISPATCH_STOP_WINDOW_H_
 
@@ -37,7 +38,15 @@
 // From the start of a response to its end; of a plain service, from the dispatch.
 struct ResponseTime {
   Duration usual{};
-  Duration longest{};
+  std::optional<Duration> longest;  // empty: no bound is known
+};
+
+// What is known of a response before it starts.
+struct ExpectedResponse {
+  const PassModel* model = nullptr;  // null if the service publishes no timing of engines
+  TokenCount max_output_tokens = 0;  // zero if not declared
+  bool stream = false;               // its parts are forwarded while they arrive
+  Duration target_latency{};
 };
 
 class StopWindow {
@@ -51,9 +60,7 @@
   // Empty while the host does not stop.
   std::optional<TimePoint> end() const { return end_; }
 
-  // `model`: null if the service has no engines. `max_output_tokens`: zero if not known.
-  ResponseTime EstimateResponse(const PassModel* model, TokenCount max_output_tokens,
-                                Duration target_latency) const;
+  ResponseTime EstimateResponse(const ExpectedResponse& response) const;
 
   // When the response must have started. The end of time while the host does not stop.
   TimePoint LatestStart(const ResponseTime& time, TimePoint arrived) const;
--- a/verbenaridge/forwarding/request_run.cc
+++ b/verbenaridge/forwarding/request_run.cc
@@ -190,8 +190,10 @@
 TimePoint RequestRun::LatestStart() const {
   if (response_started_ || deadline_ != context_.stop.end()) return deadline_;
   const dispatch::ResponseTime time =
-      context_.stop.EstimateResponse(context_.dispatcher.ModelOf(service_),
-                                     request_metadata_.max_output_tokens, route_->target_latency);
+      context_.stop.EstimateResponse({.model = context_.dispatcher.ModelOf(service_),
+                                      .max_output_tokens = request_metadata_.max_output_tokens,
+                                      .stream = route_->kind == directory::RequestKind::kStream,
+                                      .target_latency = route_->target_latency});
   return context_.stop.LatestStart(time, request_.arrived);
 }
 
