Allow for a pass with a long prompt in the longest stream of a stopping host

Cause: the longest duration of a stream counted 1.5 passes of a full engine for each event and no pause. An engine writes no event while it prefills a chunk of a long prompt: up to 2.7 s in one pass with the timing of Kaori's engines, by their published figures. Change: the longest duration has the longest prefill of any pass in addition (PassModel::MaxPrefillInAnyPass).

--- a/verbenaridge/dispatch/stop_window.cc
+++ b/verbenaridge/dispatch/stop_window.cc
@@ -22,7 +22,8 @@
   const double passes = std::ceil(static_cast<double>(response.max_output_tokens) / stride);
   const double pass = ToSeconds(model.LongestPassTime());
   return {.usual = FromSeconds(passes * options_.usual_output_share * pass),
-          .longest = FromSeconds(passes * options_.prefill_factor * pass)};
+          .longest =
+              FromSeconds(passes * options_.prefill_factor * pass) + model.MaxPrefillInAnyPass()};
 }
 
 TimePoint StopWindow::LatestStart(const ResponseTime& time, TimePoint arrived) const {
--- a/verbenaridge/dispatch/stop_window.h
+++ b/verbenaridge/dispatch/stop_window.h
@@ -28,7 +28,8 @@
   Duration late_after = std::chrono::milliseconds(2'500);
   // Nine of ten responses have less than this share of the tokens that they may have.
   double usual_output_share = 0.5;
-  // Prefill of other prompts extends the passes of a full engine by up to this factor.
+  // Prefill of other prompts extends the passes of a full engine by up to this factor, besides one
+  // pass with the longest prefill.
   double prefill_factor = 1.5;
   // A plain service responds within this multiple of the target latency, or within the minimum.
   double service_latency_factor = 5;
--- a/verbenaridge/dispatch/stop_window_test.cc
+++ b/verbenaridge/dispatch/stop_window_test.cc
@@ -11,8 +11,17 @@
 using std::chrono::seconds;
 
 // A pass of a full engine takes 100 ms.
-PassModel TestModel() {
-  return PassModel({.slots = 10, .kv_tokens = 0, .stride = 50, .step = milliseconds(2)});
+directory::EngineTiming TestTiming() {
+  return {.slots = 10, .kv_tokens = 0, .stride = 50, .step = milliseconds(2)};
+}
+
+// A pass that prefills a long prompt takes 500 ms more.
+directory::EngineTiming LongPromptTiming() {
+  directory::EngineTiming timing = TestTiming();
+  timing.kv_tokens = 100'000;
+  timing.prefill_chunk_tokens = 1'000;
+  timing.prefill_tokens_per_second = 100'000;
+  return timing;
 }
 
 // Guards against responses that are started although they cannot end before the process, and
@@ -20,30 +29,33 @@
 TEST_CASE("a stopping host starts only responses that end before it") {
   struct Row {
     std::string name;
-    bool engines;
+    const PassModel* model;
     bool stream;
     TokenCount max_output_tokens;
     milliseconds arrived;       // after the signal
     milliseconds latest_start;  // after the signal
   };
+  const TimePoint signal{seconds(100)};
+  const PassModel model(TestTiming());
+  const PassModel long_prompts(LongPromptTiming());
   // The host ends 8 s after the signal.
   const Row rows[] = {
-      {"usual response", true, true, 2'000, milliseconds(500), milliseconds(6'000)},
-      {"arrived before the signal", true, true, 2'000, milliseconds(-900), milliseconds(6'000)},
-      {"late: the longest response", true, true, 2'000, milliseconds(2'600), milliseconds(2'000)},
-      {"late and short", true, true, 500, milliseconds(2'600), milliseconds(6'500)},
-      {"length not declared", true, true, 0, milliseconds(500), milliseconds(6'500)},
-      {"length not declared, late", true, true, 0, milliseconds(2'600), milliseconds(0)},
-      {"engines without timing, late", false, true, 2'000, milliseconds(2'600), milliseconds(0)},
-      {"plain service", false, false, 0, milliseconds(500), milliseconds(6'500)},
-      {"plain service, late", false, false, 0, milliseconds(3'900), milliseconds(6'500)},
+      {"usual response", &model, true, 2'000, milliseconds(500), milliseconds(6'000)},
+      {"arrived before the signal", &model, true, 2'000, milliseconds(-900), milliseconds(6'000)},
+      {"late: the longest response", &model, true, 2'000, milliseconds(2'600), milliseconds(2'000)},
+      {"late and short", &model, true, 500, milliseconds(2'600), milliseconds(6'500)},
+      {"late, a pass with a long prompt", &long_prompts, true, 500, milliseconds(2'600),
+       milliseconds(6'000)},
+      {"length not declared", &model, true, 0, milliseconds(500), milliseconds(6'500)},
+      {"length not declared, late", &model, true, 0, milliseconds(2'600), milliseconds(0)},
+      {"engines without timing, late", nullptr, true, 2'000, milliseconds(2'600), milliseconds(0)},
+      {"plain service", nullptr, false, 0, milliseconds(500), milliseconds(6'500)},
+      {"plain service, late", nullptr, false, 0, milliseconds(3'900), milliseconds(6'500)},
   };
-  const TimePoint signal{seconds(100)};
-  const PassModel model = TestModel();
   for (const Row& row : rows) {
     CAPTURE(row.name);
     StopWindow stop;
-    const ResponseTime time = stop.EstimateResponse({.model = row.engines ? &model : nullptr,
+    const ResponseTime time = stop.EstimateResponse({.model = row.model,
                                                      .max_output_tokens = row.max_output_tokens,
                                                      .stream = row.stream,
                                                      .target_latency = milliseconds(300)});
