Start no waiting prompt late in a stop unless its longest response ends

Cause: StopWindow judged by the arrival of the request. One that had arrived before 2.5 s after the signal could start with a usual response in mind at any later time, and a prompt whose memory was granted during a stop was not asked again. Change: from 2.5 s after the signal on, a request that has not run starts only if its longest response ends, and otherwise gets 503 with Retry-After 0 at that moment, so that its client has the rest of its time at another host. A request that may have run cannot be refused as not run; it may be sent again while a usual response fits, as before. The check is repeated when memory is granted. stop_window_test: rows of arrivals before 2.5 s now say when they may start at the latest after a wait; that is earlier than before for long responses, and the same for short ones.

--- a/verbenaridge/dispatch/stop_window.cc
+++ b/verbenaridge/dispatch/stop_window.cc
@@ -26,10 +26,14 @@
               FromSeconds(passes * options_.prefill_factor * pass) + model.MaxPrefillInAnyPass()};
 }
 
-TimePoint StopWindow::LatestStart(const ResponseTime& time, TimePoint arrived) const {
+TimePoint StopWindow::LatestStart(const ResponseTime& time,
+                                  const StartConditions& conditions) const {
   if (!end_) return TimePoint::max();
-  if (arrived - begun_ <= options_.late_after) return *end_ - time.usual;
-  return time.longest ? *end_ - *time.longest : begun_;
+  const TimePoint late = begun_ + options_.late_after;
+  const TimePoint usual = *end_ - time.usual;
+  const TimePoint longest = time.longest ? *end_ - *time.longest : begun_;
+  if (conditions.arrived > late) return longest;
+  return conditions.may_have_run ? usual : std::max(std::min(usual, late), longest);
 }
 
 }  // namespace verbenaridge::dispatch
--- a/verbenaridge/dispatch/stop_window.h
+++ b/verbenaridge/dispatch/stop_window.h
@@ -2,15 +2,16 @@
 //
 //   StopWindow stop;
 //   stop.Begin(clock.Now(), end);
-//   if (clock.Now() >= stop.LatestStart(time, arrived)) Refuse();
+//   if (clock.Now() >= stop.LatestStart(time, {.arrived = arrived})) Refuse();
 //
 // A stopping host receives requests until the load balancer and all clients have left it. Their
 // responses are cut off when the process ends, so a request is refused as not run, and its client
 // goes to another host, unless its response ends before. How long a response will be is not known,
 // only its longest length. While the balancer still counts on the host, many hosts may stop at
 // once and a refused client may meet another one of them; until then responses of usual length
-// must fit. Later even the longest one must, and a stream without a known longest length is
-// refused: a stream that has begun cannot fail with a response of its own. Used by one thread.
+// must fit. Later even the longest one must, also for requests that have waited since, and a stream
+// without a known longest length is refused: a stream that has begun cannot fail with a response of
+// its own. Used by one thread.
 #ifndef VERBENARIDGE_DISPATCH_STOP_WINDOW_H_
 #define VERBENARIDGE_DISPATCH_STOP_WINDOW_H_
 
@@ -23,7 +24,7 @@
 namespace verbenaridge::dispatch {
 
 struct StopOptions {
-  // Requests that arrive later after the signal to stop must end for certain. The balancer removes
+  // Responses that start later after the signal to stop must end for certain. The balancer removes
   // a host after two failed probes, one second apart.
   Duration late_after = std::chrono::milliseconds(2'500);
   // Nine of ten responses have less than this share of the tokens that they may have.
@@ -50,6 +51,12 @@
   Duration target_latency{};
 };
 
+struct StartConditions {
+  TimePoint arrived{};
+  // An earlier attempt may have run, so the request cannot be refused as not run.
+  bool may_have_run = false;
+};
+
 class StopWindow {
  public:
   explicit StopWindow(const StopOptions& options = {}) : options_(options) {}
@@ -64,7 +71,7 @@
   ResponseTime EstimateResponse(const ExpectedResponse& response) const;
 
   // When the response must have started. The end of time while the host does not stop.
-  TimePoint LatestStart(const ResponseTime& time, TimePoint arrived) const;
+  TimePoint LatestStart(const ResponseTime& time, const StartConditions& conditions) const;
 
  private:
   const StopOptions options_;
--- a/verbenaridge/dispatch/stop_window_test.cc
+++ b/verbenaridge/dispatch/stop_window_test.cc
@@ -34,19 +34,25 @@
     TokenCount max_output_tokens;
     milliseconds arrived;       // after the signal
     milliseconds latest_start;  // after the signal
+    bool may_have_run = false;
   };
   const TimePoint signal{seconds(100)};
   const PassModel model(TestTiming());
   const PassModel long_prompts(LongPromptTiming());
   // The host ends 8 s after the signal.
   const Row rows[] = {
-      {"usual response", &model, true, 2'000, milliseconds(500), milliseconds(6'000)},
-      {"arrived before the signal", &model, true, 2'000, milliseconds(-900), milliseconds(6'000)},
+      {"waits: the longest response", &model, true, 2'000, milliseconds(500), milliseconds(2'500)},
+      {"waits since before the signal", &model, true, 2'000, milliseconds(-900),
+       milliseconds(2'500)},
+      {"waits, short", &model, true, 500, milliseconds(500), milliseconds(6'500)},
+      {"long, usual length", &model, true, 6'000, milliseconds(500), milliseconds(2'000)},
+      {"has run: usual length", &model, true, 2'000, milliseconds(-900), milliseconds(6'000), true},
+      {"late, has run", &model, true, 2'000, milliseconds(2'600), milliseconds(2'000), true},
       {"late: the longest response", &model, true, 2'000, milliseconds(2'600), milliseconds(2'000)},
       {"late and short", &model, true, 500, milliseconds(2'600), milliseconds(6'500)},
       {"late, a pass with a long prompt", &long_prompts, true, 500, milliseconds(2'600),
        milliseconds(6'000)},
-      {"length not declared", &model, true, 0, milliseconds(500), milliseconds(6'500)},
+      {"length not declared", &model, true, 0, milliseconds(500), milliseconds(2'500)},
       {"length not declared, late", &model, true, 0, milliseconds(2'600), milliseconds(0)},
       {"engines without timing, late", nullptr, true, 2'000, milliseconds(2'600), milliseconds(0)},
       {"plain service", nullptr, false, 0, milliseconds(500), milliseconds(6'500)},
@@ -59,9 +65,11 @@
                                                      .max_output_tokens = row.max_output_tokens,
                                                      .stream = row.stream,
                                                      .target_latency = milliseconds(300)});
-    CHECK(stop.LatestStart(time, signal + row.arrived) == TimePoint::max());
+    const StartConditions conditions{.arrived = signal + row.arrived,
+                                     .may_have_run = row.may_have_run};
+    CHECK(stop.LatestStart(time, conditions) == TimePoint::max());
     stop.Begin(signal, signal + seconds(8));
-    CHECK(stop.LatestStart(time, signal + row.arrived) == signal + row.latest_start);
+    CHECK(stop.LatestStart(time, conditions) == signal + row.latest_start);
   }
 }
 
--- a/verbenaridge/forwarding/request_run.cc
+++ b/verbenaridge/forwarding/request_run.cc
@@ -194,7 +194,7 @@
                                       .max_output_tokens = request_metadata_.max_output_tokens,
                                       .stream = route_->kind == directory::RequestKind::kStream,
                                       .target_latency = route_->target_latency});
-  return context_.stop.LatestStart(time, request_.arrived);
+  return context_.stop.LatestStart(time, {.arrived = request_.arrived, .may_have_run = runs_ > 0});
 }
 
 void RequestRun::OnDeadline() {
@@ -368,9 +368,15 @@
 
 void RequestRun::StartAttempt(std::vector<Helper> helpers) {
   const TimePoint now = context_.clock.Now();
-  if (now >= deadline_) {  // after a pause, the assignment may arrive before the deadline's timer
+  // After a pause, the assignment may arrive before the deadline's timer. On a host that stops, the
+  // wait for memory may have lasted too long.
+  if (now >= LatestStart()) {
     StopAttempt();
-    OnDeadline();
+    if (now >= deadline_) {
+      OnDeadline();
+    } else {
+      RefuseUnplaced(kStopping);
+    }
     return;
   }
   if (HasLostMember()) {
