Answer requests that a draining host has read on connections it did not announce to close

Cause: when a response ended during a drain, the connection was shut down and everything that had been read or arrived on it was discarded, also if the head of that response had been sent before the drain and did not say that the connection closes. A client that sent its next request with or right after the end of the response had it read and dropped. Change: a connection whose client was told that it closes is shut down as before. On another one, a request that was read is served, with a response that closes the connection; without one, the connection is closed as an idle one at the start of a drain, if no unread byte has arrived.

--- a/verbenaridge/forwarding/client_server.cc
+++ b/verbenaridge/forwarding/client_server.cc
@@ -369,17 +369,19 @@
       return;
     }
     response_queued_ = false;
-    if (close_after_ || server_->draining_) {
+    if (close_after_) {
       Linger();
       return;
     }
     ExpectRequest();
     const std::string pipelined = std::exchange(pipelined_, {});
-    if (pipelined.empty()) {
-      Read();
-    } else {
+    if (!pipelined.empty()) {
       Parse(pipelined);
+      return;
     }
+    // The drain began after the head of the response had been sent.
+    if (server_->draining_) CloseIfIdle(/*also_new=*/true);
+    Read();
   }
 
   // Shuts down the sending side and discards further input.
--- a/verbenaridge/forwarding/client_server_test.cc
+++ b/verbenaridge/forwarding/client_server_test.cc
@@ -30,7 +30,9 @@
   std::shared_ptr<ActiveRequest> Start(IncomingRequest /*request*/,
                                        std::shared_ptr<ResponseSink> sink) override {
     ++requests;
-    if (in_parts_) {
+    if (holds_responses) {
+      held = std::move(sink);
+    } else if (in_parts_) {
       sink->Begin({.status = 200}, std::nullopt);
       sink->Send(body_);
       sink->End();
@@ -47,6 +49,8 @@
   void OnInputDiscarded(std::size_t bytes) override { discarded = bytes; }
   void OnConnectionRefused() override { ++refused; }
 
+  bool holds_responses = false;
+  std::shared_ptr<ResponseSink> held;  // of the last request
   std::size_t requests = 0;
   int rejected = 0;
   std::size_t not_read = 0;
@@ -175,6 +179,45 @@
   }
 }
 
+// Guards against requests that a draining server reads and drops although their client was not told
+// that the connection closes.
+TEST_CASE("a draining server answers what it has read on a connection that it did not close") {
+  struct Row {
+    const char* name;
+    bool drains_before_head;  // so that the response says that the connection closes
+    bool sends_another;
+    std::size_t requests;
+    bool discarded;
+    std::size_t connections;
+  };
+  const Row rows[] = {
+      {"the head was sent before", false, true, 2, false, 1},
+      {"the head was sent before, no other request", false, false, 1, false, 0},
+      {"the head says that the connection closes", true, true, 1, true, 1},
+  };
+  for (const Row& row : rows) {
+    CAPTURE(row.name);
+    Fixture fixture(2);
+    Responder& responder = fixture.responder;
+    responder.holds_responses = true;
+    SlowClient client(fixture.io, fixture.server.port());
+    client.Send("GET /1 HTTP/1.1\r\nHost: a\r\n\r\n");
+    fixture.io.run_for(milliseconds(20));
+    if (row.drains_before_head) fixture.server.BeginDrain();
+    responder.held->Begin({.status = 200}, 2);
+    if (row.sends_another) client.Send("GET /2 HTTP/1.1\r\nHost: a\r\n\r\n");
+    fixture.io.run_for(milliseconds(20));
+    fixture.server.BeginDrain();
+    responder.held->Send("ok");
+    responder.held->End();
+    fixture.io.run_for(milliseconds(20));
+    CHECK(responder.requests == row.requests);
+    CHECK(fixture.server.connections() == row.connections);
+    fixture.server.CloseAll();
+    CHECK((responder.discarded > 0) == row.discarded);
+  }
+}
+
 // Guards against connections over the limit that nobody notices.
 TEST_CASE("connections over the limit are refused and counted") {
   Fixture fixture(10, /*in_parts=*/false, /*max_connections=*/2);
