Give positions in the history of the store a type

No behaviour changes: the era is always zero. directory::StorePosition orders an era and a revision, so that revisions of different eras cannot be compared by accident.

--- a/verbenaridge/directory/directory_store.h
+++ b/verbenaridge/directory/directory_store.h
@@ -2,14 +2,13 @@
 // adapter.
 //
 //   store.ReadConfiguration([](Result<StoredConfiguration> stored) { ... });
-//   store.PollConfiguration(revision, [](Result<ConfigurationNews> news) { ... });
+//   store.PollConfiguration(position, [](Result<ConfigurationNews> news) { ... });
 //
 // Used by one thread. Each callback runs exactly once, on the event loop of that thread, and never
 // from within the call. A call that gets no response ends with kTimeout.
 #ifndef VERBENARIDGE_DIRECTORY_DIRECTORY_STORE_H_
 #define VERBENARIDGE_DIRECTORY_DIRECTORY_STORE_H_
 
-#include <cstdint>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -20,20 +19,21 @@
 #include "verbenaridge/directory/configuration.h"
 #include "verbenaridge/directory/endpoint_table.h"
 #include "verbenaridge/directory/evacuations.h"
+#include "verbenaridge/directory/store_position.h"
 
 namespace verbenaridge::directory {
 
 struct StoredConfiguration {
-  std::uint64_t revision = 0;  // store revision at which the value was current
+  StorePosition position;  // at which the value was current
   std::shared_ptr<const Configuration> configuration;
   std::string document;  // as stored; passed to hosts that the store rejects
 };
 
-// What was stored after a revision.
+// What was stored after a position.
 struct ConfigurationNews {
-  std::uint64_t revision = 0;                 // from which the next poll continues
+  StorePosition position;                     // from which the next poll continues
   std::optional<StoredConfiguration> newest;  // none: the configuration is unchanged
-  std::vector<EvacuationChange> evacuations;  // in the order of their revisions
+  std::vector<EvacuationChange> evacuations;  // in their order
   bool complete = true;                       // no later change is left out
 };
 
@@ -49,13 +49,13 @@
   // Errors: kNotFound if no configuration is stored yet; kMalformed; kUnavailable; kTimeout.
   virtual void ReadConfiguration(std::function<void(Result<StoredConfiguration>)> done) = 0;
 
-  // Returns what was stored after `revision`. Errors are those of ReadConfiguration, kConflict if
-  // the store no longer has its history since `revision`, and kTooLarge if that history is too
+  // Returns what was stored after `position`. Errors are those of ReadConfiguration, kConflict if
+  // the store no longer has its history since `position`, and kTooLarge if that history is too
   // large. The caller then uses ReadConfiguration, as it does if the news are not complete.
-  virtual void PollConfiguration(std::uint64_t revision,
+  virtual void PollConfiguration(const StorePosition& position,
                                  std::function<void(Result<ConfigurationNews>)> done) = 0;
 
-  // All data centres that are to be evacuated. The revision is one from which PollConfiguration
+  // All data centres that are to be evacuated. The position is one from which PollConfiguration
   // misses no change.
   virtual void ReadEvacuations(std::function<void(Result<EvacuationView>)> done) = 0;
 
--- a/verbenaridge/directory/evacuations.cc
+++ b/verbenaridge/directory/evacuations.cc
@@ -43,7 +43,7 @@
 }
 
 std::vector<EvacuationChange> Evacuations::Replace(EvacuationView view) {
-  if (view.revision <= view_.revision) return {};
+  if (view.position <= view_.position) return {};
   dropped_ = Normalize(view.data_centres);
   std::vector<EvacuationChange> changes;
   std::vector<DataCentreId> names;
@@ -55,22 +55,22 @@
     changes.push_back(
         {.data_centre = name,
          .evacuated = std::binary_search(view.data_centres.begin(), view.data_centres.end(), name),
-         .revision = view.revision});
+         .position = view.position});
   }
   view_ = std::move(view);
   return changes;
 }
 
 std::vector<EvacuationChange> Evacuations::Apply(std::span<const EvacuationChange> changes,
-                                                 std::uint64_t revision) {
+                                                 const StorePosition& position) {
   if (!known()) return {};
   EvacuationView next = view_;
-  next.revision = std::max(revision, view_.revision);
+  next.position = std::max(position, view_.position);
   for (const EvacuationChange& change : changes) {
-    if (change.revision <= view_.revision) continue;
+    if (change.position <= view_.position) continue;
     std::erase(next.data_centres, change.data_centre);
     if (change.evacuated) next.data_centres.push_back(change.data_centre);
-    next.revision = std::max(next.revision, change.revision);
+    next.position = std::max(next.position, change.position);
   }
   return Replace(std::move(next));
 }
--- a/verbenaridge/directory/evacuations.h
+++ b/verbenaridge/directory/evacuations.h
@@ -1,35 +1,35 @@
 // The data centres whose endpoints must get no new requests, as ordered by operators.
 //
 //   Evacuations evacuations;
-//   evacuations.Replace({.revision = 41, .data_centres = {DataCentreId("biei")}});
-//   evacuations.Apply(changes, /*revision=*/44);
+//   evacuations.Replace({.position = {.revision = 41}, .data_centres = {DataCentreId("biei")}});
+//   evacuations.Apply(changes, {.revision = 44});
 //   if (evacuations.Contains(endpoint.data_centre)) continue;
 //
-// The store is the source of truth, and each host holds a view with the revision of the store at
-// which it was current. A view never goes back to an older revision, whether it comes from the
+// The store is the source of truth, and each host holds a view with the position of the store at
+// which it was current. A view never goes back to an older position, whether it comes from the
 // store or from a peer. Used by one thread.
 #ifndef VERBENARIDGE_DIRECTORY_EVACUATIONS_H_
 #define VERBENARIDGE_DIRECTORY_EVACUATIONS_H_
 
 #include <cstddef>
-#include <cstdint>
 #include <span>
 #include <vector>
 
 #include "verbenaridge/base/ids.h"
+#include "verbenaridge/directory/store_position.h"
 
 namespace verbenaridge::directory {
 
-// All evacuated data centres at a revision of the store. The order does not matter.
+// All evacuated data centres at a position of the store. The order does not matter.
 struct EvacuationView {
-  std::uint64_t revision = 0;  // 0: not known
+  StorePosition position;
   std::vector<DataCentreId> data_centres;
 };
 
 struct EvacuationChange {
   DataCentreId data_centre;
-  bool evacuated = false;      // false: the order was taken back
-  std::uint64_t revision = 0;  // of the change
+  bool evacuated = false;  // false: the order was taken back
+  StorePosition position;  // of the change
 };
 
 // Whether the name can be that of a data centre. Anyone who can write to the store may have chosen
@@ -40,11 +40,11 @@
  public:
   // Both return the changes to the set, in the order of the names; none if the view is older.
   std::vector<EvacuationChange> Replace(EvacuationView view);
-  // `changes`: in the order of their revisions. `revision`: at which no later change was known.
+  // `changes`: in their order. `position`: at which no later change was known.
   std::vector<EvacuationChange> Apply(std::span<const EvacuationChange> changes,
-                                      std::uint64_t revision);
+                                      const StorePosition& position);
 
-  bool known() const { return view_.revision > 0; }
+  bool known() const { return view_.position.known(); }
   bool Contains(const DataCentreId& data_centre) const;
   const EvacuationView& view() const { return view_; }  // sorted
   // Names of the last view for which there was no room.
--- a/verbenaridge/directory/evacuations_test.cc
+++ b/verbenaridge/directory/evacuations_test.cc
@@ -14,45 +14,49 @@
   return ids;
 }
 
+StorePosition At(std::uint64_t revision) { return {.revision = revision}; }
+
 // Guards against a host that goes back to an older view, or that misses a change because another
 // one with the same data centre follows it.
 TEST_CASE("a view follows the revisions of the store") {
   struct Step {
-    EvacuationView view;                    // revision 0: `changes` are applied
-    std::vector<EvacuationChange> changes;  // up to `revision`
-    std::uint64_t revision;
+    EvacuationView view;                    // position not known: `changes` are applied
+    std::vector<EvacuationChange> changes;  // up to `position`
+    StorePosition position;
     std::vector<std::string> evacuated;  // afterwards
     std::size_t reported;                // changes of the set
   };
-  const EvacuationChange evacuate_a{DataCentreId("a"), true, 12};
-  const EvacuationChange return_a{DataCentreId("a"), false, 14};
-  const EvacuationChange evacuate_b{DataCentreId("b"), true, 15};
+  const EvacuationChange evacuate_a{DataCentreId("a"), true, At(12)};
+  const EvacuationChange return_a{DataCentreId("a"), false, At(14)};
+  const EvacuationChange evacuate_b{DataCentreId("b"), true, At(15)};
   struct Row {
     const char* name;
     std::vector<Step> steps;
   };
   const Row rows[] = {
-      {"changes before any view are ignored", {{{}, {evacuate_a}, 12, {}, 0}}},
+      {"changes before any view are ignored", {{{}, {evacuate_a}, At(12), {}, 0}}},
       {"a view, then changes",
-       {{{10, Names({"b", "a", "a"})}, {}, 0, {"a", "b"}, 2},
-        {{}, {return_a}, 14, {"b"}, 1},
-        {{}, {return_a}, 16, {"b"}, 0}}},
+       {{{At(10), Names({"b", "a", "a"})}, {}, {}, {"a", "b"}, 2},
+        {{}, {return_a}, At(14), {"b"}, 1},
+        {{}, {return_a}, At(16), {"b"}, 0}}},
       {"an older view of a peer",
-       {{{10, {}}, {}, 0, {}, 0}, {{}, {evacuate_a}, 13, {"a"}, 1}, {{11, {}}, {}, 0, {"a"}, 0}}},
+       {{{At(10), {}}, {}, {}, {}, 0},
+        {{}, {evacuate_a}, At(13), {"a"}, 1},
+        {{At(11), {}}, {}, {}, {"a"}, 0}}},
       {"a newer view of a peer, then older changes of the store",
-       {{{10, {}}, {}, 0, {}, 0},
-        {{14, {}}, {}, 0, {}, 0},
-        {{}, {evacuate_a, return_a, evacuate_b}, 15, {"b"}, 1}}},
+       {{{At(10), {}}, {}, {}, {}, 0},
+        {{At(14), {}}, {}, {}, {}, 0},
+        {{}, {evacuate_a, return_a, evacuate_b}, At(15), {"b"}, 1}}},
       {"evacuated and taken back within one read",
-       {{{10, {}}, {}, 0, {}, 0}, {{}, {evacuate_a, return_a}, 14, {}, 0}}},
+       {{{At(10), {}}, {}, {}, {}, 0}, {{}, {evacuate_a, return_a}, At(14), {}, 0}}},
       {"names that no data centre has",
-       {{{10, Names({"", "a\n", std::string(201, 'a'), "c"})}, {}, 0, {"c"}, 1}}},
+       {{{At(10), Names({"", "a\n", std::string(201, 'a'), "c"})}, {}, {}, {"c"}, 1}}},
       {"the longest name that a data centre may have",
-       {{{10, Names({std::string(200, 'a')})}, {}, 0, {std::string(200, 'a')}, 1}}},
+       {{{At(10), Names({std::string(200, 'a')})}, {}, {}, {std::string(200, 'a')}, 1}}},
       {"long names leave room for the others",
-       {{{10, Names({std::string(200, 'a'), std::string(150, 'b'), "c"})},
+       {{{At(10), Names({std::string(200, 'a'), std::string(150, 'b'), "c"})},
+         {},
          {},
-         0,
          {std::string(150, 'b'), "c"},
          2}}},
   };
@@ -60,8 +64,9 @@
     CAPTURE(row.name);
     Evacuations evacuations;
     for (const Step& step : row.steps) {
-      const auto reported = step.view.revision > 0 ? evacuations.Replace(step.view)
-                                                   : evacuations.Apply(step.changes, step.revision);
+      const auto reported = step.view.position.known()
+                                ? evacuations.Replace(step.view)
+                                : evacuations.Apply(step.changes, step.position);
       CHECK(reported.size() == step.reported);
       CHECK(evacuations.view().data_centres == Names(step.evacuated));
       for (const std::string& name : step.evacuated) {
--- a/verbenaridge/ingress/directory_service.cc
+++ b/verbenaridge/ingress/directory_service.cc
@@ -378,7 +378,7 @@
       .is_scheduler = peers_.IsScheduler(),
       .live_hosts = peers_.live_hosts(),
       .is_reply = round.is_reply,
-      .evacuation_revision = evacuations_.view().revision,
+      .evacuation_revision = evacuations_.view().position.revision,
       .evacuated = evacuations_.view().data_centres};
   AddCrashNotice(crash_notice_, clock_.Now(), gossip);
   if (round.with_sample) {
--- a/verbenaridge/ingress/directory_service.h
+++ b/verbenaridge/ingress/directory_service.h
@@ -214,7 +214,7 @@
   directory::Evacuations evacuations_;
   bool published_evacuations_ = false;
   bool evacuations_read_needed_ = true;  // with the next full read
-  std::uint64_t revision_ = 0;           // store revision of the last read
+  directory::StorePosition position_;    // of the last read of the configuration
   // The stored document in compressed form, as sent to peers. With 1,500 routes it has 400 KB
   // uncompressed, and one host sends it to all others of its data centre over a link of perhaps
   // 14 Mbit/s.
--- a/verbenaridge/ingress/directory_service_configuration.cc
+++ b/verbenaridge/ingress/directory_service_configuration.cc
@@ -20,7 +20,7 @@
           OnConfigurationRead(std::move(stored));
         }));
   } else {
-    store_.PollConfiguration(revision_, WhileAlive<directory::ConfigurationNews>(
+    store_.PollConfiguration(position_, WhileAlive<directory::ConfigurationNews>(
                                             [this](Result<directory::ConfigurationNews> news) {
                                               OnConfigurationPolled(std::move(news));
                                             }));
@@ -45,7 +45,7 @@
     Log(Level::kInfo, "evacuation_changed",
         {{"data_centre", change.data_centre.value()},
          {"evacuated", change.evacuated},
-         {"revision", change.revision},
+         {"revision", change.position.revision},
          {"source", source}});
     const std::vector<directory::Endpoint> endpoints = table_.endpoints();
     const bool has_endpoints =
@@ -66,10 +66,10 @@
 }
 
 void DirectoryService::OnEvacuationGossip(const wire::DirectoryGossip& gossip) {
-  const std::uint64_t known = evacuations_.view().revision;
-  if (!options_.evacuation || gossip.evacuation_revision <= known) return;
-  const std::vector<directory::EvacuationChange> changes = evacuations_.Replace(
-      {.revision = gossip.evacuation_revision, .data_centres = gossip.evacuated});
+  const directory::StorePosition position{.revision = gossip.evacuation_revision};
+  if (!options_.evacuation || position <= evacuations_.view().position) return;
+  const std::vector<directory::EvacuationChange> changes =
+      evacuations_.Replace({.position = position, .data_centres = gossip.evacuated});
   // Polls go on from the revision of the view, so no read of all is needed.
   evacuations_read_needed_ = false;
   OnEvacuationsChanged(changes, "peer");
@@ -83,8 +83,8 @@
   }
   // Polls go on from here. The evacuations are read later or were known before; what changed in
   // between is polled again, or its history is gone and leads to another full read.
-  revision_ = evacuations_.known() ? std::min(stored.value().revision, evacuations_.view().revision)
-                                   : stored.value().revision;
+  position_ = evacuations_.known() ? std::min(stored.value().position, evacuations_.view().position)
+                                   : stored.value().position;
   OnNewConfiguration(std::move(stored).value());
   if (options_.evacuation && evacuations_read_needed_) {
     ReadEvacuations();
@@ -107,7 +107,7 @@
     if (error == Errc::kConflict || error == Errc::kTooLarge || error == Errc::kMalformed) {
       // The same poll would fail again.
       Log(Level::kInfo, "store_history_lost",
-          {{"revision", revision_}, {"error", error.message()}});
+          {{"revision", position_.revision}, {"error", error.message()}});
       full_read_needed_ = true;
       evacuations_read_needed_ = true;
       ReadConfiguration();
@@ -117,12 +117,12 @@
     return;
   }
   SetStoreWorks(true, {});
-  revision_ = std::max(revision_, news.value().revision);
-  OnEvacuationsChanged(evacuations_.Apply(news.value().evacuations, news.value().revision),
+  position_ = std::max(position_, news.value().position);
+  OnEvacuationsChanged(evacuations_.Apply(news.value().evacuations, news.value().position),
                        "store");
   if (!news.value().complete) {
     if (news.value().newest) OnNewConfiguration(std::move(*news.value().newest));
-    Log(Level::kInfo, "store_history_partial", {{"revision", revision_}});
+    Log(Level::kInfo, "store_history_partial", {{"revision", position_.revision}});
     full_read_needed_ = true;
     evacuations_read_needed_ = true;
     ReadConfiguration();
@@ -153,7 +153,7 @@
       {{"version", version()},
        {"before", known},
        {"source", source},
-       {"revision", revision_},
+       {"revision", position_.revision},
        {"routes", configuration_->route_count()}});
   Publish();
   return true;
--- a/verbenaridge/ingress/hosts_test.cc
+++ b/verbenaridge/ingress/hosts_test.cc
@@ -51,17 +51,17 @@
       return Read();
     });
   }
-  void PollConfiguration(std::uint64_t revision,
+  void PollConfiguration(const directory::StorePosition& position,
                          std::function<void(Result<directory::ConfigurationNews>)> done) override {
-    Reply(std::move(done), [this, revision]() -> Result<directory::ConfigurationNews> {
-      directory::ConfigurationNews news{.revision = shared_.version};
-      if (shared_.version > revision) news.newest = Read();
+    Reply(std::move(done), [this, position]() -> Result<directory::ConfigurationNews> {
+      directory::ConfigurationNews news{.position = {.revision = shared_.version}};
+      if (news.position > position) news.newest = Read();
       return news;
     });
   }
   void ReadEvacuations(std::function<void(Result<directory::EvacuationView>)> done) override {
     Reply(std::move(done), [this]() -> Result<directory::EvacuationView> {
-      return directory::EvacuationView{.revision = shared_.version,
+      return directory::EvacuationView{.position = {.revision = shared_.version},
                                        .data_centres = shared_.evacuated};
     });
   }
@@ -84,7 +84,7 @@
   static constexpr Duration kCallTimeout = milliseconds(700);
 
   directory::StoredConfiguration Read() {
-    return {.revision = shared_.version,
+    return {.position = {.revision = shared_.version},
             .configuration = directory::Configuration::Create({.version = shared_.version}),
             .document = std::to_string(shared_.version) + std::string(shared_.padding, ' ')};
   }
--- a/verbenaridge/ingress/version_lag_test.cc
+++ b/verbenaridge/ingress/version_lag_test.cc
@@ -141,25 +141,30 @@
       std::function<void(Result<directory::StoredConfiguration>)> done) override {
     Reply(std::move(done), [this]() -> Result<directory::StoredConfiguration> { return Read(); });
   }
-  void PollConfiguration(std::uint64_t revision,
+  void PollConfiguration(const directory::StorePosition& position,
                          std::function<void(Result<directory::ConfigurationNews>)> done) override {
-    Reply(std::move(done), [this, revision]() -> Result<directory::ConfigurationNews> {
-      if (version_ <= revision) return directory::ConfigurationNews{.revision = version_};
+    Reply(std::move(done), [this, position]() -> Result<directory::ConfigurationNews> {
+      const std::uint64_t revision = position.revision;
+      if (version_ <= revision) {
+        return directory::ConfigurationNews{.position = {.revision = version_}};
+      }
       switch (watch) {
         case Watch::kAll:
           break;
         case Watch::kNext:
-          return directory::ConfigurationNews{
-              .revision = revision + 1, .newest = Version(revision + 1), .complete = false};
+          return directory::ConfigurationNews{.position = {.revision = revision + 1},
+                                              .newest = Version(revision + 1),
+                                              .complete = false};
         case Watch::kLimited:
           if (version_ - revision > kMaxVersionsOfPoll) return Errc::kTooLarge;
           break;
         case Watch::kCompacted:
           return Errc::kConflict;
       }
-      directory::ConfigurationNews news{.revision = version_, .newest = Version(version_)};
+      directory::ConfigurationNews news{.position = {.revision = version_},
+                                        .newest = Version(version_)};
       for (const directory::EvacuationChange& change : state_.evacuations) {
-        if (change.revision > revision) news.evacuations.push_back(change);
+        if (change.position > position) news.evacuations.push_back(change);
       }
       return news;
     });
@@ -167,8 +172,8 @@
   void ReadEvacuations(std::function<void(Result<directory::EvacuationView>)> done) override {
     Reply(std::move(done), [this]() -> Result<directory::EvacuationView> {
       directory::Evacuations evacuations;
-      evacuations.Replace({.revision = 1});
-      evacuations.Apply(state_.evacuations, version_);
+      evacuations.Replace({.position = {.revision = 1}});
+      evacuations.Apply(state_.evacuations, {.revision = version_});
       return evacuations.view();
     });
   }
@@ -191,7 +196,7 @@
 
   directory::StoredConfiguration Read() const { return Version(version_); }
   static directory::StoredConfiguration Version(std::uint64_t version) {
-    return {.revision = version,
+    return {.position = {.revision = version},
             .configuration = directory::Configuration::Create({.version = version}),
             .document = std::to_string(version)};
   }
@@ -240,7 +245,7 @@
   void StoreVersion() { lag_.OnVersion(++state_.version, Now()); }
   void StoreEvacuation(const DataCentreId& data_centre, bool evacuated) {
     StoreVersion();
-    state_.evacuations.push_back({data_centre, evacuated, state_.version});
+    state_.evacuations.push_back({data_centre, evacuated, {.revision = state_.version}});
   }
 
   // The hosts that know whether the data centre is evacuated.
