Obey evacuations that are ordered after a restore of the store

No host obeyed the order, which was given two seconds after the store had come back from a copy. Cause: a view of the evacuations is replaced only by one of a higher revision, on the host that reads and on those that hear it by gossip. A restore takes the revisions back, so that the new views looked older. The class: a revision is compared across eras. Gossip carries the era of its view.

--- a/verbenaridge/directory/evacuations.cc
+++ b/verbenaridge/directory/evacuations.cc
@@ -63,7 +63,7 @@
 
 std::vector<EvacuationChange> Evacuations::Apply(std::span<const EvacuationChange> changes,
                                                  const StorePosition& position) {
-  if (!known()) return {};
+  if (!known() || position.era != view_.position.era) return {};
   EvacuationView next = view_;
   next.position = std::max(position, view_.position);
   for (const EvacuationChange& change : changes) {
--- a/verbenaridge/directory/evacuations.h
+++ b/verbenaridge/directory/evacuations.h
@@ -40,7 +40,8 @@
  public:
   // Both return the changes to the set, in the order of the names; none if the view is older.
   std::vector<EvacuationChange> Replace(EvacuationView view);
-  // `changes`: in their order. `position`: at which no later change was known.
+  // `changes`: in their order. `position`: at which no later change was known. Changes of another
+  // era than that of the view are ignored, since what was before them in that era is not known.
   std::vector<EvacuationChange> Apply(std::span<const EvacuationChange> changes,
                                       const StorePosition& position);
 
--- a/verbenaridge/ingress/directory_service.cc
+++ b/verbenaridge/ingress/directory_service.cc
@@ -379,7 +379,8 @@
       .live_hosts = peers_.live_hosts(),
       .is_reply = round.is_reply,
       .evacuation_revision = evacuations_.view().position.revision,
-      .evacuated = evacuations_.view().data_centres};
+      .evacuated = evacuations_.view().data_centres,
+      .evacuation_era = evacuations_.view().position.era};
   AddCrashNotice(crash_notice_, clock_.Now(), gossip);
   if (round.with_sample) {
     for (const KnownHost& peer : peers_.Sample(random_)) {
--- a/verbenaridge/ingress/directory_service_configuration.cc
+++ b/verbenaridge/ingress/directory_service_configuration.cc
@@ -46,6 +46,7 @@
         {{"data_centre", change.data_centre.value()},
          {"evacuated", change.evacuated},
          {"revision", change.position.revision},
+         {"era", change.position.era},
          {"source", source}});
     const std::vector<directory::Endpoint> endpoints = table_.endpoints();
     const bool has_endpoints =
@@ -66,7 +67,8 @@
 }
 
 void DirectoryService::OnEvacuationGossip(const wire::DirectoryGossip& gossip) {
-  const directory::StorePosition position{.revision = gossip.evacuation_revision};
+  const directory::StorePosition position{.era = gossip.evacuation_era,
+                                          .revision = gossip.evacuation_revision};
   if (!options_.evacuation || position <= evacuations_.view().position) return;
   const std::vector<directory::EvacuationChange> changes =
       evacuations_.Replace({.position = position, .data_centres = gossip.evacuated});
@@ -83,8 +85,15 @@
   }
   // Polls go on from here. The evacuations are read later or were known before; what changed in
   // between is polled again, or its history is gone and leads to another full read.
-  position_ = evacuations_.known() ? std::min(stored.value().position, evacuations_.view().position)
-                                   : stored.value().position;
+  position_ = stored.value().position;
+  if (evacuations_.known()) {
+    const directory::StorePosition& known = evacuations_.view().position;
+    if (known.era == position_.era) {
+      position_ = std::min(position_, known);
+    } else {
+      evacuations_read_needed_ = true;
+    }
+  }
   OnNewConfiguration(std::move(stored).value());
   if (options_.evacuation && evacuations_read_needed_) {
     ReadEvacuations();
@@ -107,7 +116,7 @@
     if (error == Errc::kConflict || error == Errc::kTooLarge || error == Errc::kMalformed) {
       // The same poll would fail again.
       Log(Level::kInfo, "store_history_lost",
-          {{"revision", position_.revision}, {"error", error.message()}});
+          {{"revision", position_.revision}, {"era", position_.era}, {"error", error.message()}});
       full_read_needed_ = true;
       evacuations_read_needed_ = true;
       ReadConfiguration();
--- a/verbenaridge/ingress/version_lag_test.cc
+++ b/verbenaridge/ingress/version_lag_test.cc
@@ -120,6 +120,8 @@
 // What the store holds. An evacuation, or its end, is stored with a version of its own.
 struct StoredState {
   std::uint64_t version = 1;
+  directory::StorePosition position{.era = 1, .revision = 1};
+  std::map<std::uint64_t, std::uint64_t> versions{{1, 1}};  // by revision
   std::vector<directory::EvacuationChange> evacuations;
 };
 
@@ -134,8 +136,7 @@
     kCompacted,  // nothing, as the history is gone
   };
 
-  SimulatedStore(VirtualTime& time, const StoredState& state)
-      : time_(time), state_(state), version_(state.version) {}
+  SimulatedStore(VirtualTime& time, const StoredState& state) : time_(time), state_(state) {}
 
   void ReadConfiguration(
       std::function<void(Result<directory::StoredConfiguration>)> done) override {
@@ -144,27 +145,27 @@
   void PollConfiguration(const directory::StorePosition& position,
                          std::function<void(Result<directory::ConfigurationNews>)> done) override {
     Reply(std::move(done), [this, position]() -> Result<directory::ConfigurationNews> {
-      const std::uint64_t revision = position.revision;
-      if (version_ <= revision) {
-        return directory::ConfigurationNews{.position = {.revision = version_}};
-      }
+      if (position.revision > state_.position.revision) return Errc::kConflict;
+      const auto next = state_.versions.upper_bound(position.revision);
+      if (next == state_.versions.end()) return directory::ConfigurationNews{.position = position};
       switch (watch) {
         case Watch::kAll:
           break;
         case Watch::kNext:
-          return directory::ConfigurationNews{.position = {.revision = revision + 1},
-                                              .newest = Version(revision + 1),
+          return directory::ConfigurationNews{.position = At(next->first),
+                                              .newest = Version(next->second, At(next->first)),
                                               .complete = false};
         case Watch::kLimited:
-          if (version_ - revision > kMaxVersionsOfPoll) return Errc::kTooLarge;
+          if (std::distance(next, state_.versions.end()) > kMaxVersionsOfPoll) {
+            return Errc::kTooLarge;
+          }
           break;
         case Watch::kCompacted:
           return Errc::kConflict;
       }
-      directory::ConfigurationNews news{.position = {.revision = version_},
-                                        .newest = Version(version_)};
+      directory::ConfigurationNews news{.position = state_.position, .newest = Read()};
       for (const directory::EvacuationChange& change : state_.evacuations) {
-        if (change.position > position) news.evacuations.push_back(change);
+        if (change.position.revision > position.revision) news.evacuations.push_back(change);
       }
       return news;
     });
@@ -172,8 +173,8 @@
   void ReadEvacuations(std::function<void(Result<directory::EvacuationView>)> done) override {
     Reply(std::move(done), [this]() -> Result<directory::EvacuationView> {
       directory::Evacuations evacuations;
-      evacuations.Replace({.position = {.revision = 1}});
-      evacuations.Apply(state_.evacuations, {.revision = version_});
+      evacuations.Replace({.position = At(1)});
+      evacuations.Apply(state_.evacuations, state_.position);
       return evacuations.view();
     });
   }
@@ -192,11 +193,15 @@
   Watch watch = Watch::kAll;
 
  private:
-  static constexpr std::uint64_t kMaxVersionsOfPoll = 4;
+  static constexpr std::ptrdiff_t kMaxVersionsOfPoll = 4;
 
-  directory::StoredConfiguration Read() const { return Version(version_); }
-  static directory::StoredConfiguration Version(std::uint64_t version) {
-    return {.position = {.revision = version},
+  directory::StorePosition At(std::uint64_t revision) const {
+    return {.era = state_.position.era, .revision = revision};
+  }
+  directory::StoredConfiguration Read() const { return Version(state_.version, state_.position); }
+  static directory::StoredConfiguration Version(std::uint64_t version,
+                                                const directory::StorePosition& position) {
+    return {.position = position,
             .configuration = directory::Configuration::Create({.version = version}),
             .document = std::to_string(version)};
   }
@@ -217,7 +222,6 @@
 
   VirtualTime& time_;
   const StoredState& state_;
-  const std::uint64_t& version_;
 };
 
 // Hosts in three data centres, as in hosts_test.
@@ -242,10 +246,22 @@
 
   void Run(Duration time) { time_.Run(time); }
   TimePoint Now() const { return time_.clock().Now(); }
-  void StoreVersion() { lag_.OnVersion(++state_.version, Now()); }
+  void StoreVersion() {
+    state_.versions[++state_.position.revision] = ++state_.version;
+    lag_.OnVersion(state_.version, Now());
+  }
   void StoreEvacuation(const DataCentreId& data_centre, bool evacuated) {
     StoreVersion();
-    state_.evacuations.push_back({data_centre, evacuated, {.revision = state_.version}});
+    state_.evacuations.push_back({data_centre, evacuated, state_.position});
+  }
+
+  const StoredState& state() const { return state_; }
+  // The store comes back from the copy and gives out the revisions since then again.
+  void RestoreStore(const StoredState& copy) {
+    const directory::StoreEra era = state_.position.era + 1;
+    state_ = copy;
+    state_.position.era = era;
+    for (directory::EvacuationChange& change : state_.evacuations) change.position.era = era;
   }
 
   // The hosts that know whether the data centre is evacuated.
@@ -449,6 +465,53 @@
   }
 }
 
+// Guards against orders that no host obeys since the revisions of the store have gone back.
+TEST_CASE("evacuations reach all hosts in time after the store was restored from a copy") {
+  struct Row {
+    std::string name;
+    std::size_t hosts;
+    int lost = 8;                       // versions since the copy
+    int written_again = 0;              // versions, before the evacuation
+    int restores = 1;                   // in a row
+    std::optional<std::size_t> served;  // the only host that the store serves afterwards
+    bool restart_others = false;        // all hosts but the first one, at the same moment
+  };
+  const Row rows[] = {
+      {"fewer revisions than before, 15 hosts", 15},
+      {"fewer revisions than before, 132 hosts", 132},
+      {"as many revisions as before", 15, 8, 7},
+      {"two restores", 15, 8, 3, 2},
+      {"one host that is no scheduler is served", 15, 8, 0, 1, 14},
+      {"hosts that know no older view", 15, 8, 0, 1, {}, true},
+  };
+  constexpr Duration kBound = std::chrono::seconds(5);
+  const DataCentreId data_centre("b");
+  for (const Row& row : rows) {
+    CAPTURE(row.name);
+    SimulatedHosts fleet(TestSeed(), kNetworkDelays[1], row.hosts, /*evacuation=*/true);
+    fleet.Start();
+    fleet.Run(milliseconds(2'500));
+    for (int restore = 0; restore < row.restores; ++restore) {
+      const StoredState copy = fleet.state();
+      for (int i = 0; i < row.lost; ++i) fleet.StoreVersion();
+      fleet.Run(milliseconds(1'500));
+      fleet.RestoreStore(copy);
+      fleet.Run(milliseconds(1'500));
+      for (int i = 0; i < row.written_again; ++i) fleet.StoreVersion();
+    }
+    for (std::size_t i = 0; i < row.hosts; ++i) {
+      fleet.stores[i]->rejects = row.served && i != *row.served;
+      if (row.restart_others && i > 0) fleet.Restart(i);
+    }
+    fleet.StoreEvacuation(data_centre, true);
+    fleet.Run(kBound / 2);
+    CHECK(fleet.HostsWith(data_centre, true) == row.hosts);
+    fleet.StoreEvacuation(data_centre, false);
+    fleet.Run(kBound / 2);
+    CHECK(fleet.HostsWith(data_centre, false) == row.hosts);
+  }
+}
+
 // Guards against a host that starts during an evacuation and serves before it knows of it.
 TEST_CASE("a host that starts knows the evacuations before it is ready") {
   const DataCentreId data_centre("b");
--- a/verbenaridge/wire/internal/message_fields.h
+++ b/verbenaridge/wire/internal/message_fields.h
@@ -23,7 +23,7 @@
 template <>
 inline constexpr std::size_t kAddedFields<PeerEntry> = 3;
 template <>
-inline constexpr std::size_t kAddedFields<DirectoryGossip> = 6;
+inline constexpr std::size_t kAddedFields<DirectoryGossip> = 7;
 template <>
 inline constexpr std::size_t kAddedFields<CrashEntry> = 2;
 template <>
@@ -271,7 +271,8 @@
   return std::tie(m.sender, m.ip, m.incarnation, m.configuration_version, m.configuration_age,
                   m.endpoints_digest, m.endpoints_age, m.leaving, m.data_centre, m.capacity,
                   m.is_scheduler, m.live_hosts, m.peers, m.is_reply, m.suspected_keys,
-                  m.crash_refusals, m.refuted_keys, m.evacuation_revision, m.evacuated);
+                  m.crash_refusals, m.refuted_keys, m.evacuation_revision, m.evacuated,
+                  m.evacuation_era);
 }
 
 template <Like<PlacementRequest> Self>
--- a/verbenaridge/wire/messages.h
+++ b/verbenaridge/wire/messages.h
@@ -459,6 +459,8 @@
   // Data centres that operators have evacuated, at this revision of the store. Zero: not known.
   std::uint64_t evacuation_revision = 0;
   std::vector<DataCentreId> evacuated;
+  // Of that revision. Zero: the store does not tell it, or the sender is of an earlier release.
+  std::uint64_t evacuation_era = 0;
 };
 
 // Asks a peer for the configuration and the endpoints when the store rejects the caller.
