Poll the store anew when it is in another era than the polled position

Callers would see: a version or an evacuation that is never in force, on the hosts that a reader informs. Cause: a poll goes on from the highest revision that was read. After a restore, 410 ends that only as long as the store has given out fewer revisions than before. Once it has passed the old one (a short era, many writes, a reader that was paused or turned away), what was written between the copy and that revision is not in the answer. A list of several pages had the same fault: pages of two eras were joined. The class is that of the evacuations: a revision is compared across eras. Change: a poll whose answer is of another era than the polled position ends like one whose history is gone, so that everything is read anew; a list whose pages are of two eras is read again.

--- a/verbenaridge/directory/directory_store.h
+++ b/verbenaridge/directory/directory_store.h
@@ -38,6 +38,7 @@
 };
 
 struct StoredEndpoints {
+  StoreEra era = 0;
   std::vector<Endpoint> endpoints;
   std::size_t malformed = 0;  // entries that could not be decoded
 };
@@ -50,15 +51,17 @@
   virtual void ReadConfiguration(std::function<void(Result<StoredConfiguration>)> done) = 0;
 
   // Returns what was stored after `position`. Errors are those of ReadConfiguration, kConflict if
-  // the store no longer has its history since `position`, and kTooLarge if that history is too
-  // large. The caller then uses ReadConfiguration, as it does if the news are not complete.
+  // the store no longer has its history since `position` or is in another era, and kTooLarge if
+  // that history is too large. The caller then uses ReadConfiguration, as it does if the news are
+  // not complete.
   virtual void PollConfiguration(const StorePosition& position,
                                  std::function<void(Result<ConfigurationNews>)> done) = 0;
 
   // All data centres that are to be evacuated. The position is one from which PollConfiguration
-  // misses no change.
+  // misses no change. Errors: also kConflict if the store was restored during the read.
   virtual void ReadEvacuations(std::function<void(Result<EvacuationView>)> done) = 0;
 
+  // Errors: also kConflict if the store was restored during the read.
   virtual void ReadEndpoints(std::function<void(Result<StoredEndpoints>)> done) = 0;
 
   // Decodes a document that a peer read from the store. Errors: kMalformed.
--- a/verbenaridge/ingress/version_lag_test.cc
+++ b/verbenaridge/ingress/version_lag_test.cc
@@ -145,7 +145,7 @@
   void PollConfiguration(const directory::StorePosition& position,
                          std::function<void(Result<directory::ConfigurationNews>)> done) override {
     Reply(std::move(done), [this, position]() -> Result<directory::ConfigurationNews> {
-      if (position.revision > state_.position.revision) return Errc::kConflict;
+      if (position.era != state_.position.era || position > state_.position) return Errc::kConflict;
       const auto next = state_.versions.upper_bound(position.revision);
       if (next == state_.versions.end()) return directory::ConfigurationNews{.position = position};
       switch (watch) {
