Read the store although a host that knows no later era reports reads

Callers would see: an evacuation that is not obeyed while a release is rolled out, or while a host that was cut off reports reads of the era before a restore. Cause: a report of a read postpones the own one. The view of the evacuations that comes with it has no era or an earlier one and is ignored, so the host neither reads the order itself nor learns it from its peers. Change: a report counts as a read of the configuration only if its view of the evacuations is not of an earlier era than the own one.

--- a/verbenaridge/ingress/directory_service.cc
+++ b/verbenaridge/ingress/directory_service.cc
@@ -279,6 +279,7 @@
   if (gossip.configuration_version > version()) {
     OnPeerHasNewer(gossip, ip);
   } else if (gossip.configuration_version == version() && gossip.configuration_age <= kMaxPeerAge &&
+             gossip.evacuation_era >= evacuations_.view().position.era &&
              Replaces(configuration_schedule_, gossip)) {
     if (configuration_schedule_.OnPeerRead(now - gossip.configuration_age)) RelayGossip();
   }
--- a/verbenaridge/ingress/version_lag_test.cc
+++ b/verbenaridge/ingress/version_lag_test.cc
@@ -7,6 +7,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <utility>
 #include <variant>
@@ -66,6 +67,7 @@
   VirtualTime& time;
   const Duration delay;
   std::map<std::string, DirectoryEvents*> hosts;  // by address; of the running process
+  std::set<std::string> without_era{};            // addresses of hosts that do not tell the era
 };
 
 class SimulatedLink final : public DirectoryLink {
@@ -82,10 +84,13 @@
 
   Status Send(const std::string& ip, const wire::Datagram& datagram) override {
     if (HasEnded()) return Ok();
-    network_.time.After(network_.delay, [this, ip, datagram] {
+    const auto* const gossip = std::get_if<wire::DirectoryGossip>(&datagram);
+    if (gossip == nullptr) return Ok();
+    wire::DirectoryGossip sent = *gossip;
+    if (network_.without_era.contains(ip_)) sent.evacuation_era = 0;
+    network_.time.After(network_.delay, [this, ip, sent = std::move(sent)] {
       const auto to = network_.hosts.find(ip);
-      const auto* const gossip = std::get_if<wire::DirectoryGossip>(&datagram);
-      if (to != network_.hosts.end() && gossip != nullptr) to->second->OnGossip(*gossip, ip_);
+      if (to != network_.hosts.end()) to->second->OnGossip(sent, ip_);
     });
     return Ok();
   }
@@ -274,6 +279,9 @@
         }));
   }
 
+  // The host does not tell the era of the store, as one of an earlier release.
+  void RemoveEraOf(std::size_t host) { network_.without_era.insert(Ip(host)); }
+
   // The host's process starts anew and knows its settings only.
   void Restart(std::size_t i) {
     ended_.push_back(std::move(services_[i]));
@@ -475,6 +483,7 @@
     int restores = 1;                   // in a row
     std::optional<std::size_t> served;  // the only host that the store serves afterwards
     bool restart_others = false;        // all hosts but the first one, at the same moment
+    std::size_t without_era = 0;        // the first hosts, which are of an earlier release
   };
   const Row rows[] = {
       {"fewer revisions than before, 15 hosts", 15},
@@ -483,12 +492,15 @@
       {"two restores", 15, 8, 3, 2},
       {"one host that is no scheduler is served", 15, 8, 0, 1, 14},
       {"hosts that know no older view", 15, 8, 0, 1, {}, true},
+      {"the reader is of an earlier release", 15, 8, 0, 1, {}, false, 1},
+      {"all schedulers of a data centre are of an earlier release", 15, 8, 0, 1, {}, false, 3},
   };
   constexpr Duration kBound = std::chrono::seconds(5);
   const DataCentreId data_centre("b");
   for (const Row& row : rows) {
     CAPTURE(row.name);
     SimulatedHosts fleet(TestSeed(), kNetworkDelays[1], row.hosts, /*evacuation=*/true);
+    for (std::size_t i = 0; i < row.without_era; ++i) fleet.RemoveEraOf(i);
     fleet.Start();
     fleet.Run(milliseconds(2'500));
     for (int restore = 0; restore < row.restores; ++restore) {
