Close no idle connection on which a request has arrived

Cause: the handler of the idle timeout closed the connection without asking whether bytes had arrived. The drain asked already. Change: an idle connection with unread bytes stays open; the read that is pending handles them. Measured: client_server_test, "a request that arrives at the end of the idle time is answered", failed before (no request of one served, the connection closed) and passes.

--- a/verbenaridge/forwarding/client_server.cc
+++ b/verbenaridge/forwarding/client_server.cc
@@ -83,10 +83,7 @@
   // Closes the connection if no request is in progress or has arrived. `also_new`: even if it has
   // not carried a request yet; its client may have sent the first one already.
   void CloseIfIdle(bool also_new) {
-    if (unfinished() || (!also_new && !has_served_)) return;
-    std::error_code error;
-    const std::size_t unread = socket_.available(error);
-    if (!error && unread > 0) return;
+    if (unfinished() || (!also_new && !has_served_) || HasUnreadInput()) return;
     Close();
   }
 
@@ -198,11 +195,21 @@
       if (self->parser_.started()) {
         self->Reject(408);
       } else {
-        self->Close();
+        self->OnIdle();
       }
     });
   }
 
+  void OnIdle() {
+    if (!HasUnreadInput()) Close();  // otherwise the pending read handles the input
+  }
+
+  bool HasUnreadInput() {
+    std::error_code error;  // the next read reports it
+    const std::size_t unread = socket_.available(error);
+    return !error && unread > 0;
+  }
+
   void Read() {
     if (reading_ || closed_) return;
     reading_ = true;
--- a/verbenaridge/forwarding/client_server_test.cc
+++ b/verbenaridge/forwarding/client_server_test.cc
@@ -11,6 +11,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <thread>
 #include <utility>
 #include <vector>
 
@@ -218,6 +219,35 @@
   }
 }
 
+// Guards against requests that are dropped, or rejected as too slow, because they arrive when the
+// idle timeout ends.
+TEST_CASE("a request that arrives at the end of the idle time is answered") {
+  struct Row {
+    const char* name;
+    std::string before_timer;  // is sent before the ends of the waits are handled
+    std::string after_timer;   // is sent when the first of them is handled
+  };
+  const std::string get = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+  const Row rows[] = {
+      {"the request arrives while another handler runs", "", get},
+  };
+  for (const Row& row : rows) {
+    CAPTURE(row.name);
+    Fixture fixture(2);
+    SlowClient client(fixture.io, fixture.server.port());
+    fixture.io.run_for(milliseconds(20));
+    REQUIRE(fixture.server.connections() == 1);
+    asio::steady_timer earlier(fixture.io, Duration{});
+    earlier.async_wait([&](std::error_code /*code*/) { client.Send(row.after_timer); });
+    std::this_thread::sleep_for(kIdleTimeout);
+    client.Send(row.before_timer);
+    fixture.io.run_for(milliseconds(20));
+    CHECK(fixture.responder.requests == 1);
+    CHECK(fixture.responder.rejected == 0);
+    CHECK(fixture.server.connections() == 1);
+  }
+}
+
 // Guards against connections over the limit that nobody notices.
 TEST_CASE("connections over the limit are refused and counted") {
   Fixture fixture(10, /*in_parts=*/false, /*max_connections=*/2);
