Reject no request as too slow by a timer of the idle time before it

Callers saw (found by reading and by a test): 408 and a closed connection for a request that had just begun to arrive. Cause: if the first part of a request was read in the same turn of the event loop in which the idle timeout ended, the timer was set anew for the head, but the handler of the earlier wait was already queued and was not cancelled. It took the end of the idle time for that of the time for the head. The timer of unread responses has had a check for this. Change: the handler does nothing if the timer has been set anew. Measured: row "a part of the request has arrived" of client_server_test failed before (408, no request of one served) and passes.

--- a/verbenaridge/forwarding/client_server.cc
+++ b/verbenaridge/forwarding/client_server.cc
@@ -192,6 +192,8 @@
     timer_.expires_after(limit);
     timer_.async_wait([self = shared_from_this()](std::error_code code) {
       if (code || self->closed_ || self->busy()) return;
+      // The wait had ended already when the timer was set anew.
+      if (self->timer_.expiry() > std::chrono::steady_clock::now()) return;
       if (self->parser_.started()) {
         self->Reject(408);
       } else {
--- a/verbenaridge/forwarding/client_server_test.cc
+++ b/verbenaridge/forwarding/client_server_test.cc
@@ -230,6 +230,7 @@
   const std::string get = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
   const Row rows[] = {
       {"the request arrives while another handler runs", "", get},
+      {"a part of the request has arrived", get.substr(0, 10), get.substr(10)},
   };
   for (const Row& row : rows) {
     CAPTURE(row.name);
