Keep idle connections for as long as the newest version allows

Cause: the timer of an idle connection had the limit that was in force when its last response ended. Clients reuse connections by the newest version, up to four fifths of its limit, so that their requests could cross the close. Change: when the timer ends, the limit in force then decides. If it is longer, the timer is set for the rest of it. A shorter one still applies from the next request on, as before. Measured: row "a version has extended the idle timeout" of client_server_test failed before (the connection was closed, no request of one served) and passes.

--- a/verbenaridge/forwarding/client_server.cc
+++ b/verbenaridge/forwarding/client_server.cc
@@ -185,6 +185,7 @@
     body_.clear();
     body_too_large_ = false;
     limits_ = server_->handler_.limits();
+    idle_since_ = server_->clock_.Now();
     SetTimer(limits_.idle_timeout);
   }
 
@@ -202,8 +203,16 @@
     });
   }
 
+  // Clients reuse connections for as long as the newest configuration allows, which may be longer
+  // than the one in force when this connection became idle.
   void OnIdle() {
-    if (!HasUnreadInput()) Close();  // otherwise the pending read handles the input
+    const Duration limit = server_->handler_.limits().idle_timeout;
+    const Duration idle = server_->clock_.Now() - idle_since_;
+    if (idle < limit) {
+      SetTimer(limit - idle);
+    } else if (!HasUnreadInput()) {  // otherwise the pending read handles the input
+      Close();
+    }
   }
 
   bool HasUnreadInput() {
@@ -420,6 +429,7 @@
   std::size_t written_bytes_ = 0;  // of `writing_`
   std::size_t unread_bytes_ = 0;   // of a complete response, when the write timer was set
   TimePoint head_received_{};      // of the request whose body arrives
+  TimePoint idle_since_{};
   std::shared_ptr<ActiveRequest> active_;
   bool chunked_ = false;  // the response in parts is sent in chunks
   bool head_request_ = false;
--- a/verbenaridge/forwarding/client_server_test.cc
+++ b/verbenaridge/forwarding/client_server_test.cc
@@ -42,14 +42,13 @@
     }
     return nullptr;
   }
-  directory::ClientLimits limits() const override {
-    return {.head_timeout = kIdleTimeout, .idle_timeout = kIdleTimeout};
-  }
+  directory::ClientLimits limits() const override { return client_limits; }
   void OnRejected(int status) override { rejected = status; }
   void OnResponseNotRead(std::size_t unsent_bytes) override { not_read = unsent_bytes; }
   void OnInputDiscarded(std::size_t bytes) override { discarded = bytes; }
   void OnConnectionRefused() override { ++refused; }
 
+  directory::ClientLimits client_limits{.head_timeout = kIdleTimeout, .idle_timeout = kIdleTimeout};
   bool holds_responses = false;
   std::shared_ptr<ResponseSink> held;  // of the last request
   std::size_t requests = 0;
@@ -220,17 +219,19 @@
 }
 
 // Guards against requests that are dropped, or rejected as too slow, because they arrive when the
-// idle timeout ends.
+// idle timeout that was in force at the end of the last response has passed.
 TEST_CASE("a request that arrives at the end of the idle time is answered") {
   struct Row {
     const char* name;
     std::string before_timer;  // is sent before the ends of the waits are handled
     std::string after_timer;   // is sent when the first of them is handled
+    Duration new_idle_timeout = kIdleTimeout;
   };
   const std::string get = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
   const Row rows[] = {
       {"the request arrives while another handler runs", "", get},
       {"a part of the request has arrived", get.substr(0, 10), get.substr(10)},
+      {"a version has extended the idle timeout", "", "", 10 * kIdleTimeout},
   };
   for (const Row& row : rows) {
     CAPTURE(row.name);
@@ -238,11 +239,14 @@
     SlowClient client(fixture.io, fixture.server.port());
     fixture.io.run_for(milliseconds(20));
     REQUIRE(fixture.server.connections() == 1);
+    fixture.responder.client_limits.idle_timeout = row.new_idle_timeout;
     asio::steady_timer earlier(fixture.io, Duration{});
     earlier.async_wait([&](std::error_code /*code*/) { client.Send(row.after_timer); });
     std::this_thread::sleep_for(kIdleTimeout);
     client.Send(row.before_timer);
     fixture.io.run_for(milliseconds(20));
+    if (row.after_timer.empty()) client.Send(get);
+    fixture.io.run_for(milliseconds(20));
     CHECK(fixture.responder.requests == 1);
     CHECK(fixture.responder.rejected == 0);
     CHECK(fixture.server.connections() == 1);
