Judge requests by the limits in force when they begin

Callers saw (found by reading and by a test): 431 or 413 for proper requests beside a version that raises header-bytes or body-bytes. Cause: a connection took the size of heads from the configuration in force when it was accepted, and the other limits from the one in force when its last response ended. A request that comes later was judged by these. Change: the limits are read again when the first byte of a request arrives. Measured: client_server_test, "requests are judged by the limits in force when they begin", failed before in both rows (431 and 413) and passes.

--- a/verbenaridge/forwarding/client_server.cc
+++ b/verbenaridge/forwarding/client_server.cc
@@ -185,15 +185,20 @@
   }
 
   void ExpectRequest() {
-    parser_.Reset();
+    ApplyLimits();
     head_ = {};
     body_.clear();
     body_too_large_ = false;
-    limits_ = server_->handler_.limits();
     idle_since_ = server_->clock_.Now();
     SetTimer(limits_.idle_timeout);
   }
 
+  // The newest version may allow more than the one in force when the last response ended.
+  void ApplyLimits() {
+    limits_ = server_->handler_.limits();
+    parser_.Reset({.max_head_bytes = limits_.head_bytes});
+  }
+
   void SetTimer(Duration limit) {
     timer_.expires_after(limit);
     timer_.async_wait([self = shared_from_this()](std::error_code code) {
@@ -266,6 +271,7 @@
 
   void Parse(std::string_view data) {
     const bool started = parser_.started();
+    if (!started) ApplyLimits();
     const Result<std::size_t> used = parser_.Feed(data);
     if (closed_) return;
     if (used.has_error()) {
--- a/verbenaridge/forwarding/client_server_test.cc
+++ b/verbenaridge/forwarding/client_server_test.cc
@@ -265,6 +265,28 @@
   CHECK(fixture.responder.requests == 1);
 }
 
+// Guards against proper requests that are rejected by the limits of an older version.
+TEST_CASE("requests are judged by the limits in force when they begin") {
+  struct Row {
+    const char* name;
+    directory::ClientLimits before;
+  };
+  const Row rows[] = {{"a larger head is allowed", {.head_bytes = 20}},
+                      {"a larger body is allowed", {.body_bytes = 1}}};
+  for (const Row& row : rows) {
+    CAPTURE(row.name);
+    Fixture fixture(2);
+    fixture.responder.client_limits = row.before;
+    SlowClient client(fixture.io, fixture.server.port());
+    fixture.io.run_for(milliseconds(20));
+    fixture.responder.client_limits = {};
+    client.Send("POST / HTTP/1.1\r\nHost: a.example\r\nContent-Length: 2\r\n\r\nok");
+    fixture.io.run_for(milliseconds(20));
+    CHECK(fixture.responder.rejected == 0);
+    CHECK(fixture.responder.requests == 1);
+  }
+}
+
 // Guards against connections over the limit that nobody notices.
 TEST_CASE("connections over the limit are refused and counted") {
   Fixture fixture(10, /*in_parts=*/false, /*max_connections=*/2);
--- a/verbenaridge/http1/message_parser.cc
+++ b/verbenaridge/http1/message_parser.cc
@@ -33,6 +33,8 @@
     BeginMessage();
   }
 
+  void SetLimits(const ParserLimits& limits) { limits_ = limits; }
+
   Result<std::size_t> Feed(std::string_view data) {
     if (complete_ || data.empty()) return std::size_t{0};
     std::size_t used = 0;
@@ -171,7 +173,7 @@
   }
 
   const http_parser_type type_;
-  const ParserLimits limits_;
+  ParserLimits limits_;
   RequestObserver* const request_observer_;
   ResponseObserver* const response_observer_;
   http_parser parser_{};
@@ -195,6 +197,10 @@
 RequestParser::~RequestParser() = default;
 Result<std::size_t> RequestParser::Feed(std::string_view data) { return state_->Feed(data); }
 void RequestParser::Reset() { state_->Reset(false); }
+void RequestParser::Reset(const ParserLimits& limits) {
+  state_->SetLimits(limits);
+  state_->Reset(false);
+}
 bool RequestParser::started() const { return state_->started(); }
 bool RequestParser::head_complete() const { return state_->head_complete(); }
 bool RequestParser::complete() const { return state_->complete(); }
--- a/verbenaridge/http1/message_parser.h
+++ b/verbenaridge/http1/message_parser.h
@@ -50,6 +50,7 @@
   Result<std::size_t> Feed(std::string_view data);
 
   void Reset();
+  void Reset(const ParserLimits& limits);  // for the next message
 
   bool started() const;  // at least one byte of the message was parsed
   bool head_complete() const;
