Give a body that begins with its head the time of a body

Callers saw (found by reading and by a test): 408 for a request whose body paused for longer than header-timeout-ms after its first part. Cause: if the head was complete with the first read, the timer was set for the head although a body was due, and stayed so until the next part of the body. Change: a complete head is looked for first. Measured: client_server_test, "a body that begins with the head has the time of a body", failed before (no request of one served) and passes.

--- a/verbenaridge/forwarding/client_server.cc
+++ b/verbenaridge/forwarding/client_server.cc
@@ -285,10 +285,10 @@
     if (parser_.complete()) {
       pipelined_.assign(data.substr(used.value()));
       Handle();
-    } else if (!started && parser_.started()) {
-      SetTimer(limits_.head_timeout);
     } else if (parser_.head_complete()) {
       SetTimer(std::min(limits_.idle_timeout, BodyTimeLeft()));
+    } else if (!started && parser_.started()) {
+      SetTimer(limits_.head_timeout);
     }
     Read();
   }
--- a/verbenaridge/forwarding/client_server_test.cc
+++ b/verbenaridge/forwarding/client_server_test.cc
@@ -287,6 +287,18 @@
   }
 }
 
+// Guards against bodies that must arrive within the time for the head.
+TEST_CASE("a body that begins with the head has the time of a body") {
+  Fixture fixture(2);
+  fixture.responder.client_limits = {.head_timeout = milliseconds(20)};
+  SlowClient client(fixture.io, fixture.server.port());
+  client.Send("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\no");
+  fixture.io.run_for(milliseconds(60));
+  client.Send("k");
+  fixture.io.run_for(milliseconds(20));
+  CHECK(fixture.responder.requests == 1);
+}
+
 // Guards against connections over the limit that nobody notices.
 TEST_CASE("connections over the limit are refused and counted") {
   Fixture fixture(10, /*in_parts=*/false, /*max_connections=*/2);
