--- a/verbenaridge/forwarding/client_server_test.cc
+++ b/verbenaridge/forwarding/client_server_test.cc
@@ -11,6 +11,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <thread>
 #include <utility>
 #include <vector>
 
@@ -41,14 +42,13 @@
     }
     return nullptr;
   }
-  directory::ClientLimits limits() const override {
-    return {.head_timeout = kIdleTimeout, .idle_timeout = kIdleTimeout};
-  }
+  directory::ClientLimits limits() const override { return client_limits; }
   void OnRejected(int status) override { rejected = status; }
   void OnResponseNotRead(std::size_t unsent_bytes) override { not_read = unsent_bytes; }
   void OnInputDiscarded(std::size_t bytes) override { discarded = bytes; }
   void OnConnectionRefused() override { ++refused; }
 
+  directory::ClientLimits client_limits{.head_timeout = kIdleTimeout, .idle_timeout = kIdleTimeout};
   bool holds_responses = false;
   std::shared_ptr<ResponseSink> held;  // of the last request
   std::size_t requests = 0;
@@ -218,6 +218,87 @@
   }
 }
 
+// Guards against requests that are dropped, or rejected as too slow, because they arrive when the
+// idle timeout that was in force at the end of the last response has passed.
+TEST_CASE("a request that arrives at the end of the idle time is answered") {
+  struct Row {
+    const char* name;
+    std::string before_timer;  // is sent before the ends of the waits are handled
+    std::string after_timer;   // is sent when the first of them is handled
+    Duration new_idle_timeout = kIdleTimeout;
+  };
+  const std::string get = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+  const Row rows[] = {
+      {"the request arrives while another handler runs", "", get},
+      {"a part of the request has arrived", get.substr(0, 10), get.substr(10)},
+      {"a version has extended the idle timeout", "", "", 10 * kIdleTimeout},
+  };
+  for (const Row& row : rows) {
+    CAPTURE(row.name);
+    Fixture fixture(2);
+    SlowClient client(fixture.io, fixture.server.port());
+    fixture.io.run_for(milliseconds(20));
+    REQUIRE(fixture.server.connections() == 1);
+    fixture.responder.client_limits.idle_timeout = row.new_idle_timeout;
+    asio::steady_timer earlier(fixture.io, Duration{});
+    earlier.async_wait([&](std::error_code /*code*/) { client.Send(row.after_timer); });
+    std::this_thread::sleep_for(kIdleTimeout);
+    client.Send(row.before_timer);
+    fixture.io.run_for(milliseconds(20));
+    if (row.after_timer.empty()) client.Send(get);
+    fixture.io.run_for(milliseconds(20));
+    CHECK(fixture.responder.requests == 1);
+    CHECK(fixture.responder.rejected == 0);
+    CHECK(fixture.server.connections() == 1);
+  }
+}
+
+// Guards against requests that are read in the background, of which a close of idle connections
+// knows nothing.
+TEST_CASE("a request on a connection that was just accepted survives the close of idle ones") {
+  Fixture fixture(2);
+  SlowClient client(fixture.io, fixture.server.port());
+  client.Send("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+  while (fixture.server.connections() == 0) fixture.io.run_one();
+  fixture.server.CloseIdle();
+  fixture.io.run_for(milliseconds(20));
+  CHECK(fixture.responder.requests == 1);
+}
+
+// Guards against proper requests that are rejected by the limits of an older version.
+TEST_CASE("requests are judged by the limits in force when they begin") {
+  struct Row {
+    const char* name;
+    directory::ClientLimits before;
+  };
+  const Row rows[] = {{"a larger head is allowed", {.head_bytes = 20}},
+                      {"a larger body is allowed", {.body_bytes = 1}}};
+  for (const Row& row : rows) {
+    CAPTURE(row.name);
+    Fixture fixture(2);
+    fixture.responder.client_limits = row.before;
+    SlowClient client(fixture.io, fixture.server.port());
+    fixture.io.run_for(milliseconds(20));
+    fixture.responder.client_limits = {};
+    client.Send("POST / HTTP/1.1\r\nHost: a.example\r\nContent-Length: 2\r\n\r\nok");
+    fixture.io.run_for(milliseconds(20));
+    CHECK(fixture.responder.rejected == 0);
+    CHECK(fixture.responder.requests == 1);
+  }
+}
+
+// Guards against bodies that must arrive within the time for the head.
+TEST_CASE("a body that begins with the head has the time of a body") {
+  Fixture fixture(2);
+  fixture.responder.client_limits = {.head_timeout = milliseconds(20)};
+  SlowClient client(fixture.io, fixture.server.port());
+  client.Send("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\no");
+  fixture.io.run_for(milliseconds(60));
+  client.Send("k");
+  fixture.io.run_for(milliseconds(20));
+  CHECK(fixture.responder.requests == 1);
+}
+
 // Guards against connections over the limit that nobody notices.
 TEST_CASE("connections over the limit are refused and counted") {
   Fixture fixture(10, /*in_parts=*/false, /*max_connections=*/2);
