Keep a process that drains draining

Callers would see: requests sent to an endpoint that is about to exit, after the store was restored from a copy in which the endpoint was still ready. Cause: the endpoint table took the state of an endpoint from the last read alone.

--- a/verbenaridge/directory/endpoint_table.cc
+++ b/verbenaridge/directory/endpoint_table.cc
@@ -14,6 +14,12 @@
 // attract all requests.
 constexpr std::size_t kMaxSlots = 100'000;
 
+// Without start times, two processes under one id cannot be told apart: an endpoint that started
+// anew must not be taken for the one that drained.
+bool IsSameProcess(const Endpoint& a, const Endpoint& b) {
+  return a.start_unix_ms != 0 && a.start_unix_ms == b.start_unix_ms;
+}
+
 bool IsName(std::string_view text) {
   return !text.empty() && text.size() <= kMaxNameBytes &&
          std::none_of(text.begin(), text.end(), [](char c) {
@@ -43,6 +49,9 @@
   std::map<EndpointId, Endpoint> next;
   for (Endpoint& entry : entries) {
     const auto known = endpoints_.find(entry.id);
+    if (known != endpoints_.end() && IsSameProcess(known->second, entry)) {
+      entry.draining = entry.draining || known->second.draining;
+    }
     if (known == endpoints_.end()) {
       changes.push_back({Change::Kind::kAdded, entry});
     } else if (known->second.start_unix_ms != entry.start_unix_ms) {
--- a/verbenaridge/directory/endpoint_table.h
+++ b/verbenaridge/directory/endpoint_table.h
@@ -8,7 +8,10 @@
 //
 // Entries may expire during an outage of the store although their endpoints are alive. The table
 // therefore keeps an entry that is missing from the first read after an outage for
-// `lapsed_entry_grace`, and then removes it. Not thread-safe.
+// `lapsed_entry_grace`, and then removes it.
+//
+// A process that drains does not become ready again: it exits. An entry that says so is an older
+// one, from a copy that the store was restored from. Not thread-safe.
 #ifndef VERBENARIDGE_DIRECTORY_ENDPOINT_TABLE_H_
 #define VERBENARIDGE_DIRECTORY_ENDPOINT_TABLE_H_
 
--- a/verbenaridge/directory/endpoint_table_test.cc
+++ b/verbenaridge/directory/endpoint_table_test.cc
@@ -115,6 +115,33 @@
   }
 }
 
+// Guards against requests to an endpoint that is about to exit, because the store was restored from
+// a copy in which it did not drain yet.
+TEST_CASE("a process that drains does not become ready again") {
+  struct Row {
+    const char* name;
+    Endpoint before;
+    Endpoint after;
+    bool draining;
+    std::size_t changes;
+  };
+  const Row rows[] = {
+      {"same process", Entry("a", 1, true), Entry("a", 1), true, 0},
+      {"started anew", Entry("a", 1, true), Entry("a", 2), false, 1},
+      {"start not known", Entry("a", 0, true), Entry("a", 0), false, 1},
+  };
+  for (const Row& row : rows) {
+    CAPTURE(row.name);
+    ManualClock clock;
+    EndpointTable table;
+    table.OnEntriesRead({row.before}, clock.Now());
+    clock.Advance(seconds(60));
+    CHECK(table.OnEntriesRead({row.after}, clock.Now()).size() == row.changes);
+    REQUIRE(table.endpoints().size() == 1);
+    CHECK(table.endpoints()[0].draining == row.draining);
+  }
+}
+
 // Guards against an entry of another writer that adds a header to requests, fills the messages
 // between hosts, or attracts all requests because it never looks full.
 TEST_CASE("only plausible endpoints are used") {
