Keep what is known of endpoints after a restore of the store

Callers would see, for some seconds after the store came back from a copy: requests sent to endpoints that had left, to the old address of one that had started anew, or at full rate to a cold one; and none sent to endpoints that had started since the copy. Cause: the endpoint table took the first entries after a restore for current ones. Only entries that were missing after an outage longer than two heartbeats were kept. Change: EndpointTable::OnStoreRestored starts a grace period for missing entries, however short the outage was, and a window of three heartbeats and a second, after which entries of endpoints that are gone have expired. In the window, an endpoint that had left and is in the first entries since the restore is not used; if its entry expires and returns it was written again and is used at once. An entry of an earlier process than the known one is ignored, and cold or warm processes stay so. Without a start time two processes under one id cannot be told apart: within the window they are taken for the same one, which costs some seconds, and afterwards entries are believed. SetHeartbeat replaces SetOutageThreshold and sets both times. A host that has read nothing yet holds nothing back. Nothing calls OnStoreRestored yet.

--- a/verbenaridge/directory/endpoint_table.cc
+++ b/verbenaridge/directory/endpoint_table.cc
@@ -1,6 +1,7 @@
 #include "verbenaridge/directory/endpoint_table.h"
 
 #include <algorithm>
+#include <optional>
 #include <string_view>
 #include <utility>
 
@@ -13,6 +14,8 @@
 // Endpoints have up to some hundred slots. One with far more would never look full, and would
 // attract all requests.
 constexpr std::size_t kMaxSlots = 100'000;
+// Time from a read of the store, about two a second by one host, until the others have its entries.
+constexpr Duration kMaxReadDelay = std::chrono::seconds(1);
 
 // Without start times, two processes under one id cannot be told apart: an endpoint that started
 // anew must not be taken for the one that drained.
@@ -20,6 +23,17 @@
   return a.start_unix_ms != 0 && a.start_unix_ms == b.start_unix_ms;
 }
 
+std::optional<EndpointTable::Change::Kind> KindOfChange(const Endpoint& known,
+                                                        const Endpoint& entry) {
+  using Kind = EndpointTable::Change::Kind;
+  if (known.start_unix_ms != entry.start_unix_ms) return Kind::kRestarted;
+  if (known.ip != entry.ip || known.port != entry.port || known.service != entry.service) {
+    return Kind::kMoved;
+  }
+  if (known.draining != entry.draining) return Kind::kDraining;
+  return std::nullopt;
+}
+
 bool IsName(std::string_view text) {
   return !text.empty() && text.size() <= kMaxNameBytes &&
          std::none_of(text.begin(), text.end(), [](char c) {
@@ -35,6 +49,18 @@
          IsName(endpoint.data_centre.value()) && endpoint.port != 0 && endpoint.slots <= kMaxSlots;
 }
 
+void EndpointTable::SetHeartbeat(Duration heartbeat) {
+  options_.outage_threshold = 2 * heartbeat;
+  options_.restored_entry_time = 3 * heartbeat + kMaxReadDelay;
+}
+
+void EndpointTable::OnStoreRestored(TimePoint now) {
+  if (!loaded_) return;
+  keep_lapsed_until_ = std::max(keep_lapsed_until_, now + options_.lapsed_entry_grace);
+  restored_until_ = now + options_.restored_entry_time;
+  restored_read_pending_ = true;
+}
+
 std::vector<EndpointTable::Change> EndpointTable::OnEntriesRead(std::vector<Endpoint> entries,
                                                                 TimePoint now) {
   if (loaded_ && store_failing_ && now - last_read_ > options_.outage_threshold &&
@@ -44,26 +70,20 @@
   store_failing_ = false;
   loaded_ = true;
   last_read_ = now;
-  keeps_lapsed_ = false;
+  FindReturned(entries, now);
+  may_change_ = !returned_.empty();
   std::vector<Change> changes;
   std::map<EndpointId, Endpoint> next;
   for (Endpoint& entry : entries) {
+    if (returned_.contains(entry.id)) continue;
     const auto known = endpoints_.find(entry.id);
-    if (known != endpoints_.end() && IsSameProcess(known->second, entry)) {
-      entry.draining = entry.draining || known->second.draining;
-    }
     if (known == endpoints_.end()) {
+      Add(entry);
       changes.push_back({Change::Kind::kAdded, entry});
-    } else if (known->second.start_unix_ms != entry.start_unix_ms) {
-      changes.push_back({Change::Kind::kRestarted, entry});
-    } else if (known->second.ip != entry.ip || known->second.port != entry.port ||
-               known->second.service != entry.service) {
-      changes.push_back({Change::Kind::kMoved, entry});
-    } else if (known->second.draining != entry.draining) {
-      changes.push_back({Change::Kind::kDraining, entry});
-    }
-    if (Mutated(Mutation::kIgnoreLeaving) && known != endpoints_.end()) {
-      entry.draining = known->second.draining;
+    } else {
+      KeepKnown(known->second, entry, now);
+      if (const auto kind = KindOfChange(known->second, entry)) changes.push_back({*kind, entry});
+      if (Mutated(Mutation::kIgnoreLeaving)) entry.draining = known->second.draining;
     }
     EndpointId id = entry.id;
     next.insert_or_assign(std::move(id), std::move(entry));
@@ -72,8 +92,9 @@
     if (next.contains(id)) continue;
     if (now < keep_lapsed_until_ || Mutated(Mutation::kKeepRemoved)) {
       next.emplace(id, std::move(endpoint));
-      keeps_lapsed_ = true;
+      may_change_ = true;
     } else {
+      departed_.Add(endpoint, now);
       changes.push_back({Change::Kind::kRemoved, endpoint});
     }
   }
@@ -81,8 +102,42 @@
   return changes;
 }
 
+void EndpointTable::FindReturned(std::span<const Endpoint> entries, TimePoint now) {
+  departed_.RemoveExpired(now);
+  const bool first = std::exchange(restored_read_pending_, false);
+  const std::set<EndpointId> before = std::exchange(returned_, {});
+  if (now >= restored_until_) return;
+  for (const Endpoint& entry : entries) {
+    const DepartedEndpoints::Departure* const departure = departed_.Find(entry.id);
+    if (departure == nullptr || departure->IsSucceededBy(entry)) continue;
+    if (first || before.contains(entry.id)) returned_.insert(entry.id);
+  }
+}
+
+void EndpointTable::Add(Endpoint& entry) {
+  const DepartedEndpoints::Departure* const departure = departed_.Find(entry.id);
+  if (departure == nullptr) return;
+  if (entry.start_unix_ms != 0 && entry.start_unix_ms == departure->start_unix_ms) {
+    entry.draining = entry.draining || departure->draining;
+  }
+  departed_.Remove(entry.id);
+}
+
+void EndpointTable::KeepKnown(const Endpoint& known, Endpoint& entry, TimePoint now) {
+  if (IsSameProcess(known, entry)) entry.draining = entry.draining || known.draining;
+  if (now >= restored_until_) return;
+  const Endpoint read = entry;
+  if (entry.start_unix_ms == known.start_unix_ms) {
+    entry.draining = entry.draining || known.draining;
+    entry.cold = known.cold;
+  } else if (entry.start_unix_ms != 0 && entry.start_unix_ms < known.start_unix_ms) {
+    entry = known;
+  }
+  may_change_ = may_change_ || entry != read;
+}
+
 bool EndpointTable::OnEntriesUnchanged(TimePoint now) {
-  if (!loaded_ || store_failing_ || keeps_lapsed_) return false;
+  if (!loaded_ || store_failing_ || restored_read_pending_ || may_change_) return false;
   last_read_ = now;
   return true;
 }
--- a/verbenaridge/directory/endpoint_table.h
+++ b/verbenaridge/directory/endpoint_table.h
@@ -11,17 +11,26 @@
 // `lapsed_entry_grace`, and then removes it.
 //
 // A process that drains does not become ready again: it exits. An entry that says so is an older
-// one, from a copy that the store was restored from. Not thread-safe.
+// one, from a copy that the store was restored from.
+//
+//   table.OnStoreRestored(now);         // it came back from a copy that is some seconds old
+//   table.OnEntriesRead(entries, now);  // what the copy has, and what was written since
+//
+// For a while after a restore, what the table knows counts more than an older entry, until
+// endpoints that are alive have written again and entries of others have expired. Not thread-safe.
 #ifndef VERBENARIDGE_DIRECTORY_ENDPOINT_TABLE_H_
 #define VERBENARIDGE_DIRECTORY_ENDPOINT_TABLE_H_
 
 #include <cstdint>
 #include <map>
+#include <set>
+#include <span>
 #include <string>
 #include <vector>
 
 #include "verbenaridge/base/clock.h"
 #include "verbenaridge/base/ids.h"
+#include "verbenaridge/directory/departed_endpoints.h"
 
 namespace verbenaridge::directory {
 
@@ -52,11 +61,16 @@
   Duration lapsed_entry_grace = std::chrono::seconds(2);
   // Entries may have expired after this time without a successful read. Two heartbeats.
   Duration outage_threshold = std::chrono::milliseconds(2400);
+  // Time after a restore of the store within which entries of endpoints that are gone expire again
+  // and this host learns of it: three heartbeats and a second for the read.
+  Duration restored_entry_time = std::chrono::milliseconds(4600);
+  DepartedEndpointsOptions departed{};
 };
 
 class EndpointTable {
  public:
-  explicit EndpointTable(const EndpointTableOptions& options = {}) : options_(options) {}
+  explicit EndpointTable(const EndpointTableOptions& options = {})
+      : options_(options), departed_(options.departed) {}
 
   struct Change {
     enum class Kind : std::uint8_t { kAdded, kRestarted, kDraining, kRemoved, kMoved };
@@ -64,14 +78,27 @@
     Endpoint endpoint;
   };
 
-  void SetOutageThreshold(Duration limit) { options_.outage_threshold = limit; }
+  // Sets the times that depend on how often endpoints renew their entries.
+  void SetHeartbeat(Duration heartbeat);
+
+  // Records that the store has been restored from a copy. To be called once for each restore,
+  // before the first entries that were read after it. Has no effect before the first read.
+  //
+  // For `lapsed_entry_grace`, endpoints without an entry are kept. For `restored_entry_time`:
+  // - An endpoint that had left and is in the first entries after the restore is not used. If it is
+  //   missing from later entries and then returns, it has written again and is used at once.
+  // - An entry of an earlier process than the known one is ignored.
+  // - A process that is known to be cold or warm stays so.
+  // - Without a start time, an endpoint that drained stays draining, and one that had left is not
+  //   used, as it may be the same process. Afterwards such entries are believed.
+  void OnStoreRestored(TimePoint now);
 
   // Replaces the entries by those just read, all entries of the store. Returns the changes.
   std::vector<Change> OnEntriesRead(std::vector<Endpoint> entries, TimePoint now);
 
   // Records a read that returned the same entries as the last one. Returns false if the table may
-  // still change, because an outage has ended or lapsed entries are kept. The caller must then call
-  // OnEntriesRead.
+  // still change, because an outage has ended, the store has been restored, or some endpoints are
+  // not as their entries say. The caller must then call OnEntriesRead.
   bool OnEntriesUnchanged(TimePoint now);
 
   void OnReadFailed(TimePoint now);
@@ -80,13 +107,24 @@
   bool loaded() const { return loaded_; }
 
  private:
+  // Finds the entries of endpoints that had left which a restore brought back.
+  void FindReturned(std::span<const Endpoint> entries, TimePoint now);
+  // Completes the entry of an endpoint that the table does not have.
+  void Add(Endpoint& entry);
+  // Replaces what an older entry says by what is known.
+  void KeepKnown(const Endpoint& known, Endpoint& entry, TimePoint now);
+
   EndpointTableOptions options_;
   std::map<EndpointId, Endpoint> endpoints_;
+  DepartedEndpoints departed_;
+  std::set<EndpointId> returned_;  // in all entries since the restore, and not used yet
   bool loaded_ = false;
   bool store_failing_ = false;
-  bool keeps_lapsed_ = false;  // has endpoints that were missing from the last read
+  bool may_change_ = false;  // by time alone: some endpoints are not as in the last read
+  bool restored_read_pending_ = false;
   TimePoint last_read_{};
   TimePoint keep_lapsed_until_{};
+  TimePoint restored_until_{};
 };
 
 }  // namespace verbenaridge::directory
--- a/verbenaridge/directory/endpoint_table_test.cc
+++ b/verbenaridge/directory/endpoint_table_test.cc
@@ -4,11 +4,13 @@
 
 #include <cstdint>
 #include <string>
+#include <vector>
 
 namespace verbenaridge::directory {
 namespace {
 
 using std::chrono::milliseconds;
+using std::chrono::minutes;
 using std::chrono::seconds;
 
 Endpoint Entry(const char* id, std::uint64_t start_unix_ms = 1, bool draining = false) {
@@ -142,6 +144,151 @@
   }
 }
 
+Endpoint Cold(Endpoint endpoint, bool cold) {
+  endpoint.cold = cold;
+  return endpoint;
+}
+
+std::string Text(const EndpointTable& table) {
+  std::string text;
+  for (const Endpoint& endpoint : table.endpoints()) {
+    text += endpoint.id.value() + std::to_string(endpoint.start_unix_ms);
+    if (endpoint.draining) text += "d";
+    if (endpoint.cold) text += "c";
+    text += " ";
+  }
+  return text;
+}
+
+TEST_CASE("after a restore the table keeps what it knows until entries are current again") {
+  struct Row {
+    const char* name;
+    std::vector<std::vector<Endpoint>> before;  // reads before the restore
+    std::vector<Endpoint> copy;                 // read after it, and again after `after`
+    Duration after;
+    const char* at_first;
+    const char* expected;
+    std::size_t changes = 0;  // reported after the restore
+    int restores = 1;
+  };
+  const Endpoint a = Entry("a");
+  const Endpoint b = Entry("b");
+  const std::vector<std::vector<Endpoint>> both = {{a, b}};
+  const std::vector<std::vector<Endpoint>> left = {{a, b}, {a}};
+  const std::vector<std::vector<Endpoint>> drained = {{a, Entry("b", 1, true)}, {a}};
+  const std::vector<std::vector<Endpoint>> again = {{a, Entry("b", 2)}, {a}};
+  const std::vector<std::vector<Endpoint>> unknown = {{a, Entry("b", 0)}, {a}};
+  const Row rows[] = {
+      {"lost entry: endpoint dropped", both, {a}, milliseconds(1900), "a1 b1 ", "a1 b1 "},
+      {"lost entry: kept for ever", both, {a}, milliseconds(2100), "a1 b1 ", "a1 ", 1},
+      {"no restore: lost entry kept", both, {a}, {}, "a1 ", "a1 ", 1, 0},
+      {"gone endpoint used again", left, {a, b}, milliseconds(4500), "a1 ", "a1 "},
+      {"live endpoint never used again", left, {a, b}, milliseconds(4700), "a1 ", "a1 b1 ", 1},
+      {"no restore: returned entry ignored", left, {a, b}, {}, "a1 b1 ", "a1 b1 ", 1, 0},
+      {"new process of an id ignored", left, {a, Entry("b", 2)}, {}, "a1 b2 ", "a1 b2 ", 1},
+      {"process before the gone one used", again, {a, b}, milliseconds(4500), "a1 ", "a1 "},
+      {"gone one without start used", unknown, {a, Entry("b", 0)}, {}, "a1 ", "a1 "},
+      {"drained and gone: ready", drained, {a, b}, milliseconds(4700), "a1 ", "a1 b1d ", 1},
+      {"second restore: gone one used", left, {a, b}, milliseconds(4500), "a1 ", "a1 ", 0, 2},
+      {"old start believed", {{Entry("a", 2)}}, {a}, milliseconds(4500), "a2 ", "a2 "},
+      {"old start never believed", {{Entry("a", 2)}}, {a}, milliseconds(4700), "a2 ", "a1 ", 1},
+      {"drained without start: ready",
+       {{Entry("a", 0, true)}},
+       {Entry("a", 0)},
+       milliseconds(4500),
+       "a0d ",
+       "a0d "},
+      {"without start: never ready",
+       {{Entry("a", 0, true)}},
+       {Entry("a", 0)},
+       milliseconds(4700),
+       "a0d ",
+       "a0 ",
+       1},
+      {"new drain ignored", {{a}}, {Entry("a", 1, true)}, {}, "a1d ", "a1d ", 1},
+      {"cold one at full rate", {{Cold(a, true)}}, {a}, milliseconds(4500), "a1c ", "a1c "},
+      {"cold for ever", {{Cold(a, true)}}, {a}, milliseconds(4700), "a1c ", "a1 "},
+      {"warm one limited", {{a}}, {Cold(a, true)}, milliseconds(4500), "a1 ", "a1 "},
+      {"starting host drops entries", {}, {a, b}, {}, "a1 b1 ", "a1 b1 ", 2},
+  };
+  for (const Row& row : rows) {
+    CAPTURE(row.name);
+    ManualClock clock;
+    EndpointTable table;
+    for (const auto& entries : row.before) table.OnEntriesRead(entries, clock.Now());
+    clock.Advance(seconds(1));
+    std::size_t changes = 0;
+    for (int i = 0; i < row.restores; ++i) {
+      table.OnStoreRestored(clock.Now());
+      if (i + 1 == row.restores) break;
+      changes += table.OnEntriesRead(row.copy, clock.Now()).size();
+      clock.Advance(seconds(4));
+    }
+    CHECK(table.OnEntriesUnchanged(clock.Now()) == (row.restores == 0));
+    changes += table.OnEntriesRead(row.copy, clock.Now()).size();
+    CHECK(Text(table) == row.at_first);
+    clock.Advance(row.after);
+    if (!table.OnEntriesUnchanged(clock.Now())) {
+      changes += table.OnEntriesRead(row.copy, clock.Now()).size();
+    }
+    CHECK(Text(table) == row.expected);
+    CHECK(changes == row.changes);
+  }
+}
+
+// Guards against a live endpoint that waits although its entry was written after the restore.
+TEST_CASE("an endpoint that left returns at once if the copy did not have its entry") {
+  struct Row {
+    const char* name;
+    std::vector<Endpoint> first;  // read after the restore
+    const char* expected;
+  };
+  const Row rows[] = {
+      {"in the copy", {Entry("a"), Entry("b")}, "a"},
+      {"written since", {Entry("a")}, "ab"},
+  };
+  for (const Row& row : rows) {
+    CAPTURE(row.name);
+    ManualClock clock;
+    EndpointTable table;
+    table.OnEntriesRead({Entry("a"), Entry("b")}, clock.Now());
+    table.OnEntriesRead({Entry("a")}, clock.Now());
+    table.OnStoreRestored(clock.Now());
+    table.OnEntriesRead(row.first, clock.Now());
+    clock.Advance(seconds(1));
+    table.OnEntriesRead({Entry("a"), Entry("b")}, clock.Now());
+    CHECK(Names(table) == row.expected);
+  }
+}
+
+// Guards against memory that grows with each endpoint that leaves.
+TEST_CASE("endpoints that have left are forgotten by number and age") {
+  struct Row {
+    const char* name;
+    std::vector<const char*> left;
+    Duration after;
+    bool remembers_first;
+  };
+  const Row rows[] = {
+      {"as many as allowed", {"a", "b"}, minutes(5), true},
+      {"too many", {"a", "b", "c"}, {}, false},
+      {"too long ago", {"a", "b"}, minutes(6), false},
+      {"left twice", {"a", "b", "a"}, {}, true},
+  };
+  for (const Row& row : rows) {
+    CAPTURE(row.name);
+    ManualClock clock;
+    DepartedEndpoints departed({.max_endpoints = 2});
+    for (const char* id : row.left) {
+      departed.Add(Entry(id), clock.Now());
+      clock.Advance(milliseconds(1));
+    }
+    clock.Advance(row.after - milliseconds(2));
+    departed.RemoveExpired(clock.Now());
+    CHECK((departed.Find(EndpointId("a")) != nullptr) == row.remembers_first);
+  }
+}
+
 // Guards against an entry of another writer that adds a header to requests, fills the messages
 // between hosts, or attracts all requests because it never looks full.
 TEST_CASE("only plausible endpoints are used") {
--- a/verbenaridge/ingress/directory_service.cc
+++ b/verbenaridge/ingress/directory_service.cc
@@ -94,10 +94,7 @@
   for (const std::string& seed : seeds) peers_.AddSeed(seed);
 }
 
-void DirectoryService::SetEndpointHeartbeat(Duration heartbeat) {
-  // An entry expires when its endpoint has not renewed it for two heartbeats.
-  table_.SetOutageThreshold(2 * heartbeat);
-}
+void DirectoryService::SetEndpointHeartbeat(Duration heartbeat) { table_.SetHeartbeat(heartbeat); }
 
 Status DirectoryService::Open() { return link_->Open(*this); }
 
