Hold an endpoint that left back also if older entries come first

Callers would see: requests sent to an endpoint that had left, after a restore, at hosts that learn of the restore before they get entries that were read after it. Cause: only the endpoints in the first entries after the notice of a restore were held back. Those entries can still be of the time before it, since the notice and the entries come by different ways, and lack the endpoint; the next ones then look as if it had written again. Change: an endpoint that left before the notice is held back in the whole window. One that is removed later, because it wrote only after the grace period, is used at once, as the copy cannot bring it back. No state of the first read is needed any more.

--- a/verbenaridge/directory/endpoint_table.cc
+++ b/verbenaridge/directory/endpoint_table.cc
@@ -57,8 +57,8 @@
 void EndpointTable::OnStoreRestored(TimePoint now) {
   if (!loaded_) return;
   keep_lapsed_until_ = std::max(keep_lapsed_until_, now + options_.lapsed_entry_grace);
+  restored_ = now;
   restored_until_ = now + options_.restored_entry_time;
-  restored_read_pending_ = true;
 }
 
 std::vector<EndpointTable::Change> EndpointTable::OnEntriesRead(std::vector<Endpoint> entries,
@@ -70,14 +70,17 @@
   store_failing_ = false;
   loaded_ = true;
   last_read_ = now;
-  FindReturned(entries, now);
-  may_change_ = !returned_.empty();
+  departed_.RemoveExpired(now);
+  may_change_ = false;
   std::vector<Change> changes;
   std::map<EndpointId, Endpoint> next;
   for (Endpoint& entry : entries) {
-    if (returned_.contains(entry.id)) continue;
     const auto known = endpoints_.find(entry.id);
     if (known == endpoints_.end()) {
+      if (MayHaveLeft(entry, now)) {
+        may_change_ = true;
+        continue;
+      }
       Add(entry);
       changes.push_back({Change::Kind::kAdded, entry});
     } else {
@@ -102,16 +105,10 @@
   return changes;
 }
 
-void EndpointTable::FindReturned(std::span<const Endpoint> entries, TimePoint now) {
-  departed_.RemoveExpired(now);
-  const bool first = std::exchange(restored_read_pending_, false);
-  const std::set<EndpointId> before = std::exchange(returned_, {});
-  if (now >= restored_until_) return;
-  for (const Endpoint& entry : entries) {
-    const DepartedEndpoints::Departure* const departure = departed_.Find(entry.id);
-    if (departure == nullptr || departure->IsSucceededBy(entry)) continue;
-    if (first || before.contains(entry.id)) returned_.insert(entry.id);
-  }
+bool EndpointTable::MayHaveLeft(const Endpoint& entry, TimePoint now) const {
+  if (now >= restored_until_) return false;
+  const DepartedEndpoints::Departure* const departure = departed_.Find(entry.id);
+  return departure != nullptr && departure->time <= restored_ && !departure->IsSucceededBy(entry);
 }
 
 void EndpointTable::Add(Endpoint& entry) {
@@ -137,7 +134,7 @@
 }
 
 bool EndpointTable::OnEntriesUnchanged(TimePoint now) {
-  if (!loaded_ || store_failing_ || restored_read_pending_ || may_change_) return false;
+  if (!loaded_ || store_failing_ || may_change_) return false;
   last_read_ = now;
   return true;
 }
--- a/verbenaridge/directory/endpoint_table.h
+++ b/verbenaridge/directory/endpoint_table.h
@@ -23,8 +23,6 @@
 
 #include <cstdint>
 #include <map>
-#include <set>
-#include <span>
 #include <string>
 #include <vector>
 
@@ -82,11 +80,12 @@
   void SetHeartbeat(Duration heartbeat);
 
   // Records that the store has been restored from a copy. To be called once for each restore,
-  // before the first entries that were read after it. Has no effect before the first read.
+  // before the first entries that were read after it; entries that were read before it may still
+  // follow. Has no effect before the first read.
   //
   // For `lapsed_entry_grace`, endpoints without an entry are kept. For `restored_entry_time`:
-  // - An endpoint that had left and is in the first entries after the restore is not used. If it is
-  //   missing from later entries and then returns, it has written again and is used at once.
+  // - An endpoint that had left before is not used. One that was removed since and returns has
+  //   written again, and is used at once.
   // - An entry of an earlier process than the known one is ignored.
   // - A process that is known to be cold or warm stays so.
   // - Without a start time, an endpoint that drained stays draining, and one that had left is not
@@ -97,8 +96,8 @@
   std::vector<Change> OnEntriesRead(std::vector<Endpoint> entries, TimePoint now);
 
   // Records a read that returned the same entries as the last one. Returns false if the table may
-  // still change, because an outage has ended, the store has been restored, or some endpoints are
-  // not as their entries say. The caller must then call OnEntriesRead.
+  // still change, because an outage has ended or some endpoints are not as their entries say. The
+  // caller must then call OnEntriesRead.
   bool OnEntriesUnchanged(TimePoint now);
 
   void OnReadFailed(TimePoint now);
@@ -107,8 +106,8 @@
   bool loaded() const { return loaded_; }
 
  private:
-  // Finds the entries of endpoints that had left which a restore brought back.
-  void FindReturned(std::span<const Endpoint> entries, TimePoint now);
+  // Whether the entry may be of an endpoint that left before the last restore.
+  bool MayHaveLeft(const Endpoint& entry, TimePoint now) const;
   // Completes the entry of an endpoint that the table does not have.
   void Add(Endpoint& entry);
   // Replaces what an older entry says by what is known.
@@ -117,14 +116,13 @@
   EndpointTableOptions options_;
   std::map<EndpointId, Endpoint> endpoints_;
   DepartedEndpoints departed_;
-  std::set<EndpointId> returned_;  // in all entries since the restore, and not used yet
   bool loaded_ = false;
   bool store_failing_ = false;
   bool may_change_ = false;  // by time alone: some endpoints are not as in the last read
-  bool restored_read_pending_ = false;
   TimePoint last_read_{};
   TimePoint keep_lapsed_until_{};
-  TimePoint restored_until_{};
+  TimePoint restored_{};
+  TimePoint restored_until_{};  // entries may be older than what is known
 };
 
 }  // namespace verbenaridge::directory
