Tell the table of endpoints on each host when the store was restored

Callers would see: requests to endpoints that drain or have left, and fewer endpoints than there are, for some seconds after a restore of the store. Cause: a restore was not told from any other change of the entries, so that those of the copy were taken for new ones. Change: the store's answers, gossip and fetched entries carry the era in which the endpoints were read. When it rises, the table is told before it gets entries of that era, on hosts that read and on those that are told.

--- a/verbenaridge/ingress/directory_service.cc
+++ b/verbenaridge/ingress/directory_service.cc
@@ -194,10 +194,19 @@
   }
   SetStoreWorks(true, {});
   RecordRead(endpoints_schedule_, "endpoints");
+  SetEndpointsEra(stored.value().era);
   ApplyEndpoints(std::move(stored.value().endpoints), "store");
   SendGossip(/*news=*/true);
 }
 
+void DirectoryService::SetEndpointsEra(directory::StoreEra era) {
+  if (era <= endpoints_era_) return;
+  const directory::StoreEra before = std::exchange(endpoints_era_, era);
+  if (before == 0) return;  // the first one that this host knows
+  Log(Level::kInfo, "endpoints_restored", {{"era", era}, {"before", before}});
+  table_.OnStoreRestored(clock_.Now());
+}
+
 void DirectoryService::ApplyEndpoints(std::vector<directory::Endpoint> entries,
                                       std::string_view source) {
   directory::SortById(entries);
@@ -288,6 +297,7 @@
   const TimePoint now = clock_.Now();
   const TimePoint read = now - gossip.endpoints_age;
   if (gossip.endpoints_digest == last_digest_ && table_.loaded()) {
+    SetEndpointsEra(gossip.endpoints_era);  // the entries are the same in that era
     if (!Replaces(endpoints_schedule_, gossip)) return;
     if (!endpoints_schedule_.OnPeerRead(read)) return;
     if (!HandleUnchangedEndpoints()) ApplyToTable(last_entries_, "peer");
@@ -378,7 +388,8 @@
       .is_reply = round.is_reply,
       .evacuation_revision = evacuations_.view().position.revision,
       .evacuated = evacuations_.view().data_centres,
-      .evacuation_era = evacuations_.view().position.era};
+      .evacuation_era = evacuations_.view().position.era,
+      .endpoints_era = endpoints_era_};
   AddCrashNotice(crash_notice_, clock_.Now(), gossip);
   if (round.with_sample) {
     for (const KnownHost& peer : peers_.Sample(random_)) {
@@ -467,6 +478,8 @@
                                              const std::string& ip) {
   const bool newer = !table_.loaded() || content.endpoints_age < endpoints_age();
   if (!content.has_endpoints || !newer || content.endpoints_age > kMaxPeerAge) return false;
+  // Earlier releases do not tell an era.
+  if (content.endpoints_era != 0 && content.endpoints_era < endpoints_era_) return false;
   std::optional<std::vector<directory::Endpoint>> entries = EntriesOf(content);
   if (!entries) {
     Log(Level::kInfo, "endpoint_difference_unusable",
@@ -476,6 +489,7 @@
   }
   const TimePoint now = clock_.Now();
   endpoints_schedule_.OnPeerRead(now - content.endpoints_age);
+  SetEndpointsEra(content.endpoints_era);
   ApplyEndpoints(std::move(*entries), "peer");
   return true;
 }
@@ -509,6 +523,7 @@
   if (!reply.has_endpoints) return reply;
   reply.endpoints_age = endpoints_age();
   reply.endpoints_digest = last_digest_;
+  reply.endpoints_era = endpoints_era_;
   std::optional<directory::EndpointDifference> difference;
   if (have.accepts_difference) difference = history_.Since(have.have_endpoints_digest);
   if (difference) {
--- a/verbenaridge/ingress/directory_service.h
+++ b/verbenaridge/ingress/directory_service.h
@@ -163,6 +163,8 @@
     };
   }
   void OnEndpointsRead(Result<directory::StoredEndpoints> stored);
+  // Endpoints of this era are known from now on. Tells the table if the store was restored.
+  void SetEndpointsEra(directory::StoreEra era);
   void ApplyEndpoints(std::vector<directory::Endpoint> entries, std::string_view source);
   void ApplyToTable(std::vector<directory::Endpoint> entries, std::string_view source);
   // Handles unchanged endpoints. Returns false if the table still needs a full update.
@@ -223,6 +225,7 @@
   directory::EndpointTable table_;
   std::vector<directory::Endpoint> last_entries_;  // sorted by id
   Digest last_digest_ = 0;
+  directory::StoreEra endpoints_era_ = 0;  // of the last entries
   directory::EndpointHistory history_;
   bool fetch_all_endpoints_ = false;  // after a difference that did not fit
   std::optional<NewerValue> newer_;   // last report of a value to fetch
--- a/verbenaridge/ingress/version_lag_test.cc
+++ b/verbenaridge/ingress/version_lag_test.cc
@@ -128,9 +128,10 @@
   directory::StorePosition position{.era = 1, .revision = 1};
   std::map<std::uint64_t, std::uint64_t> versions{{1, 1}};  // by revision
   std::vector<directory::EvacuationChange> evacuations;
+  std::optional<directory::Endpoint> endpoint;  // the only one
 };
 
-// A document is its version in decimal. There are no endpoints.
+// A document is its version in decimal.
 class SimulatedStore final : public directory::DirectoryStore {
  public:
   // What a poll returns of the versions since its revision.
@@ -184,8 +185,11 @@
     });
   }
   void ReadEndpoints(std::function<void(Result<directory::StoredEndpoints>)> done) override {
-    Reply(std::move(done),
-          []() -> Result<directory::StoredEndpoints> { return directory::StoredEndpoints{}; });
+    Reply(std::move(done), [this]() -> Result<directory::StoredEndpoints> {
+      directory::StoredEndpoints stored{.era = state_.position.era};
+      if (state_.endpoint) stored.endpoints.push_back(*state_.endpoint);
+      return stored;
+    });
   }
   Result<std::shared_ptr<const directory::Configuration>> Decode(
       std::string_view document) const override {
@@ -260,6 +264,20 @@
     state_.evacuations.push_back({data_centre, evacuated, state_.position});
   }
 
+  void StoreEndpoint(std::optional<directory::Endpoint> endpoint) {
+    state_.endpoint = std::move(endpoint);
+  }
+  // The hosts that would send requests to the endpoint's process with this start time.
+  std::size_t HostsThatUse(std::uint64_t start_unix_ms) const {
+    return static_cast<std::size_t>(
+        std::count_if(services_.begin(), services_.end(), [&](const auto& service) {
+          const auto endpoints = service->endpoints();
+          return std::any_of(endpoints.begin(), endpoints.end(), [&](const auto& endpoint) {
+            return endpoint.start_unix_ms == start_unix_ms && !endpoint.draining;
+          });
+        }));
+  }
+
   const StoredState& state() const { return state_; }
   // The store comes back from the copy and gives out the revisions since then again.
   void RestoreStore(const StoredState& copy) {
@@ -524,6 +542,60 @@
   }
 }
 
+// Guards against requests to processes that have left, and against endpoints that are lost, because
+// hosts believe the entries of a copy that the store was restored from.
+TEST_CASE("entries that a restore has brought back are not taken for new ones") {
+  using Entry = std::optional<directory::Endpoint>;
+  const auto entry = [](std::uint64_t start_unix_ms, bool draining = false) {
+    return directory::Endpoint{.id = EndpointId("i-1"),
+                               .service = ServiceId("s"),
+                               .ip = "127.0.0.1",
+                               .port = 9,
+                               .data_centre = DataCentreId("a"),
+                               .slots = 4,
+                               .start_unix_ms = start_unix_ms,
+                               .draining = draining};
+  };
+  struct Row {
+    std::string name;
+    Entry copy;
+    Entry lost;           // written after the copy
+    Entry written_again;  // a heartbeat after the restore, or expired
+    std::uint64_t used;   // start time of the process that gets requests; 0: none does
+  };
+  const Row rows[] = {
+      {"unchanged", entry(7), entry(7), entry(7), 7},
+      {"added since the copy", {}, entry(7), entry(7), 7},
+      {"drains since the copy", entry(7), entry(7, true), entry(7, true), 0},
+      {"left since the copy", entry(7), {}, {}, 0},
+      {"started anew since the copy", entry(7), entry(9), entry(9), 9},
+  };
+  constexpr Duration kHeartbeat = milliseconds(1'200);
+  constexpr Duration kStep = milliseconds(10);
+  for (const Row& row : rows) {
+    CAPTURE(row.name);
+    SimulatedHosts fleet(TestSeed(), kNetworkDelays[1], kServedHostFleet);
+    fleet.StoreEndpoint(row.copy);
+    fleet.Start();
+    fleet.Run(milliseconds(2'500));
+    const StoredState copy = fleet.state();
+    fleet.StoreEndpoint(row.lost);
+    fleet.Run(milliseconds(2'500));
+    fleet.RestoreStore(copy);
+    int wrong_steps = 0;
+    for (Duration elapsed{}; elapsed < 6 * kHeartbeat; elapsed += kStep) {
+      const Duration write = row.written_again ? kHeartbeat : 3 * kHeartbeat;
+      if (elapsed == write) fleet.StoreEndpoint(row.written_again);
+      fleet.Run(kStep);
+      for (const std::uint64_t start : {std::uint64_t{7}, std::uint64_t{9}}) {
+        const std::size_t hosts = start == row.used ? kServedHostFleet : 0;
+        wrong_steps += fleet.HostsThatUse(start) == hosts ? 0 : 1;
+      }
+    }
+    CHECK(wrong_steps == 0);
+  }
+}
+
 // Guards against a host that starts during an evacuation and serves before it knows of it.
 TEST_CASE("a host that starts knows the evacuations before it is ready") {
   const DataCentreId data_centre("b");
--- a/verbenaridge/wire/messages.h
+++ b/verbenaridge/wire/messages.h
@@ -461,6 +461,8 @@
   std::vector<DataCentreId> evacuated;
   // Of that revision. Zero: the store does not tell it, or the sender is of an earlier release.
   std::uint64_t evacuation_era = 0;
+  // Of the read of the endpoints; zero as above.
+  std::uint64_t endpoints_era = 0;
 };
 
 // Asks a peer for the configuration and the endpoints when the store rejects the caller.
@@ -493,6 +495,9 @@
   Digest base_endpoints_digest = 0;
   std::vector<EndpointId> removed_endpoints;
   Digest endpoints_digest = 0;  // after the changes
+  // Of the store when the endpoints were read. Zero: it does not tell it, or the sender is of an
+  // earlier release.
+  std::uint64_t endpoints_era = 0;
 };
 
 using Request =
