Move a silent attempt late in a stop while a response of usual length fits

Callers saw: on a host that stops, a stream whose endpoint was silent got 504 at the end of the process, although another endpoint would have taken the request. A hand-over is placed while its attempt is not yet counted in runs_, so it was judged like a request that has not run, and found no endpoint after 2.5 s. Change: a request with a hand-over may have run.

--- a/verbenaridge/forwarding/request_run.cc
+++ b/verbenaridge/forwarding/request_run.cc
@@ -194,7 +194,10 @@
                                       .max_output_tokens = request_metadata_.max_output_tokens,
                                       .stream = route_->kind == directory::RequestKind::kStream,
                                       .target_latency = route_->target_latency});
-  return context_.stop.LatestStart(time, {.arrived = request_.arrived, .may_have_run = runs_ > 0});
+  // The attempt that a hand-over would replace is not counted yet, but may have run.
+  const bool may_have_run = runs_ > 0 || hand_over_.has_value();
+  return context_.stop.LatestStart(time,
+                                   {.arrived = request_.arrived, .may_have_run = may_have_run});
 }
 
 void RequestRun::OnDeadline() {
