Count a response of a stopping host until its end, not until its latest start

Callers would see: streams that are late or preempted during stops in series. Cause: the load table forgets a request at the deadline of its placement. All hosts then take their engines for free. Change: a placement request has the latest end of its response besides the deadline of its start, also on the wire; a message without it counts as before. Measured: dispatcher_endpoints_test, "a task counts until its response must have ended": the row "must start soon, may run on" failed before (the task was gone after a second) and passes; codec_test decodes requests without the field.

--- a/verbenaridge/forwarding/dispatcher.cc
+++ b/verbenaridge/forwarding/dispatcher.cc
@@ -177,16 +177,16 @@
                            Assignment& assignment) {
   const TimePoint now = clock_.Now();
   const bool remote = request.first_task != 0;
-  dispatch::EndpointTask task{
-      .id = remote ? request.first_task + member : ReserveTaskIds(1),
-      .endpoint = endpoint,
-      .due = request.arrived + request.demand.target_latency - now,
-      .lifetime = std::min(request.deadline - now, options_.max_task_lifetime),
-      .weight = request.demand.weight(),
-      .decodes = member == 0,
-      .partial_prefill = members > 1,
-      .account = request.account,
-      .cost = member == 0 ? CostOf(request) : 0};
+  dispatch::EndpointTask task{.id = remote ? request.first_task + member : ReserveTaskIds(1),
+                              .endpoint = endpoint,
+                              .due = request.arrived + request.demand.target_latency - now,
+                              .lifetime = std::min(std::max(request.deadline, request.end) - now,
+                                                   options_.max_task_lifetime),
+                              .weight = request.demand.weight(),
+                              .decodes = member == 0,
+                              .partial_prefill = members > 1,
+                              .account = request.account,
+                              .cost = member == 0 ? CostOf(request) : 0};
   if (group.model != nullptr) {
     task.prefill_time = group.model->PrefillTime(request.demand.prompt_tokens, members);
     if (member == 0) task.target_gap = request.demand.target_gap;
--- a/verbenaridge/forwarding/dispatcher.h
+++ b/verbenaridge/forwarding/dispatcher.h
@@ -74,7 +74,8 @@
   ServiceId service;
   dispatch::Demand demand;  // `waited` and `remaining` are computed at each try
   TimePoint arrived{};
-  TimePoint deadline{};
+  TimePoint deadline{};                     // of the start of the response
+  TimePoint end{};                          // of the response at the latest, if after `deadline`
   int urgency = 0;                          // the lowest value goes first
   std::vector<Digest> excluded{};           // endpoints that failed this request
   Digest digest = 0;                        // equal if its client sends it again; 0: not known
--- a/verbenaridge/forwarding/dispatcher_endpoints_test.cc
+++ b/verbenaridge/forwarding/dispatcher_endpoints_test.cc
@@ -78,6 +78,37 @@
   }
 }
 
+// Guards against endpoints that look free because a response that must start early, on a host that
+// stops, is forgotten while it runs.
+TEST_CASE("a task counts until its response must have ended") {
+  struct Row {
+    const char* name;
+    milliseconds deadline;
+    milliseconds end;
+    std::size_t tasks;  // a second later
+  };
+  const Row rows[] = {
+      {"must start soon, may run on", milliseconds(500), milliseconds(5'000), 1},
+      {"the end is not known", milliseconds(500), milliseconds(0), 0},
+      {"both have passed", milliseconds(300), milliseconds(500), 0},
+  };
+  for (const Row& row : rows) {
+    CAPTURE(row.name);
+    Host host;
+    host.Publish();
+    const TimePoint now = host.clock.Now();
+    host.dispatcher.Submit({.service = ServiceId("s"),
+                            .arrived = now,
+                            .deadline = now + row.deadline,
+                            .end = now + row.end},
+                           [](const Assignment&) {});
+    REQUIRE(host.dispatcher.tasks() == 1);
+    host.clock.Advance(seconds(1));
+    host.dispatcher.RemoveExpired();
+    CHECK(host.dispatcher.tasks() == row.tasks);
+  }
+}
+
 // Guards against a host that starts and sends a cold endpoint all of its requests, because it read
 // the endpoints before it knew the configuration.
 TEST_CASE("entries that were read before the configuration count") {
--- a/verbenaridge/forwarding/request_run.cc
+++ b/verbenaridge/forwarding/request_run.cc
@@ -225,6 +225,7 @@
                   .target_gap = route_->target_gap},
        .arrived = request_.arrived,
        .deadline = LatestStart(),
+       .end = deadline_,
        .urgency = priority_,
        .excluded = std::move(excluded),
        .digest = digest_,
--- a/verbenaridge/ingress/placement_exchange.cc
+++ b/verbenaridge/ingress/placement_exchange.cc
@@ -114,23 +114,25 @@
   for (const Digest key : dispatcher_.AvoidedEndpoints(request.service)) {
     if (excluded.size() < kMaxExcluded) excluded.push_back(key);
   }
-  exchange_.Send(ip, wire::PlacementRequest{.sender = self_,
-                                            .request_id = id,
-                                            .first_task_id = request.first_task,
-                                            .service = request.service,
-                                            .prompt_tokens = request.demand.prompt_tokens,
-                                            .output_tokens = request.demand.output_tokens,
-                                            .target_latency = request.demand.target_latency,
-                                            .target_gap = request.demand.target_gap,
-                                            .waited = now - request.arrived,
-                                            .remaining = request.deadline - now,
-                                            .urgency = request.urgency,
-                                            .excluded = std::move(excluded),
-                                            .account = request.account,
-                                            .in_progress = request.in_progress,
-                                            .refusable = request.refusable,
-                                            .digest = request.digest,
-                                            .allowed = request.allowed.names()});
+  exchange_.Send(
+      ip, wire::PlacementRequest{.sender = self_,
+                                 .request_id = id,
+                                 .first_task_id = request.first_task,
+                                 .service = request.service,
+                                 .prompt_tokens = request.demand.prompt_tokens,
+                                 .output_tokens = request.demand.output_tokens,
+                                 .target_latency = request.demand.target_latency,
+                                 .target_gap = request.demand.target_gap,
+                                 .waited = now - request.arrived,
+                                 .remaining = request.deadline - now,
+                                 .urgency = request.urgency,
+                                 .excluded = std::move(excluded),
+                                 .account = request.account,
+                                 .in_progress = request.in_progress,
+                                 .refusable = request.refusable,
+                                 .digest = request.digest,
+                                 .allowed = request.allowed.names(),
+                                 .remaining_to_end = std::max(request.end - now, Duration{})});
   Arm(id, options_.reply_timeout);
 }
 
@@ -230,6 +232,7 @@
                   .target_gap = request.target_gap},
        .arrived = now - request.waited,
        .deadline = now + request.remaining,
+       .end = now + request.remaining_to_end,
        .urgency = request.urgency,
        .excluded = request.excluded,
        .digest = request.digest,
--- a/verbenaridge/wire/codec_test.cc
+++ b/verbenaridge/wire/codec_test.cc
@@ -155,16 +155,17 @@
   CHECK(crashes.at(0).endpoint == 7);
   CHECK(crashes.at(0).parts.empty());
 
-  // A placement request without the data centres that may get the request.
+  // A placement request without the data centres that may get the request, and its end.
   std::string placement =
       Encode(Datagram{PlacementRequest{.digest = 5, .allowed = {DataCentreId("a")}}});
-  const std::string allowed =
+  const std::string allowed(
       "\x91\xa1"
-      "a";
+      "a\0",
+      4);
   CHECK(std::get<PlacementRequest>(DecodeDatagram(placement).value()).allowed.size() == 1);
   REQUIRE(placement.ends_with(allowed));
   placement.resize(placement.size() - allowed.size());
-  REQUIRE(placement.starts_with(std::string("\xdc\0\x12", 3)));  // the number of fields and the tag
+  REQUIRE(placement.starts_with(std::string("\xdc\0\x13", 3)));  // the number of fields and the tag
   placement[2] = '\x11';
   const Result<Datagram> decoded_placement = DecodeDatagram(placement);
   REQUIRE(decoded_placement.has_value());
--- a/verbenaridge/wire/internal/message_fields.h
+++ b/verbenaridge/wire/internal/message_fields.h
@@ -35,7 +35,7 @@
 template <>
 inline constexpr std::size_t kAddedFields<TaskEntry> = 2;
 template <>
-inline constexpr std::size_t kAddedFields<PlacementRequest> = 5;
+inline constexpr std::size_t kAddedFields<PlacementRequest> = 6;
 template <>
 inline constexpr std::size_t kAddedFields<PlacementReply> = 1;
 template <>
@@ -279,7 +279,8 @@
 auto Fields(Self& m) {
   return std::tie(m.sender, m.request_id, m.first_task_id, m.service, m.prompt_tokens,
                   m.output_tokens, m.target_latency, m.target_gap, m.waited, m.remaining, m.urgency,
-                  m.excluded, m.account, m.in_progress, m.refusable, m.digest, m.allowed);
+                  m.excluded, m.account, m.in_progress, m.refusable, m.digest, m.allowed,
+                  m.remaining_to_end);
 }
 
 template <Like<PlacementQueued> Self>
--- a/verbenaridge/wire/messages.h
+++ b/verbenaridge/wire/messages.h
@@ -392,6 +392,8 @@
   Digest digest = 0;         // of the request, equal if its client sends it again
   // Data centres whose endpoints may get it; empty: all. A host does not ask if there is none.
   std::vector<DataCentreId> allowed;
+  // Until the response must have ended; `remaining` is until its start. Zero: not known.
+  Duration remaining_to_end{};
 };
 
 // Reports that the scheduler host queued the request; a PlacementReply follows.
