--- a/verbenaridge/forwarding/client_server.cc
+++ b/verbenaridge/forwarding/client_server.cc
@@ -70,8 +70,13 @@
         parser_({.max_head_bytes = limits_.head_bytes}, *this) {}
 
   void Start() {
-    std::error_code ignored;  // only improves latency
-    socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
+    std::error_code error;
+    socket_.set_option(asio::ip::tcp::no_delay(true), error);  // only improves latency
+    socket_.non_blocking(true, error);
+    if (error) {
+      Close();
+      return;
+    }
     ExpectRequest();
     Read();
   }
@@ -83,10 +88,7 @@
   // Closes the connection if no request is in progress or has arrived. `also_new`: even if it has
   // not carried a request yet; its client may have sent the first one already.
   void CloseIfIdle(bool also_new) {
-    if (unfinished() || (!also_new && !has_served_)) return;
-    std::error_code error;
-    const std::size_t unread = socket_.available(error);
-    if (!error && unread > 0) return;
+    if (unfinished() || (!also_new && !has_served_) || HasUnreadInput()) return;
     Close();
   }
 
@@ -183,39 +185,73 @@
   }
 
   void ExpectRequest() {
-    parser_.Reset();
+    ApplyLimits();
     head_ = {};
     body_.clear();
     body_too_large_ = false;
-    limits_ = server_->handler_.limits();
+    idle_since_ = server_->clock_.Now();
     SetTimer(limits_.idle_timeout);
   }
 
+  // The newest version may allow more than the one in force when the last response ended.
+  void ApplyLimits() {
+    limits_ = server_->handler_.limits();
+    parser_.Reset({.max_head_bytes = limits_.head_bytes});
+  }
+
   void SetTimer(Duration limit) {
     timer_.expires_after(limit);
     timer_.async_wait([self = shared_from_this()](std::error_code code) {
       if (code || self->closed_ || self->busy()) return;
+      // The wait had ended already when the timer was set anew.
+      if (self->timer_.expiry() > std::chrono::steady_clock::now()) return;
       if (self->parser_.started()) {
         self->Reject(408);
       } else {
-        self->Close();
+        self->OnIdle();
       }
     });
   }
 
+  // Clients reuse connections for as long as the newest configuration allows, which may be longer
+  // than the one in force when this connection became idle.
+  void OnIdle() {
+    const Duration limit = server_->handler_.limits().idle_timeout;
+    const Duration idle = server_->clock_.Now() - idle_since_;
+    if (idle < limit) {
+      SetTimer(limit - idle);
+    } else if (!HasUnreadInput()) {  // otherwise the pending read handles the input
+      Close();
+    }
+  }
+
+  bool HasUnreadInput() {
+    std::error_code error;  // the next read reports it
+    const std::size_t unread = socket_.available(error);
+    return !error && unread > 0;
+  }
+
   void Read() {
     if (reading_ || closed_) return;
     reading_ = true;
-    socket_.async_read_some(asio::buffer(buffer_),
-                            [self = shared_from_this()](std::error_code code, std::size_t size) {
-                              self->reading_ = false;
-                              if (self->closed_) return;
-                              if (code) {
-                                self->Close();
-                              } else {
-                                self->OnRead({self->buffer_.data(), size});
-                              }
-                            });
+    // Input is read only when it is handled. A read in the background may have taken a request that
+    // HasUnreadInput does not see.
+    socket_.async_wait(asio::ip::tcp::socket::wait_read,
+                       [self = shared_from_this()](std::error_code code) {
+                         self->reading_ = false;
+                         if (!self->closed_) self->ReadSome(code);
+                       });
+  }
+
+  void ReadSome(std::error_code code) {
+    const std::size_t size = code ? 0 : socket_.read_some(asio::buffer(buffer_), code);
+    if (code == asio::error::would_block) {
+      Read();
+    } else if (code) {
+      Close();
+    } else {
+      OnRead({buffer_.data(), size});
+    }
   }
 
   void OnRead(std::string_view data) {
@@ -235,6 +271,7 @@
 
   void Parse(std::string_view data) {
     const bool started = parser_.started();
+    if (!started) ApplyLimits();
     const Result<std::size_t> used = parser_.Feed(data);
     if (closed_) return;
     if (used.has_error()) {
@@ -248,10 +285,10 @@
     if (parser_.complete()) {
       pipelined_.assign(data.substr(used.value()));
       Handle();
-    } else if (!started && parser_.started()) {
-      SetTimer(limits_.head_timeout);
     } else if (parser_.head_complete()) {
       SetTimer(std::min(limits_.idle_timeout, BodyTimeLeft()));
+    } else if (!started && parser_.started()) {
+      SetTimer(limits_.head_timeout);
     }
     Read();
   }
@@ -411,6 +448,7 @@
   std::size_t written_bytes_ = 0;  // of `writing_`
   std::size_t unread_bytes_ = 0;   // of a complete response, when the write timer was set
   TimePoint head_received_{};      // of the request whose body arrives
+  TimePoint idle_since_{};
   std::shared_ptr<ActiveRequest> active_;
   bool chunked_ = false;  // the response in parts is sent in chunks
   bool head_request_ = false;
--- a/verbenaridge/wire/codec_test.cc
+++ b/verbenaridge/wire/codec_test.cc
@@ -126,10 +126,10 @@
   std::string datagram = Encode(Datagram{gossip});
   const std::string capacity(1, '\0');  // a whole number is packed as an integer
   const std::string added = "\x91\x95\xa1h\xa1i\xa0" + capacity + "\xc2\xc3";
-  const std::string no_parts("\x90\x90\x90\0\x90\0", 6);  // and no evacuations
+  const std::string no_parts("\x90\x90\x90\0\x90\0\0", 7);  // and no evacuations
   REQUIRE(datagram.ends_with(added + no_parts));
   datagram.resize(datagram.size() - no_parts.size());
-  REQUIRE(datagram.starts_with(std::string("\xdc\0\x15", 3)));  // the number of fields and the tag
+  REQUIRE(datagram.starts_with(std::string("\xdc\0\x16", 3)));  // the number of fields and the tag
   datagram.replace(0, 3, "\x9f");
   CHECK(std::get<DirectoryGossip>(DecodeDatagram(datagram).value()).is_reply);
   datagram.replace(datagram.size() - added.size(), added.size(), "\x91\x92\xa1h\xa1i");
@@ -155,16 +155,17 @@
   CHECK(crashes.at(0).endpoint == 7);
   CHECK(crashes.at(0).parts.empty());
 
-  // A placement request without the data centres that may get the request.
+  // A placement request without the data centres that may get the request, and its end.
   std::string placement =
       Encode(Datagram{PlacementRequest{.digest = 5, .allowed = {DataCentreId("a")}}});
-  const std::string allowed =
+  const std::string allowed(
       "\x91\xa1"
-      "a";
+      "a\0",
+      4);
   CHECK(std::get<PlacementRequest>(DecodeDatagram(placement).value()).allowed.size() == 1);
   REQUIRE(placement.ends_with(allowed));
   placement.resize(placement.size() - allowed.size());
-  REQUIRE(placement.starts_with(std::string("\xdc\0\x12", 3)));  // the number of fields and the tag
+  REQUIRE(placement.starts_with(std::string("\xdc\0\x13", 3)));  // the number of fields and the tag
   placement[2] = '\x11';
   const Result<Datagram> decoded_placement = DecodeDatagram(placement);
   REQUIRE(decoded_placement.has_value());
--- a/verbenaridge/wire/messages.h
+++ b/verbenaridge/wire/messages.h
@@ -392,6 +392,8 @@
   Digest digest = 0;         // of the request, equal if its client sends it again
   // Data centres whose endpoints may get it; empty: all. A host does not ask if there is none.
   std::vector<DataCentreId> allowed;
+  // Until the response must have ended; `remaining` is until its start. Zero: not known.
+  Duration remaining_to_end{};
 };
 
 // Reports that the scheduler host queued the request; a PlacementReply follows.
@@ -461,6 +463,8 @@
   std::vector<DataCentreId> evacuated;
   // Of that revision. Zero: the store does not tell it, or the sender is of an earlier release.
   std::uint64_t evacuation_era = 0;
+  // Of the read of the endpoints; zero as above.
+  std::uint64_t endpoints_era = 0;
 };
 
 // Asks a peer for the configuration and the endpoints when the store rejects the caller.
@@ -493,6 +497,9 @@
   Digest base_endpoints_digest = 0;
   std::vector<EndpointId> removed_endpoints;
   Digest endpoints_digest = 0;  // after the changes
+  // Of the store when the endpoints were read. Zero: it does not tell it, or the sender is of an
+  // earlier release.
+  std::uint64_t endpoints_era = 0;
 };
 
 using Request =
