Believe an entry that says cold after a restore of the store

Callers would see, for up to 4.6 s after a restore: requests at full rate to an endpoint that has just become cold (FAILBACK), since a process may become cold at any moment. Found by reading. Cause: within the window after a restore the known state, warm or cold, replaced what the entry of the same process says. Change: such a process is cold if either says so. The price: one that was cold in the copy and has warmed since is limited as a cold one again. Measured: the row "warm one that becomes cold: at full rate" failed before (two checks) and passes; directory_test passes.

--- a/verbenaridge/directory/endpoint_table.cc
+++ b/verbenaridge/directory/endpoint_table.cc
@@ -126,7 +126,7 @@
   const Endpoint read = entry;
   if (entry.start_unix_ms == known.start_unix_ms) {
     entry.draining = entry.draining || known.draining;
-    entry.cold = known.cold;
+    entry.cold = entry.cold || known.cold;
   } else if (entry.start_unix_ms != 0 && entry.start_unix_ms < known.start_unix_ms) {
     entry = known;
   }
