Notice the first restore of a store that counts its eras from zero

The users' pages say that the header rises by one, not where it begins. The same holds for a host that has its entries from a daemon of an earlier release, which tells no era. Cause: an era of 0 was taken for one that is not known yet, although the host had entries of it. Change: whether the host has entries decides. During a rollout this may count as a restore once on a host, which holds endpoints back or keeps lapsed ones for some seconds. The cases on restores, evacuations and calls of hosts_test pass.

--- a/verbenaridge/ingress/directory_service.cc
+++ b/verbenaridge/ingress/directory_service.cc
@@ -202,7 +202,9 @@
 void DirectoryService::SetEndpointsEra(directory::StoreEra era) {
   if (era <= endpoints_era_) return;
   const directory::StoreEra before = std::exchange(endpoints_era_, era);
-  if (before == 0) return;  // the first one that this host knows
+  // Without entries there is nothing that the copy may contradict. Era 0 with entries is that of a
+  // store that counts from 0, or not told by a peer of an earlier release.
+  if (!table_.loaded()) return;
   Log(Level::kInfo, "endpoints_restored", {{"era", era}, {"before", before}});
   table_.OnStoreRestored(clock_.Now());
 }
--- a/verbenaridge/ingress/version_lag_test.cc
+++ b/verbenaridge/ingress/version_lag_test.cc
@@ -279,6 +279,7 @@
   }
 
   const StoredState& state() const { return state_; }
+  void SetStoreEra(directory::StoreEra era) { state_.position.era = era; }
   // The store comes back from the copy and gives out the revisions since then again.
   void RestoreStore(const StoredState& copy) {
     const directory::StoreEra era = state_.position.era + 1;
@@ -562,12 +563,14 @@
     Entry lost;           // written after the copy
     Entry written_again;  // a heartbeat after the restore, or expired
     std::uint64_t used;   // start time of the process that gets requests; 0: none does
+    directory::StoreEra first_era = 1;
   };
   const Row rows[] = {
       {"unchanged", entry(7), entry(7), entry(7), 7},
       {"added since the copy", {}, entry(7), entry(7), 7},
       {"drains since the copy", entry(7), entry(7, true), entry(7, true), 0},
       {"left since the copy", entry(7), {}, {}, 0},
+      {"left since the copy, the store counts from 0", entry(7), {}, {}, 0, 0},
       {"started anew since the copy", entry(7), entry(9), entry(9), 9},
   };
   constexpr Duration kHeartbeat = milliseconds(1'200);
@@ -575,6 +578,7 @@
   for (const Row& row : rows) {
     CAPTURE(row.name);
     SimulatedHosts fleet(TestSeed(), kNetworkDelays[1], kServedHostFleet);
+    fleet.SetStoreEra(row.first_era);
     fleet.StoreEndpoint(row.copy);
     fleet.Start();
     fleet.Run(milliseconds(2'500));
