--- a/verbenaridge/directory/endpoint_table.h
+++ b/verbenaridge/directory/endpoint_table.h
@@ -87,10 +87,8 @@
   // - An endpoint that had left before is not used. One that was removed since and returns has
   //   written again, and is used at once.
   // - An entry of an earlier process than the known one is ignored.
-  // - A process that is known to be cold stays so. One that is known to be warm may become cold at
-  // any
-  //   moment, so an entry that says so is believed; if it is an older one, the next one corrects
-  //   it.
+  // - A process that is known to be cold stays so. A warm one may become cold at any moment, so an
+  //   entry that says so is believed; if it is an older one, the next one corrects it.
   // - Without a start time, an endpoint that drained stays draining, and one that had left is not
   //   used, as it may be the same process. Afterwards such entries are believed.
   void OnStoreRestored(TimePoint now);
