Start no stream late in a planned stop, since none has a bound

Cause: from 2.5 s after the signal on, StopWindow started a stream if the longest response was estimated to fit. The estimate allowed 1.5 passes of a full engine for each event and one pass with the longest prefill. It is no bound: an engine serves all hosts, reads their prompts between two events of the stream, and gets more of them while the stream runs. The deciding host cannot know them. Change: a stream has no longest response. One that arrives late, or has waited until then, gets 503 with Retry-After 0 at that moment, which is true as nothing was sent; its client has all of its time for another host. Other responses keep the estimate: if it is wrong they fail with 504, which is a complete answer. A larger factor would only move the edge, and the bound of an engine whose memory is prefilled anew in each pass is longer than what is left. Rows without a stream keep the times of before.

--- a/verbenaridge/dispatch/stop_window.cc
+++ b/verbenaridge/dispatch/stop_window.cc
@@ -11,19 +11,23 @@
 }
 
 ResponseTime StopWindow::EstimateResponse(const ExpectedResponse& response) const {
+  ResponseTime time;
   if (response.model == nullptr || response.max_output_tokens == 0) {
-    const Duration usual =
+    time.usual =
         std::max(FromSeconds(ToSeconds(response.target_latency) * options_.service_latency_factor),
                  options_.min_service_time);
-    return {.usual = usual, .longest = response.stream ? std::nullopt : std::optional(usual)};
+    time.longest = time.usual;
+  } else {
+    const PassModel& model = *response.model;
+    const double stride = std::max(model.timing().stride, 1);
+    const double passes = std::ceil(static_cast<double>(response.max_output_tokens) / stride);
+    const double pass = ToSeconds(model.LongestPassTime());
+    time.usual = FromSeconds(passes * options_.usual_output_share * pass);
+    time.longest =
+        FromSeconds(passes * options_.prefill_factor * pass) + model.MaxPrefillInAnyPass();
   }
-  const PassModel& model = *response.model;
-  const double stride = std::max(model.timing().stride, 1);
-  const double passes = std::ceil(static_cast<double>(response.max_output_tokens) / stride);
-  const double pass = ToSeconds(model.LongestPassTime());
-  return {.usual = FromSeconds(passes * options_.usual_output_share * pass),
-          .longest =
-              FromSeconds(passes * options_.prefill_factor * pass) + model.MaxPrefillInAnyPass()};
+  if (response.stream) time.longest.reset();
+  return time;
 }
 
 TimePoint StopWindow::LatestStart(const ResponseTime& time,
--- a/verbenaridge/dispatch/stop_window.h
+++ b/verbenaridge/dispatch/stop_window.h
@@ -6,14 +6,14 @@
 //
 // A stopping host receives requests until the load balancer and all clients have left it. Their
 // responses are cut off when the process ends, so a request is refused as not run, and its client
-// goes to another host, unless its response ends before. How long a response will be is not known,
-// only its longest length. While the balancer still counts on the host, many hosts may stop at
-// once and a refused client may meet another one of them; until then responses of usual length
-// must fit. Later even the longest one must, also for requests that have waited since, and a stream
-// without a known longest length is refused: a stream that has begun cannot fail with a response of
-// its own. The longest time is an estimate from the published timing, not a bound: several long
-// prompts in a row, or one that several engines share, delay a stream for longer. Used by one
-// thread.
+// goes to another host, unless its response ends before. While the balancer still counts on the
+// host, many hosts may stop at once and a refused client may meet another one of them; until then
+// responses of usual length must fit, and some that are longer are cut.
+//
+// Later no stream is started, also none that has waited since: how long it takes has no bound. Its
+// engine reads the prompts of all hosts between two events, and more of them arrive while it runs.
+// Other responses start while the longest one is expected to fit. If it does not, they fail with a
+// response of their own, which a stream that has begun cannot. Used by one thread.
 #ifndef VERBENARIDGE_DISPATCH_STOP_WINDOW_H_
 #define VERBENARIDGE_DISPATCH_STOP_WINDOW_H_
 
@@ -26,13 +26,13 @@
 namespace verbenaridge::dispatch {
 
 struct StopOptions {
-  // Of responses that start later after the signal to stop, the longest must fit. The balancer
-  // removes a host after two failed probes, one second apart.
+  // How long the balancer may count on a host after the signal to stop. It removes a host after two
+  // failed probes, one second apart.
   Duration late_after = std::chrono::milliseconds(2'500);
   // Nine of ten responses have less than this share of the tokens that they may have.
   double usual_output_share = 0.5;
-  // Prefill of other prompts extends the passes of a full engine by up to this factor, besides one
-  // pass with the longest prefill.
+  // Prefill of other prompts is expected to extend the passes of a full engine by up to this
+  // factor, besides one pass with the longest prefill.
   double prefill_factor = 1.5;
   // A plain service responds within this multiple of the target latency, or within the minimum.
   double service_latency_factor = 5;
@@ -42,7 +42,7 @@
 // From the start of a response to its end; of a plain service, from the dispatch.
 struct ResponseTime {
   Duration usual{};
-  std::optional<Duration> longest;  // empty: no bound is known
+  std::optional<Duration> longest;  // expected; empty for a stream, which has no bound
 };
 
 // What is known of a response before it starts.
@@ -56,7 +56,7 @@
 struct StartConditions {
   TimePoint arrived{};
   // An earlier attempt may have run, so the request cannot be refused as not run. It may start
-  // while a usual response fits, unless it arrived late: users excuse no cut of such a response.
+  // while a usual response fits, unless it arrived late.
   bool may_have_run = false;
 };
 
--- a/verbenaridge/dispatch/stop_window_test.cc
+++ b/verbenaridge/dispatch/stop_window_test.cc
@@ -24,8 +24,9 @@
   return timing;
 }
 
-// Guards against responses that are started although they cannot end before the process, and
-// against a host that refuses what it can still serve.
+// Guards against responses that are started although they may not end before the process, against
+// streams that start late on the word of an estimate, and against a host that refuses what it can
+// still serve.
 TEST_CASE("a stopping host starts only responses that end before it") {
   struct Row {
     std::string name;
@@ -44,13 +45,19 @@
       {"waits: the longest response", &model, true, 2'000, milliseconds(500), milliseconds(2'500)},
       {"waits since before the signal", &model, true, 2'000, milliseconds(-900),
        milliseconds(2'500)},
-      {"waits, short", &model, true, 500, milliseconds(500), milliseconds(6'500)},
+      {"waits, short", &model, true, 500, milliseconds(500), milliseconds(2'500)},
       {"long, usual length", &model, true, 6'000, milliseconds(500), milliseconds(2'000)},
       {"has run: usual length", &model, true, 2'000, milliseconds(-900), milliseconds(6'000), true},
-      {"late, has run", &model, true, 2'000, milliseconds(2'600), milliseconds(2'000), true},
-      {"late: the longest response", &model, true, 2'000, milliseconds(2'600), milliseconds(2'000)},
-      {"late and short", &model, true, 500, milliseconds(2'600), milliseconds(6'500)},
+      {"late, has run", &model, true, 2'000, milliseconds(2'600), milliseconds(0), true},
+      {"late", &model, true, 2'000, milliseconds(2'600), milliseconds(0)},
+      {"late and short", &model, true, 50, milliseconds(2'600), milliseconds(0)},
       {"late, a pass with a long prompt", &long_prompts, true, 500, milliseconds(2'600),
+       milliseconds(0)},
+      {"no stream, waits", &model, false, 2'000, milliseconds(500), milliseconds(2'500)},
+      {"no stream, waits, short", &model, false, 500, milliseconds(500), milliseconds(6'500)},
+      {"no stream, late: the longest response", &model, false, 2'000, milliseconds(2'600),
+       milliseconds(2'000)},
+      {"no stream, late, a pass with a long prompt", &long_prompts, false, 500, milliseconds(2'600),
        milliseconds(6'000)},
       {"length not declared", &model, true, 0, milliseconds(500), milliseconds(2'500)},
       {"length not declared, has run", &model, true, 0, milliseconds(500), milliseconds(6'500),
