Keep a silent stream during a stop unless the rest may end elsewhere

Cause: SeekHandOver asks whether a retry is allowed and an endpoint free, not whether the rest fits before the process ends. Silence does not tell a stalled engine from one in a long pass, so the move gives up the response that may still come. Change: a stream that has begun is moved on a stopping host only if its prefill and what usually remains of it fit; otherwise the attempt continues, with a line hand_over, outcome kept, reason stopping. Measured: planned_stop_test, "a stopping daemon moves a silent stream only if the rest may end elsewhere": the row "the rest does not fit" had two attempts before and has one now, and its response is complete; the other row is moved before and now. All other cases of planned_stop_test and that of stop_window_test pass.

--- a/verbenaridge/dispatch/stop_window.cc
+++ b/verbenaridge/dispatch/stop_window.cc
@@ -21,10 +21,10 @@
     const PassModel& model = *response.model;
     const double stride = std::max(model.timing().stride, 1);
     const double passes = std::ceil(static_cast<double>(response.max_output_tokens) / stride);
-    const double pass = ToSeconds(model.LongestPassTime());
-    time.usual = FromSeconds(passes * options_.usual_output_share * pass);
-    time.longest =
-        FromSeconds(passes * options_.prefill_factor * pass) + model.MaxPrefillInAnyPass();
+    const Duration pass = model.LongestPassTime();
+    time.usual = UsualTime(static_cast<std::size_t>(passes), pass);
+    time.longest = FromSeconds(passes * options_.prefill_factor * ToSeconds(pass)) +
+                   model.MaxPrefillInAnyPass();
   }
   if (response.stream) time.longest.reset();
   return time;
--- a/verbenaridge/dispatch/stop_window.h
+++ b/verbenaridge/dispatch/stop_window.h
@@ -17,6 +17,7 @@
 #ifndef VERBENARIDGE_DISPATCH_STOP_WINDOW_H_
 #define VERBENARIDGE_DISPATCH_STOP_WINDOW_H_
 
+#include <cstddef>
 #include <optional>
 
 #include "verbenaridge/base/clock.h"
@@ -73,6 +74,11 @@
 
   ResponseTime EstimateResponse(const ExpectedResponse& response) const;
 
+  // How long a response of at most `events` events usually takes.
+  Duration UsualTime(std::size_t events, Duration gap) const {
+    return FromSeconds(static_cast<double>(events) * options_.usual_output_share * ToSeconds(gap));
+  }
+
   // When the response must have started. The end of time while the host does not stop.
   TimePoint LatestStart(const ResponseTime& time, const StartConditions& conditions) const;
 
--- a/verbenaridge/forwarding/request_run.h
+++ b/verbenaridge/forwarding/request_run.h
@@ -182,6 +182,9 @@
   // attempt ends only when an endpoint is found and a retry is taken from the budget. Returns false
   // if no retry is allowed.
   bool SeekHandOver(AttemptFailure failure, std::string_view detail);
+  // Whether a stream that has begun may end at another endpoint before this host does. An estimate;
+  // true for other requests and while the host does not stop.
+  bool FitsElsewhere() const;
   void OnHandOverAssigned(Assignment assignment);
   // Continues the attempt, or returns its held response.
   void KeepAttempt(const HandOver& hand_over, std::string_view reason);
@@ -215,6 +218,7 @@
   void OnConnectionLost(std::string_view detail);
   // Whether the stream can end before its deadline only at another endpoint.
   bool IsTooSlow(TimePoint now) const;
+  dispatch::StreamRest RestOfStream(const dispatch::PassModel& model, TimePoint now) const;
   void OnCompleteResponse();
   void ReturnResponse();
   http1::ResponseHead ClientHead() const;
--- a/verbenaridge/forwarding/request_run_answer.cc
+++ b/verbenaridge/forwarding/request_run_answer.cc
@@ -153,17 +153,22 @@
 bool RequestRun::IsTooSlow(TimePoint now) const {
   const dispatch::PassModel* const model = context_.dispatcher.ModelOf(service_);
   if (model == nullptr || assignment_.members.size() > 1) return false;
-  const auto tokens_per_event = static_cast<std::uint64_t>(std::max(model->timing().stride, 1));
+  return pace_.MustMove(RestOfStream(*model, now));
+}
+
+dispatch::StreamRest RequestRun::RestOfStream(const dispatch::PassModel& model,
+                                              TimePoint now) const {
+  const auto tokens_per_event = static_cast<std::uint64_t>(std::max(model.timing().stride, 1));
   const auto tokens = static_cast<std::uint64_t>(request_metadata_.max_output_tokens);
   const std::uint64_t events = (tokens + tokens_per_event - 1) / tokens_per_event;
   const std::uint64_t done = std::min(last_event_.value_or(0), events);
   const auto context =
       request_metadata_.prompt_tokens + static_cast<TokenCount>(done * tokens_per_event);
-  const Duration gap = model->LongestPassTime();
-  return pace_.MustMove({.events_left = static_cast<std::size_t>(events - done),
-                         .expected_gap = gap,
-                         .restart = model->PrefillTime(context, 1) + gap,
-                         .remaining = deadline_ - now});
+  const Duration gap = model.LongestPassTime();
+  return {.events_left = static_cast<std::size_t>(events - done),
+          .expected_gap = gap,
+          .restart = model.PrefillTime(context, 1) + gap,
+          .remaining = deadline_ - now};
 }
 
 void RequestRun::OnFirstEvent() {
--- a/verbenaridge/forwarding/request_run_hand_over.cc
+++ b/verbenaridge/forwarding/request_run_hand_over.cc
@@ -41,6 +41,10 @@
 bool RequestRun::SeekHandOver(AttemptFailure failure, std::string_view detail) {
   if (hand_over_) return true;
   if (!MayRetry(failure)) return false;
+  if (!FitsElsewhere()) {
+    LogHandOver({.failure = failure, .detail = std::string(detail)}, "kept", "stopping");
+    return false;
+  }
   hand_over_ = {.failure = failure, .detail = std::string(detail)};
   if (exchange_ == nullptr) StopAttempt();  // the response is complete
   std::vector<Digest> excluded = excluded_;
@@ -49,6 +53,17 @@
   return true;
 }
 
+// Another endpoint prefills the prompt again before the next event, while the present one may only
+// be in a long pass.
+bool RequestRun::FitsElsewhere() const {
+  if (!response_started_ || deadline_ != context_.stop.end()) return true;
+  const dispatch::PassModel* const model = context_.dispatcher.ModelOf(service_);
+  if (model == nullptr) return true;
+  const dispatch::StreamRest rest = RestOfStream(*model, context_.clock.Now());
+  return rest.restart + context_.stop.UsualTime(rest.events_left, rest.expected_gap) <=
+         rest.remaining;
+}
+
 void RequestRun::OnHandOverAssigned(Assignment assignment) {
   if (!hand_over_) return;
   const HandOver hand_over = *std::exchange(hand_over_, std::nullopt);
