Order lists of endpoints by their position in the store

Cause: lists were ordered by age alone. A peer reports how old its list was when it sent the report; the receiver subtracts that from the time at which it reads the report. What waited in the socket of the frozen host so made its old list look as if it had just been read, it said so to others, and those whose own last read was a third of a second old fetched the old list. Change: a read of the endpoints has the position (era, revision) of its first page. DirectoryService keeps the position up to which its list is current and tells it in gossip and in replies; another list is newer only if its position is. Positions that are not known, of peers of earlier releases, leave the ages to decide, as before. No clock is compared, so stepped clocks and suspended hosts change nothing.

--- a/verbenaridge/directory/directory_store.h
+++ b/verbenaridge/directory/directory_store.h
@@ -38,7 +38,8 @@
 };
 
 struct StoredEndpoints {
-  StoreEra era = 0;
+  // The list has all changes up to here, and perhaps later ones. A revision of 0: not known.
+  StorePosition position;
   std::vector<Endpoint> endpoints;
   std::size_t malformed = 0;  // entries that could not be decoded
 };
--- a/verbenaridge/directory/refresh_schedule.cc
+++ b/verbenaridge/directory/refresh_schedule.cc
@@ -52,6 +52,12 @@
   due_ = retry_at_;
 }
 
+void RefreshSchedule::OnReadOutdated(TimePoint now) {
+  read_in_progress_ = false;
+  failures_ = 0;
+  due_ = now;
+}
+
 void RefreshSchedule::OnOtherReadFailed(TimePoint now) {
   if (!read_in_progress_) OnReadFailed(now);
 }
--- a/verbenaridge/directory/refresh_schedule.h
+++ b/verbenaridge/directory/refresh_schedule.h
@@ -52,6 +52,8 @@
   void OnReadStarted(TimePoint now);
   void OnReadSucceeded(TimePoint now);
   void OnReadFailed(TimePoint now);
+  // The response is older than what this host has learned from a peer since the read started.
+  void OnReadOutdated(TimePoint now);
   // A read of another value failed, so this one would too, or succeeded again.
   void OnOtherReadFailed(TimePoint now);
   void OnOtherReadSucceeded(TimePoint now);
--- a/verbenaridge/directory/refresh_schedule_test.cc
+++ b/verbenaridge/directory/refresh_schedule_test.cc
@@ -229,5 +229,32 @@
   CHECK(schedule.IsDue(clock.Now()));
 }
 
+// Guards against an old response that makes a list look current, or delays the next read.
+TEST_CASE("an outdated response causes another read and proves nothing") {
+  struct Row {
+    const char* name;
+    bool peer_read;  // one that a peer reported during the read
+  };
+  const Row rows[] = {{"no report since", false}, {"a report during the read", true}};
+  for (const Row& row : rows) {
+    CAPTURE(row.name);
+    ManualClock clock;
+    SeededRandom random(3);
+    RefreshSchedule schedule({}, random, clock.Now());
+    schedule.OnReadStarted(clock.Now());
+    schedule.OnReadSucceeded(clock.Now());
+    clock.Advance(milliseconds(600));
+    schedule.OnReadStarted(clock.Now());
+    clock.Advance(milliseconds(100));
+    if (row.peer_read) schedule.OnPeerRead(clock.Now());
+    const TimePoint current = schedule.last_current();
+    clock.Advance(milliseconds(100));
+    schedule.OnReadOutdated(clock.Now());
+    CHECK(schedule.last_current() == current);
+    CHECK(schedule.IsDue(clock.Now()));
+    CHECK(schedule.failures() == 0);
+  }
+}
+
 }  // namespace
 }  // namespace verbenaridge::directory
--- a/verbenaridge/ingress/directory_service.cc
+++ b/verbenaridge/ingress/directory_service.cc
@@ -182,6 +182,7 @@
 
 void DirectoryService::ReadEndpoints() {
   endpoints_schedule_.OnReadStarted(clock_.Now());
+  endpoints_read_started_ = endpoints_position_;
   store_.ReadEndpoints(WhileAlive<directory::StoredEndpoints>(
       [this](Result<directory::StoredEndpoints> stored) { OnEndpointsRead(std::move(stored)); }));
 }
@@ -196,19 +197,44 @@
     return;
   }
   SetStoreWorks(true, {});
+  const directory::StorePosition& position = stored.value().position;
+  // A response that waited, as in a freeze of this host. One that is older than what was known when
+  // the read started is of a store that went back without telling an era.
+  if (position.known() && position < endpoints_position_ && position >= endpoints_read_started_) {
+    Log(Level::kInfo, "endpoints_read_outdated",
+        {{"revision", position.revision},
+         {"era", position.era},
+         {"known_revision", endpoints_position_.revision},
+         {"known_era", endpoints_position_.era}});
+    endpoints_schedule_.OnReadOutdated(clock_.Now());
+    return;
+  }
   RecordRead(endpoints_schedule_, "endpoints");
-  SetEndpointsEra(stored.value().era);
+  SetEndpointsPosition(position);
   ApplyEndpoints(std::move(stored.value().endpoints), "store");
   SendGossip(/*news=*/true);
 }
 
-void DirectoryService::SetEndpointsEra(directory::StoreEra era) {
-  if (era <= endpoints_era_) return;
-  const directory::StoreEra before = std::exchange(endpoints_era_, era);
+bool DirectoryService::IsNewerList(const directory::StorePosition& position, TimePoint read) const {
+  if (!table_.loaded()) return true;
+  if (position.era != endpoints_position_.era) return position.era > endpoints_position_.era;
+  const bool comparable = position.known() && endpoints_position_.known();
+  if (comparable && position != endpoints_position_) return position > endpoints_position_;
+  return read > endpoints_schedule_.last_current();
+}
+
+directory::StorePosition DirectoryService::ReportedPosition(directory::StoreEra era,
+                                                            std::uint64_t revision) const {
+  if (era == 0 && revision == 0) return {.era = endpoints_position_.era};
+  return {.era = era, .revision = revision};
+}
+
+void DirectoryService::SetEndpointsPosition(const directory::StorePosition& position) {
+  const directory::StorePosition before = std::exchange(endpoints_position_, position);
   // Without entries there is nothing that the copy may contradict. Era 0 with entries is that of a
   // store that counts from 0, or not told by a peer of an earlier release.
-  if (!table_.loaded()) return;
-  Log(Level::kInfo, "endpoints_restored", {{"era", era}, {"before", before}});
+  if (position.era <= before.era || !table_.loaded()) return;
+  Log(Level::kInfo, "endpoints_restored", {{"era", position.era}, {"before", before.era}});
   table_.OnStoreRestored(clock_.Now());
 }
 
@@ -299,10 +325,13 @@
 void DirectoryService::OnEndpointsGossip(const wire::DirectoryGossip& gossip,
                                          const std::string& ip) {
   if (gossip.endpoints_age > kMaxPeerAge) return;
-  const TimePoint now = clock_.Now();
-  const TimePoint read = now - gossip.endpoints_age;
+  const TimePoint read = clock_.Now() - gossip.endpoints_age;
+  const directory::StorePosition position =
+      ReportedPosition(gossip.endpoints_era, gossip.endpoints_revision);
   if (gossip.endpoints_digest == last_digest_ && table_.loaded()) {
-    SetEndpointsEra(gossip.endpoints_era);  // the entries are the same in that era
+    if (position.known() && position < endpoints_position_) return;  // of an earlier read
+    // The entries are the same at both positions.
+    if (position > endpoints_position_) SetEndpointsPosition(position);
     if (!Replaces(endpoints_schedule_, gossip)) return;
     if (!endpoints_schedule_.OnPeerRead(read)) return;
     if (!HandleUnchangedEndpoints()) ApplyToTable(last_entries_, "peer");
@@ -311,7 +340,7 @@
   }
   const Duration margin = gossip.endpoints_age < kFreshReadAge ? Duration{} : kRelayMargin;
   const bool reported_before = newer_ && newer_->endpoints_digest == gossip.endpoints_digest;
-  if (!table_.loaded() || reported_before || read > endpoints_schedule_.last_current() + margin) {
+  if (IsNewerList(position, reported_before ? TimePoint::max() : read - margin)) {
     OnPeerHasNewer(gossip, ip);
   }
 }
@@ -344,11 +373,13 @@
 
 void DirectoryService::OnPeerHasNewer(const wire::DirectoryGossip& gossip, const std::string& ip) {
   const TimePoint now = clock_.Now();
-  newer_ = NewerValue{.ip = ip,
-                      .version = gossip.configuration_version,
-                      .endpoints_digest = gossip.endpoints_digest,
-                      .endpoints_read = now - gossip.endpoints_age,
-                      .first_reported = newer_ ? newer_->first_reported : now};
+  newer_ = NewerValue{
+      .ip = ip,
+      .version = gossip.configuration_version,
+      .endpoints_digest = gossip.endpoints_digest,
+      .endpoints_position = ReportedPosition(gossip.endpoints_era, gossip.endpoints_revision),
+      .endpoints_read = now - gossip.endpoints_age,
+      .first_reported = newer_ ? newer_->first_reported : now};
   // Hosts that are not schedulers fetch from one of their data centre if it reports the change in
   // time, since two hosts cannot send a large value to all others.
   const bool local = gossip.data_centre == options_.data_centre;
@@ -359,7 +390,7 @@
   if (value.version > version()) return true;
   if (!table_.loaded()) return true;
   return value.endpoints_digest != last_digest_ &&
-         value.endpoints_read > endpoints_schedule_.last_current();
+         IsNewerList(value.endpoints_position, value.endpoints_read);
 }
 
 void DirectoryService::SetCrashNotice(CrashNotice notice) {
@@ -401,7 +432,8 @@
       .evacuation_revision = evacuations_.view().position.revision,
       .evacuated = evacuations_.view().data_centres,
       .evacuation_era = evacuations_.view().position.era,
-      .endpoints_era = endpoints_era_};
+      .endpoints_era = endpoints_position_.era,
+      .endpoints_revision = endpoints_position_.revision};
   AddCrashNotice(crash_notice_, clock_.Now(), gossip);
   if (round.with_sample) {
     for (const KnownHost& peer : peers_.Sample(random_)) {
@@ -488,10 +520,11 @@
 
 bool DirectoryService::AdoptFetchedEndpoints(const wire::FetchDirectoryReply& content,
                                              const std::string& ip) {
-  const bool newer = !table_.loaded() || content.endpoints_age < endpoints_age();
-  if (!content.has_endpoints || !newer || content.endpoints_age > kMaxPeerAge) return false;
-  // Earlier releases do not tell an era.
-  if (content.endpoints_era != 0 && content.endpoints_era < endpoints_era_) return false;
+  const TimePoint read = clock_.Now() - content.endpoints_age;
+  const directory::StorePosition position =
+      ReportedPosition(content.endpoints_era, content.endpoints_revision);
+  if (!content.has_endpoints || content.endpoints_age > kMaxPeerAge) return false;
+  if (!IsNewerList(position, read)) return false;
   std::optional<std::vector<directory::Endpoint>> entries = EntriesOf(content);
   if (!entries) {
     Log(Level::kInfo, "endpoint_difference_unusable",
@@ -499,9 +532,8 @@
     fetch_all_endpoints_ = true;
     return false;
   }
-  const TimePoint now = clock_.Now();
-  endpoints_schedule_.OnPeerRead(now - content.endpoints_age);
-  SetEndpointsEra(content.endpoints_era);
+  endpoints_schedule_.OnPeerRead(read);
+  SetEndpointsPosition(position);
   ApplyEndpoints(std::move(*entries), "peer");
   return true;
 }
@@ -535,7 +567,8 @@
   if (!reply.has_endpoints) return reply;
   reply.endpoints_age = endpoints_age();
   reply.endpoints_digest = last_digest_;
-  reply.endpoints_era = endpoints_era_;
+  reply.endpoints_era = endpoints_position_.era;
+  reply.endpoints_revision = endpoints_position_.revision;
   std::optional<directory::EndpointDifference> difference;
   if (have.accepts_difference) difference = history_.Since(have.have_endpoints_digest);
   if (difference) {
--- a/verbenaridge/ingress/directory_service.h
+++ b/verbenaridge/ingress/directory_service.h
@@ -124,6 +124,7 @@
     std::string ip;  // of the peer
     std::uint64_t version = 0;
     Digest endpoints_digest = 0;
+    directory::StorePosition endpoints_position;
     TimePoint endpoints_read{};
     TimePoint first_reported{};
   };
@@ -168,8 +169,17 @@
     };
   }
   void OnEndpointsRead(Result<directory::StoredEndpoints> stored);
-  // Endpoints of this era are known from now on. Tells the table if the store was restored.
-  void SetEndpointsEra(directory::StoreEra era);
+  // Whether a list that was current at the position and time replaces the one of this host. The
+  // position decides: a time that a peer reports says how old the list was when the report was
+  // sent, and reports wait in the sockets of slow and frozen hosts. Only lists of peers or stores
+  // that do not tell a position are compared by time.
+  bool IsNewerList(const directory::StorePosition& position, TimePoint read) const;
+  // What a peer reports. One of an earlier release tells neither era nor revision; the era is taken
+  // for that of this host.
+  directory::StorePosition ReportedPosition(directory::StoreEra era, std::uint64_t revision) const;
+  // The endpoints of this host are those at this position. Tells the table if the store was
+  // restored since the last one.
+  void SetEndpointsPosition(const directory::StorePosition& position);
   void ApplyEndpoints(std::vector<directory::Endpoint> entries, std::string_view source);
   void ApplyToTable(std::vector<directory::Endpoint> entries, std::string_view source);
   // Handles unchanged endpoints. Returns false if the table still needs a full update.
@@ -231,7 +241,8 @@
   directory::EndpointTable table_;
   std::vector<directory::Endpoint> last_entries_;  // sorted by id
   Digest last_digest_ = 0;
-  directory::StoreEra endpoints_era_ = 0;  // of the last entries
+  directory::StorePosition endpoints_position_;      // up to which the last entries are current
+  directory::StorePosition endpoints_read_started_;  // the same when the last read started
   directory::EndpointHistory history_;
   bool fetch_all_endpoints_ = false;  // after a difference that did not fit
   std::optional<NewerValue> newer_;   // last report of a value to fetch
--- a/verbenaridge/wire/codec_test.cc
+++ b/verbenaridge/wire/codec_test.cc
@@ -126,10 +126,10 @@
   std::string datagram = Encode(Datagram{gossip});
   const std::string capacity(1, '\0');  // a whole number is packed as an integer
   const std::string added = "\x91\x95\xa1h\xa1i\xa0" + capacity + "\xc2\xc3";
-  const std::string no_parts("\x90\x90\x90\0\x90\0\0", 7);  // and no evacuations
+  const std::string no_parts("\x90\x90\x90\0\x90\0\0\0", 8);  // and no evacuations
   REQUIRE(datagram.ends_with(added + no_parts));
   datagram.resize(datagram.size() - no_parts.size());
-  REQUIRE(datagram.starts_with(std::string("\xdc\0\x16", 3)));  // the number of fields and the tag
+  REQUIRE(datagram.starts_with(std::string("\xdc\0\x17", 3)));  // the number of fields and the tag
   datagram.replace(0, 3, "\x9f");
   CHECK(std::get<DirectoryGossip>(DecodeDatagram(datagram).value()).is_reply);
   datagram.replace(datagram.size() - added.size(), added.size(), "\x91\x92\xa1h\xa1i");
--- a/verbenaridge/wire/internal/message_fields.h
+++ b/verbenaridge/wire/internal/message_fields.h
@@ -23,7 +23,7 @@
 template <>
 inline constexpr std::size_t kAddedFields<PeerEntry> = 3;
 template <>
-inline constexpr std::size_t kAddedFields<DirectoryGossip> = 8;
+inline constexpr std::size_t kAddedFields<DirectoryGossip> = 9;
 template <>
 inline constexpr std::size_t kAddedFields<CrashEntry> = 2;
 template <>
@@ -41,7 +41,7 @@
 template <>
 inline constexpr std::size_t kAddedFields<FetchDirectoryRequest> = 1;
 template <>
-inline constexpr std::size_t kAddedFields<FetchDirectoryReply> = 4;
+inline constexpr std::size_t kAddedFields<FetchDirectoryReply> = 5;
 
 template <Like<HolderId> Self>
 auto Fields(Self& m) {
@@ -272,7 +272,7 @@
                   m.endpoints_digest, m.endpoints_age, m.leaving, m.data_centre, m.capacity,
                   m.is_scheduler, m.live_hosts, m.peers, m.is_reply, m.suspected_keys,
                   m.crash_refusals, m.refuted_keys, m.evacuation_revision, m.evacuated,
-                  m.evacuation_era, m.endpoints_era);
+                  m.evacuation_era, m.endpoints_era, m.endpoints_revision);
 }
 
 template <Like<PlacementRequest> Self>
@@ -314,7 +314,7 @@
 auto Fields(Self& m) {
   return std::tie(m.configuration_version, m.configuration, m.has_endpoints, m.endpoints,
                   m.endpoints_age, m.base_endpoints_digest, m.removed_endpoints, m.endpoints_digest,
-                  m.endpoints_era);
+                  m.endpoints_era, m.endpoints_revision);
 }
 
 // Largest value of each enum that peers exchange.
--- a/verbenaridge/wire/messages.h
+++ b/verbenaridge/wire/messages.h
@@ -465,6 +465,8 @@
   std::uint64_t evacuation_era = 0;
   // Of the read of the endpoints; zero as above.
   std::uint64_t endpoints_era = 0;
+  // Up to here no change has replaced the endpoints. Zero: not known.
+  std::uint64_t endpoints_revision = 0;
 };
 
 // Asks a peer for the configuration and the endpoints when the store rejects the caller.
@@ -500,6 +502,7 @@
   // Of the store when the endpoints were read. Zero: it does not tell it, or the sender is of an
   // earlier release.
   std::uint64_t endpoints_era = 0;
+  std::uint64_t endpoints_revision = 0;  // as in DirectoryGossip
 };
 
 using Request =
