Forecast no wait that is too long for a Duration

Cause: RoomForecast::Wait divides by the rate of starts, which decays without end. Some 20 s after the last start the wait exceeds what a Duration holds. The conversion is undefined then: x86-64 gives the least value, arm64 the greatest, and the sum with the present time overflows. Change: a wait over 1e9 s counts as not known, as without any start. Requests were taken for in sight in both cases before too.

--- a/verbenaridge/dispatch/room_forecast.cc
+++ b/verbenaridge/dispatch/room_forecast.cc
@@ -5,6 +5,13 @@
 #include <numbers>
 
 namespace verbenaridge::dispatch {
+namespace {
+
+// Callers add waits to times, which have 292 years. A rate that has decayed for some 20 s since the
+// last start leads to longer waits.
+constexpr double kMaxWaitSeconds = 1e9;
+
+}  // namespace
 
 double RoomForecast::Rate::Decayed(TimePoint now, Duration half_life) const {
   return count_ * std::exp2(-ToSeconds(now - updated_) / ToSeconds(half_life));
@@ -28,7 +35,7 @@
   const double starts = starts_per_second(now);
   const double rate = std::max(starts - arrivals_per_second(now), least_share * starts);
   // Without any start of late, nothing tells when the next slot becomes free.
-  if (rate <= 0) return {};
+  if (rate * kMaxWaitSeconds < static_cast<double>(ahead + 1)) return {};
   return FromSeconds(static_cast<double>(ahead + 1) / rate);
 }
 
