--- a/verbenaridge/forwarding/request_run.h
+++ b/verbenaridge/forwarding/request_run.h
@@ -180,7 +180,7 @@
 
   // Looks for another endpoint while the attempt continues or its failed response is held. The
   // attempt ends only when an endpoint is found and a retry is taken from the budget. Returns false
-  // if no retry is allowed.
+  // if no retry is allowed or the rest of a stream would not end elsewhere.
   bool SeekHandOver(AttemptFailure failure, std::string_view detail);
   // Whether a stream that has begun may end at another endpoint before this host does. An estimate;
   // true for other requests and while the host does not stop.
