Reject responses without a valid status line

Cause: http_parser, as Debian builds it, reads any digits as a status and any version, and our code forwarded what it reported. It also lets a carriage return stand alone in a status line.

Lines without digits were rejected already.

Change: HeadSyntax checks the bytes of each head before http_parser gets them: HTTP/1.x, three digits from 100 to 599, no control characters, line ends. A malformed response is what it was before: the attempt may have run, so an order gets 502 without a seal, and what may be repeated goes elsewhere. The line `attempt_failed` says what is wrong (`malformed:status_code`).

--- a/verbenaridge/forwarding/endpoint_pool.cc
+++ b/verbenaridge/forwarding/endpoint_pool.cc
@@ -179,7 +179,7 @@
     const Result<std::size_t> used = parser_.Feed(data);
     if (closed_ || observer_ == nullptr) return;
     if (used.has_error()) {
-      Fail(ExchangeFailure::kMalformed);
+      Fail(ExchangeFailure::kMalformed, parser_.fault());
       return;
     }
     if (parser_.complete()) {
@@ -211,11 +211,14 @@
     observer->OnResponseEnd();
   }
 
-  void Fail(ExchangeFailure failure) {
+  void Fail(ExchangeFailure failure, std::string_view cause = {}) {
     const std::shared_ptr<Connection> self = shared_from_this();
     Close();
     ExchangeObserver* const observer = std::exchange(observer_, nullptr);
-    if (observer != nullptr) observer->OnExchangeFailed(failure);
+    if (observer == nullptr) return;
+    std::string detail(ToText(failure));
+    if (!cause.empty()) detail.append(":").append(cause);
+    observer->OnExchangeFailed(failure, detail);
   }
 
   void CloseIdle() {
--- a/verbenaridge/forwarding/endpoint_pool.h
+++ b/verbenaridge/forwarding/endpoint_pool.h
@@ -45,7 +45,8 @@
   virtual void OnResponseBody(std::string_view data) = 0;
   // The response is complete.
   virtual void OnResponseEnd() = 0;
-  virtual void OnExchangeFailed(ExchangeFailure failure) = 0;
+  // `detail` says for logs how it failed.
+  virtual void OnExchangeFailed(ExchangeFailure failure, std::string_view detail) = 0;
 };
 
 struct OutgoingRequest {
--- a/verbenaridge/forwarding/request_run.h
+++ b/verbenaridge/forwarding/request_run.h
@@ -125,7 +125,7 @@
   void OnResponseHead(http1::ResponseHead head) override;
   void OnResponseBody(std::string_view data) override;
   void OnResponseEnd() override;
-  void OnExchangeFailed(ExchangeFailure failure) override;
+  void OnExchangeFailed(ExchangeFailure failure, std::string_view detail) override;
 
  private:
   enum class AttemptFailure : std::uint8_t {
--- a/verbenaridge/forwarding/request_run_failure.cc
+++ b/verbenaridge/forwarding/request_run_failure.cc
@@ -19,7 +19,7 @@
 
 }  // namespace
 
-void RequestRun::OnExchangeFailed(ExchangeFailure failure) {
+void RequestRun::OnExchangeFailed(ExchangeFailure failure, std::string_view detail) {
   const std::shared_ptr<RequestRun> self = shared_from_this();
   exchange_ = nullptr;
   if (finished_) return;
@@ -27,9 +27,9 @@
   if (failure == ExchangeFailure::kNotConnected) attempt_failure = AttemptFailure::kNotConnected;
   if (failure == ExchangeFailure::kNotSent) attempt_failure = AttemptFailure::kNotSent;
   if (failure == ExchangeFailure::kBroken) {
-    OnConnectionLost(ToText(failure));
+    OnConnectionLost(detail);
   } else {
-    AttemptFailed(attempt_failure, ToText(failure));
+    AttemptFailed(attempt_failure, detail);
   }
 }
 
--- a/verbenaridge/forwarding/reservation_set.cc
+++ b/verbenaridge/forwarding/reservation_set.cc
@@ -40,7 +40,9 @@
   void OnResponseEnd() override {
     Finish(accepted_ ? CallResult::kAccepted : CallResult::kRefused);
   }
-  void OnExchangeFailed(ExchangeFailure /*failure*/) override { Finish(CallResult::kUnknown); }
+  void OnExchangeFailed(ExchangeFailure /*failure*/, std::string_view /*detail*/) override {
+    Finish(CallResult::kUnknown);
+  }
 
  private:
   void Finish(CallResult result) {
--- /dev/null
+++ b/verbenaridge/http1/head_syntax.cc
@@ -0,0 +1,114 @@
+#include "verbenaridge/http1/head_syntax.h"
+
+namespace verbenaridge::http1 {
+namespace {
+
+// Positions in a status line, "HTTP/1.1 200 OK".
+constexpr std::string_view kVersionPrefix = "HTTP/";
+constexpr std::size_t kMajorVersion = 5;
+constexpr std::size_t kVersionDot = 6;
+constexpr std::size_t kMinorVersion = 7;
+constexpr std::size_t kSpace = 8;
+constexpr std::size_t kStatus = 9;
+constexpr std::size_t kReason = 12;  // a space, which some servers leave out if no text follows
+
+bool IsDigit(char c) { return c >= '0' && c <= '9'; }
+bool IsLineEnd(char c) { return c == '\r' || c == '\n'; }
+bool IsControl(char c) { return (static_cast<unsigned char>(c) < ' ' && c != '\t') || c == '\x7f'; }
+
+}  // namespace
+
+std::string_view ToText(SyntaxFault fault) {
+  switch (fault) {
+    case SyntaxFault::kNone:
+      return "";
+    case SyntaxFault::kStartLine:
+      return "start_line";
+    case SyntaxFault::kVersion:
+      return "version";
+    case SyntaxFault::kStatusCode:
+      return "status_code";
+    case SyntaxFault::kLineEnd:
+      return "line_end";
+  }
+  return "unknown";
+}
+
+void HeadSyntax::Reset() {
+  state_ = State::kStartLine;
+  fault_ = SyntaxFault::kNone;
+  position_ = 0;
+}
+
+std::size_t HeadSyntax::Feed(std::string_view data) {
+  for (std::size_t used = 0; used < data.size(); ++used) {
+    if (complete() || fault_ != SyntaxFault::kNone) return used;
+    state_ = Next(data[used]);
+    if (fault_ != SyntaxFault::kNone) return used;
+  }
+  return data.size();
+}
+
+HeadSyntax::State HeadSyntax::Expect(bool valid, State next, SyntaxFault fault) {
+  if (!valid) fault_ = fault;
+  return next;
+}
+
+HeadSyntax::State HeadSyntax::Next(char c) {
+  switch (state_) {
+    case State::kStartLine:
+      return NextInStartLine(c);
+    case State::kStartLineFeed:
+    case State::kLineFeed:
+      return Expect(c == '\n', State::kLineStart, SyntaxFault::kLineEnd);
+    case State::kLineStart:
+      if (c == '\r') return State::kLastLineFeed;
+      return c == '\n' ? State::kComplete : State::kLine;
+    case State::kLine:
+      if (c == '\r') return State::kLineFeed;
+      return c == '\n' ? State::kLineStart : State::kLine;
+    case State::kLastLineFeed:
+      return Expect(c == '\n', State::kComplete, SyntaxFault::kLineEnd);
+    case State::kComplete:
+      break;
+  }
+  return State::kComplete;
+}
+
+HeadSyntax::State HeadSyntax::NextInStartLine(char c) {
+  if (position_ == 0 && IsLineEnd(c)) return State::kStartLine;  // empty lines may precede
+  if (kind_ == MessageKind::kResponse) fault_ = CheckStatusLine(c);
+  ++position_;
+  if (c == '\r') return State::kStartLineFeed;
+  return c == '\n' ? State::kLineStart : State::kStartLine;
+}
+
+SyntaxFault HeadSyntax::CheckStatusLine(char c) const {
+  const auto check = [](bool valid, SyntaxFault fault) {
+    return valid ? SyntaxFault::kNone : fault;
+  };
+  if (position_ < kVersionPrefix.size()) {
+    return check(c == kVersionPrefix[position_], SyntaxFault::kStartLine);
+  }
+  switch (position_) {
+    case kMajorVersion:
+      return check(c == '1', SyntaxFault::kVersion);
+    case kVersionDot:
+      return check(c == '.', SyntaxFault::kVersion);
+    case kMinorVersion:
+      return check(IsDigit(c), SyntaxFault::kVersion);
+    case kSpace:
+      return check(c == ' ', SyntaxFault::kStartLine);
+    case kStatus:
+      return check(c >= '1' && c <= '5', SyntaxFault::kStatusCode);
+    case kStatus + 1:
+    case kStatus + 2:
+      return check(IsDigit(c), SyntaxFault::kStatusCode);
+    case kReason:
+      return check(c == ' ' || IsLineEnd(c), SyntaxFault::kStatusCode);
+    default:
+      return check(!IsControl(c) || IsLineEnd(c), SyntaxFault::kStartLine);
+  }
+}
+
+}  // namespace verbenaridge::http1
--- a/verbenaridge/http1/message_parser.cc
+++ b/verbenaridge/http1/message_parser.cc
@@ -4,6 +4,8 @@
 
 #include <utility>
 
+#include "verbenaridge/http1/head_syntax.h"
+
 namespace verbenaridge::http1 {
 namespace {
 
@@ -22,7 +24,8 @@
       : type_(type),
         limits_(limits),
         request_observer_(request_observer),
-        response_observer_(response_observer) {
+        response_observer_(response_observer),
+        head_syntax_(type == HTTP_REQUEST ? MessageKind::kRequest : MessageKind::kResponse) {
     Reset(false);
   }
 
@@ -30,6 +33,7 @@
     head_request_ = head_request;
     started_ = head_complete_ = complete_ = too_large_ = false;
     interim_responses_ = 0;
+    fault_ = {};
     BeginMessage();
   }
 
@@ -40,17 +44,25 @@
     std::size_t used = 0;
     while (used < data.size() && !complete_) {
       started_ = true;
-      const std::string_view rest = data.substr(used);
-      used += http_parser_execute(&parser_, &Callbacks(), rest.data(), rest.size());
+      std::string_view next = data.substr(used);
+      if (!head_complete_) {
+        next = next.substr(0, head_syntax_.Feed(next));
+        if (head_syntax_.fault() != SyntaxFault::kNone) {
+          return Malformed(ToText(head_syntax_.fault()));
+        }
+        if (next.empty()) return Malformed("head");  // http_parser takes it for incomplete
+      }
+      used += http_parser_execute(&parser_, &Callbacks(), next.data(), next.size());
       const auto error = HTTP_PARSER_ERRNO(&parser_);
       if (too_large_) return Errc::kTooLarge;
       if (interim_ && error == HPE_PAUSED) {
-        if (++interim_responses_ > kMaxInterimResponses) return Errc::kMalformed;
+        if (++interim_responses_ > kMaxInterimResponses) return Malformed("interim_responses");
         BeginMessage();
         continue;
       }
       if (error == HPE_PAUSED) break;
-      if (error != HPE_OK || parser_.upgrade != 0) return Errc::kMalformed;
+      if (error != HPE_OK) return Malformed(http_errno_name(error));
+      if (parser_.upgrade != 0) return Malformed("upgrade");
     }
     return used;
   }
@@ -66,8 +78,14 @@
   bool started() const { return started_; }
   bool head_complete() const { return head_complete_; }
   bool complete() const { return complete_; }
+  std::string_view fault() const { return fault_; }
 
  private:
+  Errc Malformed(std::string_view fault) {
+    fault_ = fault;
+    return Errc::kMalformed;
+  }
+
   static ParserState& Of(http_parser* parser) { return *static_cast<ParserState*>(parser->data); }
 
   static const http_parser_settings& Callbacks() {
@@ -165,6 +183,7 @@
   void BeginMessage() {
     http_parser_init(&parser_, type_);
     parser_.data = this;
+    head_syntax_.Reset();
     interim_ = false;
     target_.clear();
     headers_.clear();
@@ -176,7 +195,9 @@
   ParserLimits limits_;
   RequestObserver* const request_observer_;
   ResponseObserver* const response_observer_;
+  HeadSyntax head_syntax_;
   http_parser parser_{};
+  std::string_view fault_;  // a constant
   std::string target_;
   std::vector<Header> headers_;
   std::size_t head_bytes_ = 0;
@@ -204,6 +225,7 @@
 bool RequestParser::started() const { return state_->started(); }
 bool RequestParser::head_complete() const { return state_->head_complete(); }
 bool RequestParser::complete() const { return state_->complete(); }
+std::string_view RequestParser::fault() const { return state_->fault(); }
 
 ResponseParser::ResponseParser(ResponseObserver& observer, const ParserLimits& limits)
     : state_(std::make_unique<internal::ParserState>(HTTP_RESPONSE, limits, nullptr, &observer)) {}
@@ -214,5 +236,6 @@
 bool ResponseParser::started() const { return state_->started(); }
 bool ResponseParser::head_complete() const { return state_->head_complete(); }
 bool ResponseParser::complete() const { return state_->complete(); }
+std::string_view ResponseParser::fault() const { return state_->fault(); }
 
 }  // namespace verbenaridge::http1
--- a/verbenaridge/http1/message_parser.h
+++ b/verbenaridge/http1/message_parser.h
@@ -1,4 +1,5 @@
-// Incremental parsers of HTTP/1.1 messages, based on http_parser.
+// Incremental parsers of HTTP/1.1 messages, based on http_parser. What that library accepts
+// although it is malformed is rejected by checks of our own (head_syntax.h).
 //
 //   RequestParser parser({.max_head_bytes = 16384}, observer);
 //   Result<std::size_t> used = parser.Feed(bytes);
@@ -55,6 +56,8 @@
   bool started() const;  // at least one byte of the message was parsed
   bool head_complete() const;
   bool complete() const;
+  // What is wrong with a malformed message, for logs.
+  std::string_view fault() const;
 
  private:
   std::unique_ptr<internal::ParserState> state_;
@@ -78,6 +81,7 @@
   bool started() const;
   bool head_complete() const;
   bool complete() const;
+  std::string_view fault() const;
 
  private:
   std::unique_ptr<internal::ParserState> state_;
--- a/verbenaridge/http1/message_parser_test.cc
+++ b/verbenaridge/http1/message_parser_test.cc
@@ -128,6 +128,62 @@
   }
 }
 
+// Guards against bytes of an endpoint in trouble that are forwarded as a response.
+TEST_CASE("malformed responses are rejected wherever a read ends") {
+  struct Row {
+    std::string bytes;
+    std::string_view fault;
+  };
+  const std::string end = "\r\nContent-Length: 0\r\n\r\n";
+  const Row rows[] = {
+      {"HTTP/1.1 000 X" + end, "status_code"},       {"HTTP/1.1 099 X" + end, "status_code"},
+      {"HTTP/1.1 20 X" + end, "status_code"},        {"HTTP/1.1 600 X" + end, "status_code"},
+      {"HTTP/1.1 0200 X" + end, "status_code"},      {"HTTP/1.1 2000 X" + end, "status_code"},
+      {"HTTP/1.1 20\r\n\r\n", "status_code"},        {"HTTP/1.1  200 X" + end, "status_code"},
+      {"HTTP/9.9 200 X" + end, "version"},           {"HTTP/1. 200 X" + end, "version"},
+      {"http/1.1 200 X" + end, "start_line"},        {"HTTP/1.1 200 \x7f" + end, "start_line"},
+      {"HTTP/1.1 200 X\rContent" + end, "line_end"},
+  };
+  for (const Row& row : rows) {
+    for (const bool whole : {true, false}) {
+      CAPTURE(row.bytes);
+      CAPTURE(whole);
+      Recorder recorder;
+      ResponseParser parser(recorder);
+      Result<std::size_t> used = std::size_t{0};
+      if (whole) {
+        used = parser.Feed(row.bytes);
+      } else {
+        for (std::size_t i = 0; i < row.bytes.size() && used.has_value(); ++i) {
+          used = parser.Feed({&row.bytes[i], 1});
+        }
+      }
+      REQUIRE(used.has_error());
+      CHECK(used.error() == Errc::kMalformed);
+      CHECK(parser.fault() == row.fault);
+      CHECK(recorder.response.status == 0);
+    }
+  }
+}
+
+// Guards against sound responses that are rejected because they are unusual.
+TEST_CASE("unusual responses are accepted") {
+  const std::string rows[] = {
+      "HTTP/1.1 200\r\nContent-Length: 0\r\n\r\n",
+      "HTTP/1.1 200 \r\nContent-Length: 0\r\n\r\n",
+      "HTTP/1.1 599 \xe4\t?\r\nContent-Length: 0\r\n\r\n",
+      "HTTP/1.0 200 OK\nContent-Length: 0\n\n",
+      "\r\nHTTP/1.1 404 Not Found\r\nX:\r\nContent-Length: 0\r\n\r\n",
+  };
+  for (const std::string& bytes : rows) {
+    CAPTURE(bytes);
+    Recorder recorder;
+    ResponseParser parser(recorder);
+    for (const char c : bytes) REQUIRE(parser.Feed({&c, 1}).has_value());
+    CHECK(parser.complete());
+  }
+}
+
 // Guards against headers of one connection that are forwarded to another.
 TEST_CASE("hop-by-hop headers are recognized") {
   struct Row {
