Reject responses that switch protocols

A client got what an endpoint sent after a 101 that nobody had asked for, as if it were the response.

Cause: the parser skipped 101 like an interim response, unless its head said `Connection: upgrade`. What follows a 101 belongs to another protocol; we forward no `Upgrade`, so no endpoint may send it.

Change: 101 is malformed (`malformed:protocol_switch`). Other 1xx are skipped as before.

--- a/verbenaridge/http1/head_syntax.cc
+++ b/verbenaridge/http1/head_syntax.cc
@@ -30,6 +30,8 @@
       return "status_code";
     case SyntaxFault::kLineEnd:
       return "line_end";
+    case SyntaxFault::kProtocolSwitch:
+      return "protocol_switch";
   }
   return "unknown";
 }
--- a/verbenaridge/http1/head_syntax.h
+++ b/verbenaridge/http1/head_syntax.h
@@ -18,10 +18,11 @@
 
 enum class SyntaxFault : std::uint8_t {
   kNone,
-  kStartLine,   // no status line
-  kVersion,     // not HTTP/1.x
-  kStatusCode,  // not three digits from 100 to 599
-  kLineEnd,     // a carriage return without a line feed
+  kStartLine,       // no status line
+  kVersion,         // not HTTP/1.x
+  kStatusCode,      // not three digits from 100 to 599
+  kLineEnd,         // a carriage return without a line feed
+  kProtocolSwitch,  // status 101, although no request asks for another protocol
 };
 
 // The name in logs; empty for kNone.
--- a/verbenaridge/http1/message_parser.cc
+++ b/verbenaridge/http1/message_parser.cc
@@ -11,6 +11,7 @@
 
 // An endpoint that sends interim responses without end never responds.
 constexpr int kMaxInterimResponses = 16;
+constexpr int kSwitchingProtocols = 101;
 
 }  // namespace
 
@@ -61,6 +62,7 @@
         continue;
       }
       if (error == HPE_PAUSED) break;
+      if (error == HPE_CB_headers_complete) return Errc::kMalformed;
       if (error != HPE_OK) return Malformed(http_errno_name(error));
       if (parser_.upgrade != 0) return Malformed("upgrade");
     }
@@ -86,6 +88,12 @@
     return Errc::kMalformed;
   }
 
+  // For the callback at the end of the head: http_parser stops with HPE_CB_headers_complete.
+  int RejectHead(SyntaxFault fault) {
+    fault_ = ToText(fault);
+    return -1;
+  }
+
   static ParserState& Of(http_parser* parser) { return *static_cast<ParserState*>(parser->data); }
 
   static const http_parser_settings& Callbacks() {
@@ -148,6 +156,7 @@
       return 0;
     }
     const int status = static_cast<int>(parser_.status_code);
+    if (status == kSwitchingProtocols) return RejectHead(SyntaxFault::kProtocolSwitch);
     interim_ = status >= 100 && status < 200;
     if (interim_) return 1;
     head_complete_ = true;
