Keep a response without a length incomplete if its connection fails during the upload

What callers saw: an endpoint answered a long upload at once with a 200 that had no length, sent part of its body and reset the connection while the upload was being written.

Cause: the kernel reports the error of a connection once. When the pending write meets the reset first, send() returns ECONNRESET and takes the error off the socket, and recv() then returns the part and 0. `EndpointPool` left a failed write to the read, and the read took every end of file for an orderly close.

Evidence: on a plain pair of sockets with a full send buffer, "write first" gives send ECONNRESET, recv "part", recv 0; "read first" gives recv "part", recv ECONNRESET. With a FIN before the reset it is send EPIPE, recv "part", recv 0.

Change: the end of file ends a response without a length only after the request was written without an error; while it is still being written, the exchange waits for the end of the write. Otherwise it is broken (`detail=broken:closed_during_upload`): an order gets 502 without a seal, what may be repeated goes elsewhere, a stream is resumed. Success and failure are treated alike, as the rest of a failure's body may be missing too.

An endpoint that ends its sending side in order and goes on reading the upload loses nothing. One that ends it and then resets is not believed: from here it looks like one that died in the middle.

--- a/verbenaridge/forwarding/endpoint_pool.cc
+++ b/verbenaridge/forwarding/endpoint_pool.cc
@@ -121,10 +121,12 @@
   }
 
  private:
+  enum class WriteState : std::uint8_t { kInProgress, kDone, kFailed };
+
   void SetRequest(OutgoingRequest request, ExchangeObserver& observer) {
     request_ = std::move(request);
     observer_ = &observer;
-    written_ = false;
+    write_state_ = WriteState::kInProgress;
     paused_ = false;
     parser_.Reset(request_.head_method);
   }
@@ -153,8 +155,9 @@
     asio::async_write(socket_, buffers,
                       [self = shared_from_this()](std::error_code code, std::size_t /*bytes*/) {
                         if (self->closed_) return;
-                        // After a failed write, the read decides: a response may have arrived.
-                        self->written_ = !code;
+                        // A response may have arrived before the write failed.
+                        self->write_state_ = code ? WriteState::kFailed : WriteState::kDone;
+                        if (self->parser_.complete()) self->EndAtClose();
                       });
   }
 
@@ -192,10 +195,26 @@
   void OnReadFailed(std::error_code code) {
     // Only an orderly close completes a response without a length.
     if (code == asio::error::eof && parser_.head_complete() && parser_.Finish().has_value()) {
-      End(false);
-      return;
+      EndAtClose();
+    } else {
+      Fail(ExchangeFailure::kBroken);
+    }
+  }
+
+  // Ends a response without a length at the end of file. The error of a connection is reported
+  // once, and a write may have received it: the read then sees an end of file although the endpoint
+  // has reset the connection. So the whole request must have been written without an error.
+  void EndAtClose() {
+    switch (write_state_) {
+      case WriteState::kInProgress:  // its end calls this again
+        return;
+      case WriteState::kDone:
+        End(false);
+        return;
+      case WriteState::kFailed:
+        Fail(ExchangeFailure::kBroken, "closed_during_upload");
+        return;
     }
-    Fail(ExchangeFailure::kBroken);
   }
 
   // `clean`: no bytes followed the response.
@@ -203,7 +222,7 @@
     ExchangeObserver* const observer = std::exchange(observer_, nullptr);
     const std::shared_ptr<Connection> self = shared_from_this();
     request_ = {};
-    if (clean && written_ && keep_alive_) {
+    if (clean && write_state_ == WriteState::kDone && keep_alive_) {
       pool_->Keep(self);
     } else {
       Close();
@@ -258,7 +277,7 @@
   bool reused_ = false;
   bool reading_ = false;
   bool paused_ = false;
-  bool written_ = false;
+  WriteState write_state_ = WriteState::kInProgress;  // of the request
   bool keep_alive_ = false;
 };
 
