Count a refusal from its head on if its connection breaks

An order failed with 502 "outcome unknown" although the endpoint had said that it had not run it. That is usual where an endpoint is full: it responds at once and closes the connection with the request unread, which resets it.

Cause: a connection that broke after the head of a refusal was judged as if nothing had been said.

Change: if the connection breaks after a head that says "not executed" or 421, the attempt counts as refused. A head that was followed by malformed bytes is not believed.

--- a/verbenaridge/forwarding/request_run.h
+++ b/verbenaridge/forwarding/request_run.h
@@ -214,6 +214,8 @@
   void OnSoundResponse();
   // Whether the endpoint of this attempt crashed and the request may be the cause.
   bool MayBeCauseOfCrash() const;
+  // Whether the response of this attempt says that the endpoint has not run the request.
+  bool IsRefusal() const;
   // The endpoint's connection ended during the attempt.
   void OnConnectionLost(std::string_view detail);
   // Whether the stream can end before its deadline only at another endpoint.
--- a/verbenaridge/forwarding/request_run_answer.cc
+++ b/verbenaridge/forwarding/request_run_answer.cc
@@ -220,7 +220,7 @@
   if (HoldsResponse()) return true;
   CancelHandOver();  // what timed out has responded
   const int status = response_->status;
-  if (response_metadata_.not_executed || status == 421) {
+  if (IsRefusal()) {
     AttemptFailed(AttemptFailure::kRefused, std::to_string(status));
     return true;
   }
--- a/verbenaridge/forwarding/request_run_failure.cc
+++ b/verbenaridge/forwarding/request_run_failure.cc
@@ -23,6 +23,11 @@
   const std::shared_ptr<RequestRun> self = shared_from_this();
   exchange_ = nullptr;
   if (finished_) return;
+  // The head has said so, and nothing of its body is needed.
+  if (failure == ExchangeFailure::kBroken && !streaming_ && IsRefusal()) {
+    AttemptFailed(AttemptFailure::kRefused, std::to_string(response_->status));
+    return;
+  }
   AttemptFailure attempt_failure = AttemptFailure::kBroken;
   if (failure == ExchangeFailure::kNotConnected) attempt_failure = AttemptFailure::kNotConnected;
   if (failure == ExchangeFailure::kNotSent) attempt_failure = AttemptFailure::kNotSent;
@@ -33,6 +38,10 @@
   }
 }
 
+bool RequestRun::IsRefusal() const {
+  return response_ && (response_metadata_.not_executed || response_->status == kMisdirected);
+}
+
 void RequestRun::OnConnectionLost(std::string_view detail) {
   connection_lost_ = true;
   AttemptFailed(AttemptFailure::kBroken, detail);
