Reject requests of another version, or with control characters in the target

A request of HTTP/9.9, 2.0 or 0.9 was forwarded as HTTP/1.1, and a tab or form feed in the target reached the endpoint, which may take it for the end of the target.

Cause: http_parser without its strict mode takes any digits as a version and lets these characters into a target.

Evidence: the five new rows of message_parser_test were accepted before.

Change: such requests get 400 (`request_unreadable reason=version` or `start_line`).

--- a/verbenaridge/http1/head_syntax.cc
+++ b/verbenaridge/http1/head_syntax.cc
@@ -101,7 +101,11 @@
 
 HeadSyntax::State HeadSyntax::NextInStartLine(char c) {
   if (position_ == 0 && IsLineEnd(c)) return State::kStartLine;  // empty lines may precede
-  if (kind_ == MessageKind::kResponse) fault_ = CheckStatusLine(c);
+  if (kind_ == MessageKind::kResponse) {
+    fault_ = CheckStatusLine(c);
+  } else if (!IsLineEnd(c) && (IsControl(c) || c == '\t')) {
+    fault_ = SyntaxFault::kStartLine;
+  }
   ++position_;
   if (c == '\r') return State::kStartLineFeed;
   return c == '\n' ? State::kLineStart : State::kStartLine;
--- a/verbenaridge/http1/head_syntax.h
+++ b/verbenaridge/http1/head_syntax.h
@@ -18,7 +18,7 @@
 
 enum class SyntaxFault : std::uint8_t {
   kNone,
-  kStartLine,       // no status line
+  kStartLine,       // no status line, or a control character in a request line
   kVersion,         // not HTTP/1.x
   kStatusCode,      // not three digits from 100 to 599
   kLineEnd,         // a carriage return without a line feed
--- a/verbenaridge/http1/message_parser.cc
+++ b/verbenaridge/http1/message_parser.cc
@@ -146,6 +146,7 @@
 
   int OnHeadersComplete() {
     const bool keep_alive = http_should_keep_alive(&parser_) != 0;
+    if (parser_.http_major != 1) return RejectHead(SyntaxFault::kVersion);
     if (type_ == HTTP_REQUEST) {
       head_complete_ = true;
       request_observer_->OnHead(
--- a/verbenaridge/http1/message_parser_test.cc
+++ b/verbenaridge/http1/message_parser_test.cc
@@ -80,6 +80,11 @@
        "POST / HTTP/1.1\r\nTransfer-Encoding : chunked\r\n\r\n0\r\n\r\n", Errc::kMalformed},
       {"folded field", "GET / HTTP/1.1\r\nHost: a\r\n b\r\n\r\n", Errc::kMalformed},
       {"first field starts with a blank", "GET / HTTP/1.1\r\n Host: a\r\n\r\n", Errc::kMalformed},
+      {"version 9.9", "GET / HTTP/9.9\r\n\r\n", Errc::kMalformed},
+      {"version 0.9", "GET /\r\n\r\n", Errc::kMalformed},
+      {"version 2.0", "GET / HTTP/2.0\r\n\r\n", Errc::kMalformed},
+      {"tab in the target", "GET /a\tb HTTP/1.1\r\n\r\n", Errc::kMalformed},
+      {"form feed in the target", "GET /a\fb HTTP/1.1\r\n\r\n", Errc::kMalformed},
       {"length and chunks",
        "POST / HTTP/1.1\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n",
        Errc::kMalformed},
@@ -93,8 +98,8 @@
     Recorder recorder;
     RequestParser parser({.max_head_bytes = 100}, recorder);
     const Result<std::size_t> used = parser.Feed(row.bytes);
-    REQUIRE(used.has_error());
-    CHECK(used.error() == row.error);
+    CHECK(used.has_error());
+    if (used.has_error()) CHECK(used.error() == row.error);
   }
 }
 
