Reject chunked bodies whose chunks do not end where their size says

A body in chunks that were cut short or followed by other bytes reached the client as a complete answer, without two of its bytes.

Cause: without its strict mode, http_parser takes any two bytes for the end of a chunk, any byte after a carriage return for the line feed, any text after a size for an extension, and blanks in names of trailers.

Change: ChunkSyntax checks chunked bodies before http_parser gets them.

--- a/verbenaridge/http1/head_syntax.cc
+++ b/verbenaridge/http1/head_syntax.cc
@@ -23,32 +23,8 @@
 
 }  // namespace
 
-std::string_view ToText(SyntaxFault fault) {
-  switch (fault) {
-    case SyntaxFault::kNone:
-      return "";
-    case SyntaxFault::kStartLine:
-      return "start_line";
-    case SyntaxFault::kVersion:
-      return "version";
-    case SyntaxFault::kStatusCode:
-      return "status_code";
-    case SyntaxFault::kLineEnd:
-      return "line_end";
-    case SyntaxFault::kFieldName:
-      return "field_name";
-    case SyntaxFault::kFieldValue:
-      return "field_value";
-    case SyntaxFault::kFoldedField:
-      return "folded_field";
-    case SyntaxFault::kProtocolSwitch:
-      return "protocol_switch";
-  }
-  return "unknown";
-}
-
 void HeadSyntax::Reset() {
-  state_ = State::kStartLine;
+  state_ = section_ == Section::kTrailers ? State::kLineStart : State::kStartLine;
   fault_ = SyntaxFault::kNone;
   position_ = 0;
 }
@@ -101,7 +77,7 @@
 
 HeadSyntax::State HeadSyntax::NextInStartLine(char c) {
   if (position_ == 0 && IsLineEnd(c)) return State::kStartLine;  // empty lines may precede
-  if (kind_ == MessageKind::kResponse) {
+  if (section_ == Section::kResponseHead) {
     fault_ = CheckStatusLine(c);
   } else if (!IsLineEnd(c) && (IsControl(c) || c == '\t')) {
     fault_ = SyntaxFault::kStartLine;
--- a/verbenaridge/http1/head_syntax.h
+++ b/verbenaridge/http1/head_syntax.h
@@ -1,7 +1,7 @@
 // Checks the heads of HTTP/1.1 messages (RFC 9112) for what http_parser accepts although it is
 // malformed. Debian builds that library without its strict mode.
 //
-//   HeadSyntax syntax(MessageKind::kResponse);
+//   HeadSyntax syntax(Section::kResponseHead);
 //   const std::size_t used = syntax.Feed(bytes);
 //   if (syntax.fault() != SyntaxFault::kNone) ...  // at the byte behind `used`
 //   if (syntax.complete()) ...                     // the bytes behind `used` follow the head
@@ -12,28 +12,16 @@
 #include <cstdint>
 #include <string_view>
 
-namespace verbenaridge::http1 {
-
-enum class MessageKind : std::uint8_t { kRequest, kResponse };
+#include "verbenaridge/http1/syntax_fault.h"
 
-enum class SyntaxFault : std::uint8_t {
-  kNone,
-  kStartLine,       // no status line, or a control character in a request line
-  kVersion,         // not HTTP/1.x
-  kStatusCode,      // not three digits from 100 to 599
-  kLineEnd,         // a carriage return without a line feed
-  kFieldName,       // not a token that a colon follows
-  kFieldValue,      // a control character other than a tab
-  kFoldedField,     // a line that starts with a blank or tab
-  kProtocolSwitch,  // status 101, although no request asks for another protocol
-};
+namespace verbenaridge::http1 {
 
-// The name in logs; empty for kNone.
-std::string_view ToText(SyntaxFault fault);
+// Trailers are the fields after the chunks of a body. They have no start line.
+enum class Section : std::uint8_t { kRequestHead, kResponseHead, kTrailers };
 
 class HeadSyntax {
  public:
-  explicit HeadSyntax(MessageKind kind) : kind_(kind) {}
+  explicit HeadSyntax(Section section) : section_(section) { Reset(); }
 
   // Checks `data`, which follows what was fed before. Returns the number of bytes up to a fault or
   // the end of the head; all of `data` if there is neither.
@@ -64,7 +52,7 @@
   SyntaxFault CheckStatusLine(char c) const;
   State Expect(bool valid, State next, SyntaxFault fault);
 
-  const MessageKind kind_;
+  const Section section_;
   State state_ = State::kStartLine;
   SyntaxFault fault_ = SyntaxFault::kNone;
   std::size_t position_ = 0;  // in the start line
--- a/verbenaridge/http1/message_parser.cc
+++ b/verbenaridge/http1/message_parser.cc
@@ -4,7 +4,9 @@
 
 #include <utility>
 
+#include "verbenaridge/http1/chunk_syntax.h"
 #include "verbenaridge/http1/head_syntax.h"
+#include "verbenaridge/http1/syntax_fault.h"
 
 namespace verbenaridge::http1 {
 namespace {
@@ -26,7 +28,7 @@
         limits_(limits),
         request_observer_(request_observer),
         response_observer_(response_observer),
-        head_syntax_(type == HTTP_REQUEST ? MessageKind::kRequest : MessageKind::kResponse) {
+        head_syntax_(type == HTTP_REQUEST ? Section::kRequestHead : Section::kResponseHead) {
     Reset(false);
   }
 
@@ -51,8 +53,13 @@
         if (head_syntax_.fault() != SyntaxFault::kNone) {
           return Malformed(ToText(head_syntax_.fault()));
         }
-        if (next.empty()) return Malformed("head");  // http_parser takes it for incomplete
+      } else if (chunked_) {
+        next = next.substr(0, chunk_syntax_.Feed(next));
+        if (chunk_syntax_.fault() != SyntaxFault::kNone) {
+          return Malformed(ToText(chunk_syntax_.fault()));
+        }
       }
+      if (next.empty()) return Malformed("end");  // http_parser finds it elsewhere
       used += http_parser_execute(&parser_, &Callbacks(), next.data(), next.size());
       const auto error = HTTP_PARSER_ERRNO(&parser_);
       if (too_large_) return Errc::kTooLarge;
@@ -147,6 +154,7 @@
   int OnHeadersComplete() {
     const bool keep_alive = http_should_keep_alive(&parser_) != 0;
     if (parser_.http_major != 1) return RejectHead(SyntaxFault::kVersion);
+    chunked_ = (parser_.flags & F_CHUNKED) != 0;
     if (type_ == HTTP_REQUEST) {
       head_complete_ = true;
       request_observer_->OnHead(
@@ -194,6 +202,8 @@
     http_parser_init(&parser_, type_);
     parser_.data = this;
     head_syntax_.Reset();
+    chunk_syntax_.Reset();
+    chunked_ = false;
     interim_ = false;
     target_.clear();
     headers_.clear();
@@ -206,6 +216,8 @@
   RequestObserver* const request_observer_;
   ResponseObserver* const response_observer_;
   HeadSyntax head_syntax_;
+  ChunkSyntax chunk_syntax_;
+  bool chunked_ = false;
   http_parser parser_{};
   std::string_view fault_;  // a constant
   std::string target_;
--- a/verbenaridge/http1/message_parser.h
+++ b/verbenaridge/http1/message_parser.h
@@ -1,5 +1,5 @@
 // Incremental parsers of HTTP/1.1 messages, based on http_parser. What that library accepts
-// although it is malformed is rejected by checks of our own (head_syntax.h).
+// although it is malformed is rejected by checks of our own (head_syntax.h, chunk_syntax.h).
 //
 //   RequestParser parser({.max_head_bytes = 16384}, observer);
 //   Result<std::size_t> used = parser.Feed(bytes);
