Reject bodies under a transfer coding other than chunked

A body that an endpoint sent as `Transfer-Encoding: gzip` reached the client as gzip bytes without the field, which is hop-by-hop, and with the seal.

Cause: http_parser reports such a body as it is and leaves the coding to its user; ours did not look. It also takes `chunked` twice, and chunks in HTTP/1.0.

Change: the parser accepts `Transfer-Encoding: chunked` once, in HTTP/1.1, and nothing else (`malformed:transfer_coding`; 400 for requests). That includes `identity`, which RFC 9112 no longer has.

--- a/verbenaridge/http1/message_parser.cc
+++ b/verbenaridge/http1/message_parser.cc
@@ -154,6 +154,7 @@
   int OnHeadersComplete() {
     const bool keep_alive = http_should_keep_alive(&parser_) != 0;
     if (parser_.http_major != 1) return RejectHead(SyntaxFault::kVersion);
+    if (!IsFramingKnown()) return RejectHead(SyntaxFault::kTransferCoding);
     chunked_ = (parser_.flags & F_CHUNKED) != 0;
     if (type_ == HTTP_REQUEST) {
       head_complete_ = true;
@@ -177,6 +178,18 @@
     return head_request_ ? 1 : 0;
   }
 
+  // Whether the body is under no coding other than `chunked`, which HTTP/1.0 does not have. No
+  // other is decoded here, and the field that names it is not forwarded.
+  bool IsFramingKnown() const {
+    int codings = 0;
+    for (const Header& header : headers_) {
+      if (!EqualsIgnoringCase(header.name, "Transfer-Encoding")) continue;
+      if (!EqualsIgnoringCase(Trim(header.value), "chunked")) return false;
+      ++codings;
+    }
+    return codings == 0 || (codings == 1 && parser_.http_minor > 0);
+  }
+
   static bool http_message_needs_eof(const http_parser& parser) {
     const int status = static_cast<int>(parser.status_code);
     const bool no_body = status == 204 || status == 304 || (status >= 100 && status < 200);
--- a/verbenaridge/http1/syntax_fault.cc
+++ b/verbenaridge/http1/syntax_fault.cc
@@ -22,6 +22,8 @@
       return "folded_field";
     case SyntaxFault::kProtocolSwitch:
       return "protocol_switch";
+    case SyntaxFault::kTransferCoding:
+      return "transfer_coding";
     case SyntaxFault::kChunk:
       return "chunk";
   }
--- a/verbenaridge/http1/syntax_fault.h
+++ b/verbenaridge/http1/syntax_fault.h
@@ -19,6 +19,7 @@
   kFieldValue,      // a control character other than a tab
   kFoldedField,     // a line that starts with a blank or tab
   kProtocolSwitch,  // status 101, although no request asks for another protocol
+  kTransferCoding,  // a coding of the body other than `chunked`
   kChunk,           // a chunk that does not end where its size says, or without a valid size
 };
 
