Read no body after a 204 or 304

Bytes after the head of a 204 or 304 that states a length were forwarded as its body, which a client takes for the start of its next response. A 304 that states the length of what did not change, as it may, was waited for until the deadline.

Cause: http_parser reads a body of the stated length after these statuses too.

Change: the head ends these responses. Bytes after it close the connection, as after any response.

--- a/verbenaridge/http1/message_parser.cc
+++ b/verbenaridge/http1/message_parser.cc
@@ -175,9 +175,12 @@
                                 .headers = std::move(headers_),
                                 .keep_alive = keep_alive,
                                 .close_delimited = close_delimited});
-    return head_request_ ? 1 : 0;
+    return head_request_ || !HasContent(status) ? 1 : 0;
   }
 
+  // Whether responses with this status have a body, as far as the framing of their head says so.
+  static bool HasContent(int status) { return status != 204 && status != 304; }
+
   // Whether the body is under no coding other than `chunked`, which HTTP/1.0 does not have. No
   // other is decoded here, and the field that names it is not forwarded.
   bool IsFramingKnown() const {
@@ -191,9 +194,8 @@
   }
 
   static bool http_message_needs_eof(const http_parser& parser) {
-    const int status = static_cast<int>(parser.status_code);
-    const bool no_body = status == 204 || status == 304 || (status >= 100 && status < 200);
-    return !no_body && (parser.flags & (F_CHUNKED | F_CONTENTLENGTH)) == 0;
+    return HasContent(static_cast<int>(parser.status_code)) &&
+           (parser.flags & (F_CHUNKED | F_CONTENTLENGTH)) == 0;
   }
 
   int OnBody(std::string_view data) {
--- a/verbenaridge/http1/message_parser_test.cc
+++ b/verbenaridge/http1/message_parser_test.cc
@@ -143,6 +143,11 @@
        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0A;x=\"y\"\r\n0123456789\r\n"
        "1 ;x\r\na\r\n1 \r\nb\r\n0\r\nX: y\r\n\r\nHTTP",
        true, true, false, 4},
+      {"204 with a length", "HTTP/1.1 204 X\r\nContent-Length: 2\r\n\r\nok", true, true, false, 2},
+      {"204 in chunks", "HTTP/1.1 204 X\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", true, true,
+       false, 5},
+      {"304 with the length of what did not change", "HTTP/1.1 304 X\r\nContent-Length: 9\r\n\r\n",
+       true, true, false, 0},
       {"interim response first",
        "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", true, true,
        false, 0},
