Reject malformed heads in the HTTP client of the store and of our own engines

`CurlHttpClient` (the platform's store, the product's own endpoints, `verbenaridgectl`, the load tool) took answers with the status 600 or 999, with blanks or control characters in names or values of fields, folded fields, and what follows a 101.

Cause: libcurl checks less of a head than its grammar says.

Change: the lines of a head and of trailers go through HeadSyntax, which now finds the status 101 itself. A malformed answer is kUnavailable, as those are that libcurl rejects, so a write to the store whose answer is malformed counts as unknown. Heads of HTTP/2 are binary and not concerned.

--- a/verbenaridge/http1/head_syntax.cc
+++ b/verbenaridge/http1/head_syntax.cc
@@ -12,6 +12,8 @@
 constexpr std::size_t kStatus = 9;
 constexpr std::size_t kReason = 12;  // a space, which some servers leave out if no text follows
 
+constexpr int kSwitchingProtocols = 101;
+
 bool IsDigit(char c) { return c >= '0' && c <= '9'; }
 bool IsLineEnd(char c) { return c == '\r' || c == '\n'; }
 // Of field names (RFC 9110, 5.6.2).
@@ -27,6 +29,7 @@
   state_ = section_ == Section::kTrailers ? State::kLineStart : State::kStartLine;
   fault_ = SyntaxFault::kNone;
   position_ = 0;
+  status_ = 0;
 }
 
 std::size_t HeadSyntax::Feed(std::string_view data) {
@@ -87,7 +90,7 @@
   return c == '\n' ? State::kLineStart : State::kStartLine;
 }
 
-SyntaxFault HeadSyntax::CheckStatusLine(char c) const {
+SyntaxFault HeadSyntax::CheckStatusLine(char c) {
   const auto check = [](bool valid, SyntaxFault fault) {
     return valid ? SyntaxFault::kNone : fault;
   };
@@ -104,12 +107,15 @@
     case kSpace:
       return check(c == ' ', SyntaxFault::kStartLine);
     case kStatus:
+      status_ = c - '0';
       return check(c >= '1' && c <= '5', SyntaxFault::kStatusCode);
     case kStatus + 1:
     case kStatus + 2:
+      status_ = status_ * 10 + (c - '0');
       return check(IsDigit(c), SyntaxFault::kStatusCode);
     case kReason:
-      return check(c == ' ' || IsLineEnd(c), SyntaxFault::kStatusCode);
+      if (c != ' ' && !IsLineEnd(c)) return SyntaxFault::kStatusCode;
+      return check(status_ != kSwitchingProtocols, SyntaxFault::kProtocolSwitch);
     default:
       return check(!IsControl(c) || IsLineEnd(c), SyntaxFault::kStartLine);
   }
--- a/verbenaridge/http1/head_syntax.h
+++ b/verbenaridge/http1/head_syntax.h
@@ -48,14 +48,15 @@
   State Next(char c);
   State NextInStartLine(char c);
   State NextAtLineStart(char c);
-  // Whether the byte at this position of a status line is valid.
-  SyntaxFault CheckStatusLine(char c) const;
+  // Checks the byte at this position of a status line.
+  SyntaxFault CheckStatusLine(char c);
   State Expect(bool valid, State next, SyntaxFault fault);
 
   const Section section_;
   State state_ = State::kStartLine;
   SyntaxFault fault_ = SyntaxFault::kNone;
   std::size_t position_ = 0;  // in the start line
+  int status_ = 0;
 };
 
 }  // namespace verbenaridge::http1
--- a/verbenaridge/http1/message_parser.cc
+++ b/verbenaridge/http1/message_parser.cc
@@ -13,7 +13,6 @@
 
 // An endpoint that sends interim responses without end never responds.
 constexpr int kMaxInterimResponses = 16;
-constexpr int kSwitchingProtocols = 101;
 
 }  // namespace
 
@@ -166,7 +165,6 @@
       return 0;
     }
     const int status = static_cast<int>(parser_.status_code);
-    if (status == kSwitchingProtocols) return RejectHead(SyntaxFault::kProtocolSwitch);
     interim_ = status >= 100 && status < 200;
     if (interim_) return 1;
     head_complete_ = true;
--- a/verbenaridge/net/curl_http_client.cc
+++ b/verbenaridge/net/curl_http_client.cc
@@ -8,6 +8,7 @@
 #include <unordered_map>
 #include <utility>
 
+#include "verbenaridge/http1/head_syntax.h"
 #include "verbenaridge/net/http_client.h"
 
 namespace verbenaridge::net {
@@ -48,6 +49,10 @@
   HttpResponseHead head;
   std::size_t head_bytes = 0;
   std::size_t body_bytes = 0;
+  // libcurl accepts names and values of fields that are none.
+  http1::HeadSyntax head_syntax{http1::Section::kResponseHead};
+  http1::HeadSyntax trailer_syntax{http1::Section::kTrailers};
+  bool binary_head = false;  // of HTTP/2, which libcurl writes as text
   bool too_large = false;
   bool head_delivered = false;
   bool cancelled = false;
@@ -67,12 +72,27 @@
   }
 };
 
+// Checks a line of a head, or after it of the trailers. Returns false if it is malformed.
+bool CheckLine(Transfer& transfer, std::string_view line) {
+  constexpr std::string_view kVersionPrefix = "HTTP/";
+  if (line.starts_with(kVersionPrefix)) {
+    if (transfer.head_syntax.complete()) transfer.head_syntax.Reset();  // after an interim response
+    const char major = line.size() > kVersionPrefix.size() ? line[kVersionPrefix.size()] : '\0';
+    transfer.binary_head = major == '2' || major == '3';
+  }
+  if (transfer.binary_head) return true;
+  http1::HeadSyntax& syntax =
+      transfer.head_syntax.complete() ? transfer.trailer_syntax : transfer.head_syntax;
+  syntax.Feed(line);
+  return syntax.fault() == http1::SyntaxFault::kNone;
+}
+
 std::size_t OnHeaderLine(char* data, std::size_t size, std::size_t count, void* user) {
   auto& transfer = *static_cast<Transfer*>(user);
   std::string_view line(data, size * count);
   transfer.head_bytes += line.size();
   transfer.too_large = transfer.head_bytes > transfer.request.max_head_bytes;
-  if (transfer.too_large) return 0;  // ends the transfer
+  if (transfer.too_large || !CheckLine(transfer, line)) return 0;  // ends the transfer
   while (!line.empty() && (line.back() == '\r' || line.back() == '\n')) line.remove_suffix(1);
   if (line.starts_with("HTTP/")) transfer.head.headers.clear();
   const std::size_t colon = line.find(':');
--- a/verbenaridge/net/curl_http_client_test.cc
+++ b/verbenaridge/net/curl_http_client_test.cc
@@ -143,6 +143,56 @@
   }
 }
 
+// Guards against the bytes of a server in trouble that are taken for its answer.
+TEST_CASE("malformed answers are errors") {
+  const std::string end = "\r\nContent-Length: 5\r\n\r\nhello";
+  const std::string chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  const std::string rows[] = {
+      "HTTP/1.1 000 X" + end,
+      "HTTP/1.1 0 X" + end,
+      "HTTP/1.1 099 X" + end,
+      "HTTP/1.1 20 X" + end,
+      "HTTP/1.1 600 X" + end,
+      "HTTP/1.1 999 X" + end,
+      "HTTP/1.1 2000 X" + end,
+      "HTTP/1.1 0200 X" + end,
+      "HTTP/9.9 200 X" + end,
+      "HTTP/1.1 200 X\r\nX Y: 1" + end,
+      "HTTP/1.1 200 X\r\nX : 1" + end,
+      "HTTP/1.1 200 X\r\n A: 1" + end,
+      "HTTP/1.1 200 X\r\nX: 1\r\n folded" + end,
+      "HTTP/1.1 200 X\r\nX\1: 1" + end,
+      "HTTP/1.1 200 X\r\nX: \1" + end,
+      "HTTP/1.1 200 X\r\nno field" + end,
+      "HTTP/1.1 200 X\r\nHTTP/1.1 200 Y" + end,
+      "HTTP/1.1 200 X\r\nContent-Length : 2\r\n\r\nfour",
+      "HTTP/1.1 200 X\r\nTransfer-Encoding : chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n",
+      "HTTP/1.1 200 X\r\nTransfer-Encoding: gzip\r\n\r\nhello",
+      "HTTP/1.1 200 X\r\nTransfer-Encoding: xchunked\r\n\r\nhello",
+      "HTTP/1.1 101 X\r\n\r\nHTTP/1.1 200 X" + end,
+      "hello\r\n\r\n",
+      chunked + "2\r\nabXY0\r\n\r\n",
+      chunked + "0\r\nX Y: 1\r\n\r\n",
+      chunked + "2;\nx\r\nab\r\n0\r\n\r\n",
+  };
+  for (const std::string& answer : rows) {
+    CAPTURE(answer);
+    asio::io_context io;
+    ScriptedServer server(io, answer, true);
+    CurlHttpClient client(io);
+    auto recorder = std::make_shared<Recorder>();
+    client.Start({.method = "POST",
+                  .url = server.url(),
+                  .headers = {},
+                  .body = "{}",
+                  .timeout = std::chrono::milliseconds(300)},
+                 recorder);
+    REQUIRE(RunUntil(io, [&] { return recorder->done.has_value(); }));
+    CHECK(recorder->done->has_error());
+    CHECK(recorder->progress == RequestProgress::kPossiblySent);
+  }
+}
+
 // Guards against "possibly sent" for a host that refuses connections: its work could be moved.
 TEST_CASE("refused connection") {
   asio::io_context io;
