Report an answer cut off during an upload as an error of the HTTP client

Cause: libcurl ends an answer without a length at the end of file, also while the request is still being sent.

A plain reset is an error already, since libcurl reports a failed send; those rows stay.

Change: an answer without a length that ends before the whole request was sent is kUnavailable. libcurl does not wait for the end of the request, so an orderly early end cannot be told here. The store and our own engines send a length or chunks.

--- a/verbenaridge/net/curl_http_client.cc
+++ b/verbenaridge/net/curl_http_client.cc
@@ -149,6 +149,18 @@
   curl_easy_setopt(easy, CURLOPT_WRITEDATA, &transfer);
 }
 
+// Whether the answer ended with its connection while the request was being sent. The server may
+// have reset the connection, so that nothing tells a part of the answer from the whole.
+bool IsCutDuringUpload(const Transfer& transfer) {
+  const HttpResponseHead& head = transfer.head;
+  const bool framed = !head.header("Content-Length").empty() ||
+                      !head.header("Transfer-Encoding").empty() || transfer.binary_head;
+  if (framed || head.status == 204 || head.status == 304) return false;
+  curl_off_t sent = 0;
+  curl_easy_getinfo(transfer.easy, CURLINFO_SIZE_UPLOAD_T, &sent);
+  return static_cast<std::size_t>(sent) < transfer.request.body.size();
+}
+
 RequestProgress ProgressOf(const Transfer& transfer) {
   long sent = 0;
   curl_easy_getinfo(transfer.easy, CURLINFO_REQUEST_SIZE, &sent);
@@ -260,6 +272,7 @@
     if (transfer.cancelled) return;
     if (code == CURLE_OK) transfer.DeliverHead();
     if (transfer.cancelled) return;
+    if (code == CURLE_OK && IsCutDuringUpload(transfer)) code = CURLE_PARTIAL_FILE;
     const Errc error = transfer.too_large ? Errc::kTooLarge : ErrorOf(code);
     transfer.observer->OnDone(code == CURLE_OK ? Ok() : Status(error), progress);
   }
--- a/verbenaridge/net/curl_http_client_test.cc
+++ b/verbenaridge/net/curl_http_client_test.cc
@@ -1,6 +1,7 @@
 #include <doctest/doctest.h>
 
 #include <asio/ip/tcp.hpp>
+#include <asio/read.hpp>
 #include <asio/read_until.hpp>
 #include <asio/steady_timer.hpp>
 #include <asio/write.hpp>
@@ -98,6 +99,8 @@
 
 constexpr const char* kHead = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n";
 
+constexpr const char* kUntilClose = "HTTP/1.1 200 OK\r\n\r\npart";
+
 // Guards against a broken answer that is taken as whole, and against a wrong claim that nothing was
 // sent.
 TEST_CASE("ends of calls") {
@@ -113,6 +116,7 @@
       {"chunked",
        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhe\r\n3\r\nllo\r\n0\r\n\r\n",
        false, std::nullopt, "hello"},
+      {"until the close", "HTTP/1.1 200 OK\r\n\r\nhello", true, std::nullopt, "hello"},
       {"no body", "HTTP/1.1 204 No Content\r\n\r\n", false, std::nullopt, ""},
       {"closed in the body", std::string(kHead) + "he", true, Errc::kUnavailable, "he"},
       {"closed in a chunk", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhe", true,
@@ -193,6 +197,86 @@
   }
 }
 
+// Guards against the part of an answer that is taken as whole, because the server reset the
+// connection while the request was written and the write took the error off the socket.
+TEST_CASE("an answer until the close during an upload") {
+  struct Row {
+    const char* name;
+    bool ends_sending_side;  // before the reset
+  };
+  const Row rows[] = {{"reset", false}, {"sending side ended, then reset", true}};
+  for (const Row& row : rows) {
+    for (const int delay_ms : {0, 5, 60, 300}) {
+      CAPTURE(std::string(row.name));
+      CAPTURE(delay_ms);
+      asio::io_context io;
+      tcp::acceptor acceptor(io, {asio::ip::make_address("127.0.0.1"), 0});
+      tcp::socket socket(io);
+      asio::steady_timer timer(io);
+      std::string request;
+      acceptor.async_accept(socket, [&](std::error_code) {
+        asio::async_read_until(socket, asio::dynamic_buffer(request), "\r\n\r\n",
+                               [&](std::error_code, std::size_t) {
+                                 asio::write(socket, asio::buffer(std::string(kUntilClose)));
+                                 if (row.ends_sending_side)
+                                   socket.shutdown(tcp::socket::shutdown_send);
+                                 timer.expires_after(std::chrono::milliseconds(delay_ms));
+                                 timer.async_wait([&](std::error_code) {
+                                   socket.set_option(asio::socket_base::linger(true, 0));
+                                   socket.close();
+                                 });
+                               });
+      });
+      CurlHttpClient client(io);
+      auto recorder = std::make_shared<Recorder>();
+      client.Start({.method = "POST",
+                    .url = "http://127.0.0.1:" + std::to_string(acceptor.local_endpoint().port()),
+                    .headers = {},
+                    .body = std::string(std::size_t{24} << 20, 'u'),
+                    .timeout = std::chrono::seconds(2)},
+                   recorder);
+      REQUIRE(RunUntil(io, [&] { return recorder->done.has_value(); }));
+      REQUIRE(recorder->done->has_error());
+      CHECK(recorder->done->error() == Errc::kUnavailable);
+    }
+  }
+}
+
+// Guards against an answer without a length that is taken for cut off although the server has read
+// the whole request.
+TEST_CASE("an answer until the close after an upload") {
+  for (const std::size_t upload : {std::size_t{0}, std::size_t{300'000}, std::size_t{8} << 20}) {
+    CAPTURE(upload);
+    asio::io_context io;
+    tcp::acceptor acceptor(io, {asio::ip::make_address("127.0.0.1"), 0});
+    tcp::socket socket(io);
+    std::string request;
+    acceptor.async_accept(socket, [&](std::error_code) {
+      asio::async_read_until(
+          socket, asio::dynamic_buffer(request), "\r\n\r\n",
+          [&](std::error_code, std::size_t head) {
+            const std::size_t missing = head + upload - request.size();
+            asio::async_read(socket, asio::dynamic_buffer(request), asio::transfer_exactly(missing),
+                             [&](std::error_code, std::size_t) {
+                               asio::write(socket, asio::buffer(std::string(kUntilClose)));
+                               socket.close();
+                             });
+          });
+    });
+    CurlHttpClient client(io);
+    auto recorder = std::make_shared<Recorder>();
+    client.Start({.method = "POST",
+                  .url = "http://127.0.0.1:" + std::to_string(acceptor.local_endpoint().port()),
+                  .headers = {},
+                  .body = std::string(upload, 'u'),
+                  .timeout = std::chrono::seconds(5)},
+                 recorder);
+    REQUIRE(RunUntil(io, [&] { return recorder->done.has_value(); }));
+    CHECK(recorder->done->has_value());
+    CHECK(recorder->body == "part");
+  }
+}
+
 // Guards against "possibly sent" for a host that refuses connections: its work could be moved.
 TEST_CASE("refused connection") {
   asio::io_context io;
