--- a/verbenaridge/forwarding/request_run_failure.cc
+++ b/verbenaridge/forwarding/request_run_failure.cc
@@ -23,7 +23,7 @@
   const std::shared_ptr<RequestRun> self = shared_from_this();
   exchange_ = nullptr;
   if (finished_) return;
-  // The head has said so, and nothing of its body is needed.
+  // A refusal counts from its head on. Its body is not needed.
   if (failure == ExchangeFailure::kBroken && !streaming_ && IsRefusal()) {
     AttemptFailed(AttemptFailure::kRefused, std::to_string(response_->status));
     return;
--- a/verbenaridge/http1/head_syntax.cc
+++ b/verbenaridge/http1/head_syntax.cc
@@ -50,7 +50,6 @@
   switch (state_) {
     case State::kStartLine:
       return NextInStartLine(c);
-    case State::kStartLineFeed:
     case State::kLineFeed:
       return Expect(c == '\n', State::kLineStart, SyntaxFault::kLineEnd);
     case State::kLineStart:
@@ -86,7 +85,7 @@
     fault_ = SyntaxFault::kStartLine;
   }
   ++position_;
-  if (c == '\r') return State::kStartLineFeed;
+  if (c == '\r') return State::kLineFeed;
   return c == '\n' ? State::kLineStart : State::kStartLine;
 }
 
--- a/verbenaridge/http1/head_syntax.h
+++ b/verbenaridge/http1/head_syntax.h
@@ -36,12 +36,11 @@
  private:
   enum class State : std::uint8_t {
     kStartLine,
-    kStartLineFeed,  // a line feed must follow
     kLineStart,
     kFieldName,
     kFieldValue,
-    kLineFeed,
-    kLastLineFeed,
+    kLineFeed,      // must follow a carriage return
+    kLastLineFeed,  // the same, of the empty line
     kComplete,
   };
 
