Log what is wrong with a broken answer of the store or of our own engines

What operators saw: turn a malformed answer, or one that was cut during an upload, into "unavailable", and nothing said why.

Change: the line `http_response_broken` with the URL and the same names as in `attempt_failed`. Answers that libcurl rejects by itself have no such line.

--- a/verbenaridge/net/curl_http_client.cc
+++ b/verbenaridge/net/curl_http_client.cc
@@ -10,6 +10,7 @@
 
 #include "verbenaridge/http1/head_syntax.h"
 #include "verbenaridge/net/http_client.h"
+#include "verbenaridge/telemetry/log.h"
 
 namespace verbenaridge::net {
 namespace {
@@ -72,6 +73,11 @@
   }
 };
 
+void LogBroken(const Transfer& transfer, std::string_view detail) {
+  telemetry::Log(telemetry::Level::kInfo, "http_response_broken",
+                 {{"url", transfer.request.url}, {"detail", detail}});
+}
+
 // Checks a line of a head, or after it of the trailers. Returns false if it is malformed.
 bool CheckLine(Transfer& transfer, std::string_view line) {
   constexpr std::string_view kVersionPrefix = "HTTP/";
@@ -84,7 +90,9 @@
   http1::HeadSyntax& syntax =
       transfer.head_syntax.complete() ? transfer.trailer_syntax : transfer.head_syntax;
   syntax.Feed(line);
-  return syntax.fault() == http1::SyntaxFault::kNone;
+  if (syntax.fault() == http1::SyntaxFault::kNone) return true;
+  LogBroken(transfer, ToText(syntax.fault()));
+  return false;
 }
 
 std::size_t OnHeaderLine(char* data, std::size_t size, std::size_t count, void* user) {
@@ -272,7 +280,10 @@
     if (transfer.cancelled) return;
     if (code == CURLE_OK) transfer.DeliverHead();
     if (transfer.cancelled) return;
-    if (code == CURLE_OK && IsCutDuringUpload(transfer)) code = CURLE_PARTIAL_FILE;
+    if (code == CURLE_OK && IsCutDuringUpload(transfer)) {
+      LogBroken(transfer, "closed_during_upload");
+      code = CURLE_PARTIAL_FILE;
+    }
     const Errc error = transfer.too_large ? Errc::kTooLarge : ErrorOf(code);
     transfer.observer->OnDone(code == CURLE_OK ? Ok() : Status(error), progress);
   }
--- a/verbenaridge/net/curl_http_client_test.cc
+++ b/verbenaridge/net/curl_http_client_test.cc
@@ -1,14 +1,18 @@
 #include <doctest/doctest.h>
+#include <unistd.h>
 
 #include <asio/ip/tcp.hpp>
 #include <asio/read.hpp>
 #include <asio/read_until.hpp>
 #include <asio/steady_timer.hpp>
 #include <asio/write.hpp>
+#include <filesystem>
+#include <fstream>
 #include <optional>
 #include <string>
 
 #include "verbenaridge/net/http_client.h"
+#include "verbenaridge/telemetry/log.h"
 
 namespace verbenaridge::net {
 namespace {
@@ -197,6 +201,28 @@
   }
 }
 
+// Guards against a broken answer of the store that operators see only as "unavailable".
+TEST_CASE("a malformed answer is logged") {
+  const std::filesystem::path file = std::filesystem::temp_directory_path() /
+                                     ("verbenaridge_curl_log_" + std::to_string(getpid()));
+  std::filesystem::remove(file);
+  REQUIRE(telemetry::StartLog({.file = file}).has_value());
+  asio::io_context io;
+  ScriptedServer server(io, "HTTP/1.1 200 OK\r\nX Y: 1\r\n\r\n", true);
+  CurlHttpClient client(io);
+  auto recorder = std::make_shared<Recorder>();
+  client.Start({.url = server.url(), .headers = {}, .body = {}}, recorder);
+  REQUIRE(RunUntil(io, [&] { return recorder->done.has_value(); }));
+  telemetry::StopLog();
+  std::ifstream stream(file);
+  std::string line;
+  std::getline(stream, line);
+  CHECK(line.find("\"event\":\"http_response_broken\"") != std::string::npos);
+  CHECK(line.find("\"detail\":\"field_name\"") != std::string::npos);
+  CHECK(line.find(server.url()) != std::string::npos);
+  std::filesystem::remove(file);
+}
+
 // Guards against the part of an answer that is taken as whole, because the server reset the
 // connection while the request was written and the write took the error off the socket.
 TEST_CASE("an answer until the close during an upload") {
