--- a/review/standin-3/rig.cc
+++ b/review/standin-3/rig.cc
@@ -449,7 +449,9 @@
   waitpid(pid_, nullptr, 0);
 }
 
-void Host::Kill() const { kill(pid_, SIGKILL); }
+void Host::Signal(int signal) const { kill(pid_, signal); }
+
+void Host::Kill() const { Signal(SIGKILL); }
 
 bool Host::running() const {
   // Leaves the process to be waited for by the destructor.
@@ -492,7 +494,7 @@
   return 0;
 }
 
-Reply Ask(const Address& address, const std::string& bytes, milliseconds limit) {
+Reply Exchange(const Socket& socket, const std::string& bytes, milliseconds limit) {
   Reply reply;
   const TimePoint start = Clock::now();
   const TimePoint until = start + limit;
@@ -500,7 +502,6 @@
     reply.seconds = std::chrono::duration<double>(Clock::now() - start).count();
     return reply;
   };
-  const Socket socket = Connect(address, std::min(limit, milliseconds(1'000)));
   if (!socket.open() || !socket.Send(bytes)) return ended();
   std::string input;
   std::size_t end = std::string::npos;
@@ -525,6 +526,14 @@
   return ended();
 }
 
+Reply Ask(const Address& address, const std::string& bytes, milliseconds limit) {
+  const TimePoint start = Clock::now();
+  const Socket socket = Connect(address, std::min(limit, milliseconds(1'000)));
+  Reply reply = Exchange(socket, bytes, limit);
+  reply.seconds = std::chrono::duration<double>(Clock::now() - start).count();
+  return reply;
+}
+
 void Record::Line(const std::string& text) {
   const std::lock_guard lock(mutex_);
   std::array<char, 32> time{};
--- a/review/standin-3/rig.h
+++ b/review/standin-3/rig.h
@@ -174,6 +174,7 @@
   const Address& clients() const { return clients_; }
   bool WaitReady(milliseconds limit) const;
   bool running() const;
+  void Signal(int signal) const;
   void Kill() const;
   // Of all threads of the process.
   double processor_seconds() const;
@@ -194,7 +195,9 @@
   double seconds = 0;  // from the first byte sent to the end
 };
 
-// Sends one request on a connection of its own and reads the answer.
+// Sends one request and reads the answer.
+Reply Exchange(const Socket& socket, const std::string& bytes, milliseconds limit);
+// The same on a connection of its own.
 Reply Ask(const Address& address, const std::string& bytes, milliseconds limit);
 
 // The lines of record.txt.
--- a/review/standin-3/scenario.cc
+++ b/review/standin-3/scenario.cc
@@ -99,6 +99,11 @@
   return text + "\r\n";
 }
 
+std::string PlainHead(const Replica& replica, const Request& request, std::size_t bytes) {
+  return "HTTP/1.1 200 OK\r\n" + Echo(request) + Seal(replica) +
+         "Content-Length: " + std::to_string(bytes) + "\r\n\r\n";
+}
+
 bool AnswerPlain(const Replica& replica, const Socket& socket, const Request& request) {
   std::this_thread::sleep_for(kPlainWork);
   constexpr std::size_t kBytes = 800;
@@ -107,9 +112,7 @@
 
 bool AnswerLong(const Replica& replica, const Socket& socket, const Request& request,
                 std::size_t bytes) {
-  const std::string body(bytes, 'x');
-  return socket.Send("HTTP/1.1 200 OK\r\n" + Echo(request) + Seal(replica) +
-                     "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
+  return socket.Send(PlainHead(replica, request, bytes) + std::string(bytes, 'x'));
 }
 
 std::string StreamHead(const Replica& replica, const Request& request) {
--- a/review/standin-3/scenario.h
+++ b/review/standin-3/scenario.h
@@ -25,6 +25,9 @@
 };
 std::string RequestText(const RequestOptions& options);
 
+// The head of an answer of the plain service.
+std::string PlainHead(const Replica& replica, const Request& request, std::size_t bytes);
+
 // Sends the answer of a sound replica of the plain service: after 60 ms, or a long one at once.
 bool AnswerPlain(const Replica& replica, const Socket& socket, const Request& request);
 
