--- a/review/standin-3/rig.cc
+++ b/review/standin-3/rig.cc
@@ -27,6 +27,8 @@
 constexpr std::size_t kReadBytes = std::size_t{64} * 1024;
 constexpr milliseconds kServerPatience = std::chrono::minutes(2);
 constexpr std::string_view kIp = "127.0.0.1";
+// An entry is removed after three heartbeat intervals of silence.
+constexpr milliseconds kEntryLifetime{3'600};
 
 const TimePoint kStart = Clock::now();
 
@@ -359,6 +361,7 @@
 }
 
 Replica::~Replica() {
+  destroyed_ = true;
   Crash();
   for (std::thread& thread : ended_) thread.join();
 }
@@ -394,9 +397,13 @@
 void Replica::Crash() {
   if (server_ == nullptr) return;
   // The threads of the connections may take a while, and several replicas crash at the same time.
-  ended_.emplace_back([server = std::move(server_)] { server->Stop(); });
+  ended_.emplace_back([this, server = std::move(server_), id = id_] {
+    server->Stop();
+    const TimePoint expiry = Clock::now() + kEntryLifetime;
+    while (!destroyed_ && Clock::now() < expiry) std::this_thread::sleep_for(milliseconds(20));
+    store_.RemoveEntry(id);
+  });
   server_ = nullptr;
-  store_.RemoveEntry(id_);
 }
 
 Host::Host(const std::string& directory, const std::string& name, std::uint16_t store_port) {
--- a/review/standin-3/rig.h
+++ b/review/standin-3/rig.h
@@ -160,6 +160,7 @@
   int incarnation_ = 0;
   std::string id_;
   std::shared_ptr<Server> server_;
+  std::atomic<bool> destroyed_{false};
   std::vector<std::thread> ended_;
 };
 
