Log what speaks for and against a refusal after crashes, and its end

The line prompt_part_blocked names the part and the age of the last crash only, which fits three hypotheses alike: a deadly part, one loss of many endpoints that counts as many crashes, and sound responses that the judging host does not know. The end of a refusal left no line.

prompt_part_blocked and request_blocked of a host's own judgment now have the number of endpoints and requests, the time from the first to the last crash, and the sound responses of all hosts with the age of the last one. prompt_part_unblocked and request_unblocked say why a refusal has ended.

No decision changes.

--- a/verbenaridge/dispatch/crash_suspects.cc
+++ b/verbenaridge/dispatch/crash_suspects.cc
@@ -159,6 +159,7 @@
         evidence.requests.insert(request.request);
         if (!evidence.endpoints.insert(crash.endpoint).second) continue;
         const double weight = WeightOf(crash, request, key, evidence.last_unbegun);
+        if (evidence.weights.empty()) evidence.first_crash = crash.time;
         evidence.weights.emplace_back(crash.endpoint, weight);
         evidence.last_crash = crash.time;
         const bool is_apart = crash.time - evidence.last_unbegun >= options_.unbegun_interval;
@@ -205,15 +206,27 @@
   return left < static_cast<double>(options_.crashes_to_refuse);
 }
 
-std::vector<CrashRefusal> CrashSuspects::Judge(TimePoint now) {
+CrashJudgment CrashSuspects::Describe(const KeyEvidence& entry) const {
+  const auto& [key, evidence] = entry;
+  return {.refusal = {.keys = {key},
+                      .last_crash = evidence.last_crash,
+                      .whole_request = evidence.whole_request},
+          .endpoints = evidence.endpoints.size(),
+          .requests = evidence.requests.size(),
+          .span = evidence.last_crash - evidence.first_crash,
+          .sound_responses = SoundResponses(key),
+          .last_sound = LastSound(key)};
+}
+
+std::vector<CrashJudgment> CrashSuspects::Judge(TimePoint now) {
   RemoveOld(now);
   if (crashes_.size() < options_.crashes_to_refuse) return {};
   if (now - last_judgment_ < options_.judgment_interval) return {};
   last_judgment_ = now;
   const std::map<Digest, Evidence> all = CollectEvidence();
   // Parts of the same crashes that nothing tells apart.
-  std::map<std::set<Digest>, CrashRefusal> found;
-  std::vector<CrashRefusal> whole_requests;
+  std::map<std::set<Digest>, CrashJudgment> found;
+  std::vector<CrashJudgment> judgments;
   for (const auto& entry : all) {
     const Evidence& evidence = entry.second;
     if (evidence.weight < static_cast<double>(options_.crashes_to_refuse) ||
@@ -222,22 +235,21 @@
       continue;
     }
     if (evidence.whole_request) {
-      whole_requests.push_back(
-          {.keys = {entry.first}, .last_crash = evidence.last_crash, .whole_request = true});
+      judgments.push_back(Describe(entry));
       continue;
     }
-    CrashRefusal& refusal = found[evidence.endpoints];
-    refusal.keys.push_back(entry.first);
-    refusal.last_crash = std::max(refusal.last_crash, evidence.last_crash);
-  }
-  std::vector<CrashRefusal> fresh;
-  for (CrashRefusal& refusal : whole_requests) {
-    if (Add(refusal)) fresh.push_back(std::move(refusal));
+    const auto [same, is_new] = found.try_emplace(evidence.endpoints, Describe(entry));
+    if (is_new) continue;
+    CrashJudgment& judgment = same->second;
+    judgment.refusal.keys.push_back(entry.first);
+    judgment.refusal.last_crash = std::max(judgment.refusal.last_crash, evidence.last_crash);
+    judgment.sound_responses = std::max(judgment.sound_responses, SoundResponses(entry.first));
+    judgment.last_sound = std::max(judgment.last_sound, LastSound(entry.first));
   }
-  for (auto& [endpoints, refusal] : found) {
-    if (Add(refusal)) fresh.push_back(std::move(refusal));
-  }
-  return fresh;
+  for (auto& [endpoints, judgment] : found) judgments.push_back(std::move(judgment));
+  std::erase_if(judgments,
+                [this](const CrashJudgment& judgment) { return !Add(judgment.refusal); });
+  return judgments;
 }
 
 bool CrashSuspects::Add(CrashRefusal refusal) {
@@ -276,7 +288,19 @@
       refuted_.push_back({.key = key, .last_sound = last});
     }
   }
-  std::erase_if(refusals_, [&](const CrashRefusal& refusal) { return IsRefuted(refusal); });
+  End(EndedRefusal::Cause::kSoundResponse,
+      [this](const CrashRefusal& refusal) { return IsRefuted(refusal); });
+}
+
+void CrashSuspects::End(EndedRefusal::Cause cause,
+                        const std::function<bool(const CrashRefusal&)>& predicate) {
+  std::erase_if(refusals_, [&](const CrashRefusal& refusal) {
+    if (!predicate(refusal)) return false;
+    if (ended_.size() < options_.max_refusals) {
+      ended_.push_back({.refusal = refusal, .cause = cause});
+    }
+    return true;
+  });
 }
 
 std::vector<RefutedKey> CrashSuspects::RefutedKeys(TimePoint now) const {
@@ -306,9 +330,8 @@
   while (!crashes_.empty() && now - crashes_.front().time > options_.retention) {
     crashes_.pop_front();
   }
-  std::erase_if(refusals_, [&](const CrashRefusal& refusal) {
-    return now - refusal.last_crash > options_.retention;
-  });
+  End(EndedRefusal::Cause::kExpired,
+      [&](const CrashRefusal& refusal) { return now - refusal.last_crash > options_.retention; });
 }
 
 const CrashRefusal* CrashSuspects::FindRefusal(std::span<const Digest> keys) const {
--- a/verbenaridge/dispatch/crash_suspects.h
+++ b/verbenaridge/dispatch/crash_suspects.h
@@ -26,6 +26,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <map>
 #include <set>
 #include <span>
@@ -62,6 +63,24 @@
   bool operator==(const CrashRefusal&) const = default;
 };
 
+// A new refusal with what speaks for it and against it.
+struct CrashJudgment {
+  CrashRefusal refusal;
+  std::size_t endpoints = 0;  // that crashed
+  std::size_t requests = 0;   // that broke with them
+  Duration span{};            // from the first of the crashes to the last one
+  // Of all hosts, on the key with the most of them.
+  std::uint64_t sound_responses = 0;
+  TimePoint last_sound{};  // zero: none
+};
+
+// A refusal that has ended.
+struct EndedRefusal {
+  enum class Cause : std::uint8_t { kSoundResponse, kExpired };
+  CrashRefusal refusal;
+  Cause cause = Cause::kSoundResponse;
+};
+
 // A key that was refused and on which a response was sound afterwards.
 struct RefutedKey {
   Digest key = 0;
@@ -133,7 +152,10 @@
   void OnRefuted(const RefutedKey& refuted);
 
   // Decides which keys are refused. Returns the refusals that are new.
-  std::vector<CrashRefusal> Judge(TimePoint now);
+  std::vector<CrashJudgment> Judge(TimePoint now);
+
+  // The refusals that have ended since the last call.
+  std::vector<EndedRefusal> TakeEnded() { return std::exchange(ended_, {}); }
 
   // The refusal of requests with these keys; null: none. Valid until the next call that changes
   // anything.
@@ -165,6 +187,7 @@
     std::set<Digest> requests;
     std::vector<std::pair<Digest, double>> weights;  // of each endpoint
     double weight = 0;
+    TimePoint first_crash{};
     TimePoint last_crash{};
     TimePoint complete_since{};  // when the weight sufficed
     TimePoint last_unbegun{};
@@ -197,6 +220,9 @@
   void RemoveOld(TimePoint now);
   void RemoveOldestSound();
   void EndRefuted();
+  // Moves the refusals for which the predicate holds to the ended ones.
+  void End(EndedRefusal::Cause cause, const std::function<bool(const CrashRefusal&)>& predicate);
+  CrashJudgment Describe(const KeyEvidence& entry) const;
   // A response on one of its keys was sound after the last crash.
   bool IsRefuted(const CrashRefusal& refusal) const;
   bool Add(CrashRefusal refusal);
@@ -206,6 +232,7 @@
   TimePoint last_judgment_{};
   std::unordered_map<Digest, Sound> sound_;
   std::vector<CrashRefusal> refusals_;
+  std::vector<EndedRefusal> ended_;  // not taken yet
   std::vector<RefutedKey> refuted_;  // oldest first
   // Parts on which sound responses matter.
   struct Asked {
--- a/verbenaridge/forwarding/request_run.cc
+++ b/verbenaridge/forwarding/request_run.cc
@@ -18,6 +18,9 @@
 constexpr std::size_t kMaxSharedParts = 16;
 constexpr std::string_view kStopping = "stopping";
 constexpr std::string_view kCutByStop = "cut_by_stop";
+// Who has judged that requests are to be refused.
+constexpr std::string_view kOwnJudgment = "self";
+constexpr std::string_view kPeerJudgment = "peer";
 
 std::string_view PathOf(std::string_view target) { return target.substr(0, target.find('?')); }
 
@@ -31,33 +34,60 @@
 
 namespace {
 
-void ReportRefusal(const dispatch::CrashRefusal& refusal, std::string_view source,
-                   RunContext& context) {
-  if (refusal.whole_request) {
-    context.metrics.blocked_requests.With({source}).Add();
-    telemetry::Log(Level::kWarning, "request_blocked",
-                   {{"request_key", dispatch::ToText(refusal)},
-                    {"source", source},
-                    {"since_crash_ms", Milliseconds(context.clock.Now() - refusal.last_crash)}});
-    return;
-  }
-  context.metrics.blocked_parts.With({source}).Add();
-  telemetry::Log(Level::kWarning, "prompt_part_blocked",
-                 {{"prompt_parts", dispatch::ToText(refusal)},
-                  {"source", source},
-                  {"since_crash_ms", Milliseconds(context.clock.Now() - refusal.last_crash)}});
+// Name of the field with the keys of a refusal in log lines.
+std::string_view KeysField(const dispatch::CrashRefusal& refusal) {
+  return refusal.whole_request ? "request_key" : "prompt_parts";
+}
+
+void CountRefusal(const dispatch::CrashRefusal& refusal, std::string_view source,
+                  RequestMetrics& metrics) {
+  (refusal.whole_request ? metrics.blocked_requests : metrics.blocked_parts).With({source}).Add();
+}
+
+std::string_view BlockedEvent(const dispatch::CrashRefusal& refusal) {
+  return refusal.whole_request ? "request_blocked" : "prompt_part_blocked";
 }
 
 }  // namespace
 
 void RunContext::JudgeCrashes() {
-  for (const dispatch::CrashRefusal& refusal : suspects.Judge(clock.Now())) {
-    ReportRefusal(refusal, "self", *this);
+  const TimePoint now = clock.Now();
+  for (const dispatch::CrashJudgment& judgment : suspects.Judge(now)) {
+    const dispatch::CrashRefusal& refusal = judgment.refusal;
+    const bool was_sound = judgment.last_sound != TimePoint{};
+    CountRefusal(refusal, kOwnJudgment, metrics);
+    telemetry::Log(Level::kWarning, BlockedEvent(refusal),
+                   {{KeysField(refusal), dispatch::ToText(refusal)},
+                    {"source", kOwnJudgment},
+                    {"since_crash_ms", Milliseconds(now - refusal.last_crash)},
+                    {"crashed_endpoints", judgment.endpoints},
+                    {"broken_requests", judgment.requests},
+                    {"crashes_span_ms", Milliseconds(judgment.span)},
+                    {"sound_responses", judgment.sound_responses},
+                    {"since_sound_ms", was_sound ? Milliseconds(now - judgment.last_sound) : -1}});
+  }
+  LogEndedRefusals();
+}
+
+void RunContext::LogEndedRefusals() {
+  for (const dispatch::EndedRefusal& ended : suspects.TakeEnded()) {
+    const dispatch::CrashRefusal& refusal = ended.refusal;
+    const bool is_sound = ended.cause == dispatch::EndedRefusal::Cause::kSoundResponse;
+    telemetry::Log(Level::kWarning,
+                   refusal.whole_request ? "request_unblocked" : "prompt_part_unblocked",
+                   {{KeysField(refusal), dispatch::ToText(refusal)},
+                    {"cause", is_sound ? "sound_response" : "expired"},
+                    {"since_crash_ms", Milliseconds(clock.Now() - refusal.last_crash)}});
   }
 }
 
 void RunContext::OnRefusalOfPeer(const dispatch::CrashRefusal& refusal) {
-  if (suspects.OnRefusal(refusal, clock.Now())) ReportRefusal(refusal, "peer", *this);
+  if (!suspects.OnRefusal(refusal, clock.Now())) return;
+  CountRefusal(refusal, kPeerJudgment, metrics);
+  telemetry::Log(Level::kWarning, BlockedEvent(refusal),
+                 {{KeysField(refusal), dispatch::ToText(refusal)},
+                  {"source", kPeerJudgment},
+                  {"since_crash_ms", Milliseconds(clock.Now() - refusal.last_crash)}});
 }
 
 RequestRun::RequestRun(RunContext& context, IncomingRequest request,
--- a/verbenaridge/forwarding/request_run.h
+++ b/verbenaridge/forwarding/request_run.h
@@ -101,6 +101,7 @@
   // Decide and report which requests and parts of prompts are refused.
   void JudgeCrashes();
   void OnRefusalOfPeer(const dispatch::CrashRefusal& refusal);
+  void LogEndedRefusals();
 };
 
 class RequestRun final : public ActiveRequest,
