Count endpoints that are lost together once against a key that was sound before

Cause: CrashSuspects counted each crash of an endpoint on which a response had just begun with weight 1, however close together they came. Three endpoints that are lost together with fresh streams of a route were enough to refuse the first part of all its prompts, if no other endpoint showed a sound response in the next 200 ms.

The other hypothesis, that the judging host lacks the sound responses, is ruled out: it knew them.

Change: crashes within 200 ms count as one against a key on which a response was ever sound, as they did already for requests whose response had not begun. A deadly part never had one: each of its crashes counts as before, so ten deadly requests a second are found as fast, also after or beside such a loss.

--- a/verbenaridge/dispatch/crash_suspects.cc
+++ b/verbenaridge/dispatch/crash_suspects.cc
@@ -138,12 +138,12 @@
 }
 
 double CrashSuspects::WeightOf(const Crash& crash, const EndpointCrash& request, Digest key,
-                               TimePoint last_unbegun) const {
-  if (crash.begun) return request.begun ? 1 : options_.bystander_weight;
+                               TimePoint last_apart) const {
   const bool whole_request = key == request.request;
-  if (crash.time - last_unbegun < options_.unbegun_interval) {
+  if (MayCoincide(crash, key) && crash.time - last_apart < options_.coincidence_interval) {
     return whole_request && SoundResponses(key) == 0 ? options_.coincident_weight : 0;
   }
+  if (crash.begun) return request.begun ? 1 : options_.bystander_weight;
   // That the same request runs at several endpoints as they crash is rarely chance.
   return whole_request ? 1 : options_.unbegun_weight;
 }
@@ -158,12 +158,12 @@
         evidence.whole_request = key == request.request;
         evidence.requests.insert(request.request);
         if (!evidence.endpoints.insert(crash.endpoint).second) continue;
-        const double weight = WeightOf(crash, request, key, evidence.last_unbegun);
+        const double weight = WeightOf(crash, request, key, evidence.last_apart);
         if (evidence.weights.empty()) evidence.first_crash = crash.time;
         evidence.weights.emplace_back(crash.endpoint, weight);
         evidence.last_crash = crash.time;
-        const bool is_apart = crash.time - evidence.last_unbegun >= options_.unbegun_interval;
-        if (!crash.begun && is_apart) evidence.last_unbegun = crash.time;
+        const bool is_apart = crash.time - evidence.last_apart >= options_.coincidence_interval;
+        if (MayCoincide(crash, key) && is_apart) evidence.last_apart = crash.time;
         const double before = evidence.weight;
         evidence.weight += weight;
         const auto needed = static_cast<double>(options_.crashes_to_refuse);
@@ -353,7 +353,7 @@
       return Contains(keys, key) && LastSound(key) < crash.time;
     };
     // Endpoints that are lost at once.
-    const bool may_be_chance = !crash.begun && age < options_.unbegun_interval;
+    const bool may_be_chance = !crash.begun && age < options_.coincidence_interval;
     for (const EndpointCrash& request : crash.requests) {
       if (is_suspect(request.request)) {
         if (request.begun) return true;
--- a/verbenaridge/dispatch/crash_suspects.h
+++ b/verbenaridge/dispatch/crash_suspects.h
@@ -13,7 +13,8 @@
 // host reports one, all without that proof. A request that had not begun beside one that had stays
 // a suspect itself, with less weight, but its parts do not: others break once, the cause each time.
 // Parts are shared with sound requests; the first one may be that of a whole route. A key is
-// refused if several crashes have it in common and no response on it was sound since. Crashes that
+// refused if several crashes have it in common and no response on it was sound since. Endpoints
+// that are lost together count once against a key that was sound before. Crashes that
 // keys with fewer sound responses have in common do not count against it, nor do those that a
 // single request explains. Parts of the same crashes with equally many are refused only together. A
 // sound response on a refused key ends the refusal.
@@ -100,10 +101,11 @@
   double unbegun_weight = 0.5;
   // A request whose response had not begun counts this much if another one's had.
   double bystander_weight = 0.75;
-  // Unbegun requests break together for other reasons too, such as a reset of all connections of a
-  // host. Such crashes within this time count as one, unless they are of one request that
-  // was never sound: then each further one has the coincident weight.
-  Duration unbegun_interval = std::chrono::milliseconds(200);
+  // Requests break together for other reasons too, such as a loss of power in a rack or a reset of
+  // all connections of a host. Crashes within this time count as one against a key on which a
+  // response was ever sound, and against any key if no response had begun. Of a request that was
+  // never sound, each further one before its response began has the coincident weight.
+  Duration coincidence_interval = std::chrono::milliseconds(200);
   double coincident_weight = 0.5;
   // After the last crash that is needed. The other hosts report sound responses meanwhile.
   Duration settle_time = std::chrono::milliseconds(200);
@@ -190,7 +192,7 @@
     TimePoint first_crash{};
     TimePoint last_crash{};
     TimePoint complete_since{};  // when the weight sufficed
-    TimePoint last_unbegun{};
+    TimePoint last_apart{};      // last crash that counts by itself
   };
 
   using KeyEvidence = std::pair<const Digest, Evidence>;
@@ -203,7 +205,11 @@
   static std::vector<Digest> SuspectsOf(const Crash& crash, const EndpointCrash& request);
   // How much the crash counts against the key of the request.
   double WeightOf(const Crash& crash, const EndpointCrash& request, Digest key,
-                  TimePoint last_unbegun) const;
+                  TimePoint last_apart) const;
+  // Whether crashes of requests with the key that come together are likely to have another cause.
+  bool MayCoincide(const Crash& crash, Digest key) const {
+    return !crash.begun || SoundResponses(key) > 0;
+  }
 
   // Whether the crashes suffice to take the key for the cause of others.
   bool CanExplain(const Evidence& evidence) const;
--- a/verbenaridge/dispatch/crash_suspects_test.cc
+++ b/verbenaridge/dispatch/crash_suspects_test.cc
@@ -72,6 +72,17 @@
   return events;
 }
 
+// Streams of one route that had just begun when their endpoints were lost at the same moment.
+std::vector<Event> Loss(milliseconds at, Digest first_endpoint) {
+  std::vector<Event> events = Crashes(10, {kRoute, kAccount}, Event::Kind::kCrash, milliseconds(0));
+  for (Event& event : events) {
+    event.at = at;
+    event.endpoint += first_endpoint;
+    event.request += first_endpoint;
+  }
+  return events;
+}
+
 // Guards against requests with a deadly part that crash one endpoint after another, and against
 // the refusal of sound requests that share other parts with them or broke at the same crashes.
 TEST_CASE("requests with the part that crashes have in common are refused") {
@@ -85,8 +96,21 @@
   };
   const std::vector<Digest> deadly = {kRoute, kDeadly};
   const Event route_sound_before{milliseconds(100), Kind::kSound, {kRoute}};
+  const Event sound_before{milliseconds(100), Kind::kSound, {kRoute, kAccount}};
+  const Event sound_elsewhere{milliseconds(100), Kind::kSoundElsewhere, {kRoute, kAccount}};
+  const std::vector<Event> loss = Join({sound_before}, Loss(milliseconds(1'000), 1'000));
   const Row rows[] = {
       {"nothing", {}, false},
+      {"endpoints lost together", loss, false},
+      {"endpoints lost together, sound responses at another host",
+       Join({sound_elsewhere}, Loss(milliseconds(1'000), 1'000)), false},
+      {"endpoints lost together, twice", Join(loss, Loss(milliseconds(1'800), 2'000)), false},
+      {"a deadly part ten times a second, after a loss",
+       Join(loss, {{milliseconds(2'000), Kind::kCrash, deadly, 100, 200},
+                   {milliseconds(2'100), Kind::kCrash, deadly, 101, 201},
+                   {milliseconds(2'200), Kind::kCrash, deadly, 102, 202}}),
+       true},
+      {"a deadly part beside a loss", Join(loss, Crashes(3, deadly)), true},
       {"two crashes", Join({route_sound_before}, Crashes(2, deadly)), false},
       {"three crashes", Join({route_sound_before}, Crashes(3, deadly)), true},
       {"three reports of one crash",
@@ -353,6 +377,18 @@
        {{milliseconds(-40'000), Event::Kind::kCrash, deadly, 100, 200}, own},
        deadly,
        false},
+      {"an endpoint lost earlier, sound before",
+       {{milliseconds(100), Event::Kind::kSound, {kRoute}},
+        {milliseconds(1'000), Event::Kind::kCrash, {kRoute}, 100, 200},
+        own},
+       {kRoute},
+       true},
+      {"a deadly part at the same moment, the route sound before",
+       {{milliseconds(100), Event::Kind::kSound, {kRoute}},
+        {milliseconds(1'490), Event::Kind::kCrash, deadly, 100, 200},
+        own},
+       deadly,
+       true},
       {"the same request, begun",
        {{milliseconds(1'000), Event::Kind::kCrash, {}, 100, 300}, own},
        {300},
