Move the refusals in force out of CrashSuspects

CrashSuspects held the evidence of crashes and the refusals that follow from it. CrashRefusals now has the latter: adding, merging those of peers, finding and ending. No behaviour changes; dispatch_test passes.

--- a/verbenaridge/dispatch/crash_suspects.cc
+++ b/verbenaridge/dispatch/crash_suspects.cc
@@ -3,8 +3,6 @@
 #include <algorithm>
 #include <utility>
 
-#include "verbenaridge/base/hash.h"
-
 namespace verbenaridge::dispatch {
 namespace {
 
@@ -26,15 +24,6 @@
 
 }  // namespace
 
-std::string ToText(const CrashRefusal& refusal) {
-  std::string text;
-  for (const Digest key : refusal.keys) {
-    if (!text.empty()) text.push_back(',');
-    text.append(ToHex(key));
-  }
-  return text;
-}
-
 void CrashSuspects::OnCrash(const EndpointCrash& crash, TimePoint now) {
   const auto found = std::find_if(crashes_.begin(), crashes_.end(), [&](const Crash& known) {
     return known.endpoint == crash.endpoint;
@@ -248,38 +237,19 @@
   }
   for (auto& [endpoints, judgment] : found) judgments.push_back(std::move(judgment));
   std::erase_if(judgments,
-                [this](const CrashJudgment& judgment) { return !Add(judgment.refusal); });
+                [this](const CrashJudgment& judgment) { return !refusals_.Add(judgment.refusal); });
   return judgments;
 }
 
-bool CrashSuspects::Add(CrashRefusal refusal) {
-  const auto known =
-      std::find_if(refusals_.begin(), refusals_.end(),
-                   [&](const CrashRefusal& other) { return other.keys == refusal.keys; });
-  if (known != refusals_.end()) {
-    known->last_crash = std::max(known->last_crash, refusal.last_crash);
-    return false;
-  }
-  if (refusals_.size() >= options_.max_refusals) refusals_.erase(refusals_.begin());
-  refusals_.push_back(std::move(refusal));
-  return true;
-}
-
 bool CrashSuspects::OnRefusal(const CrashRefusal& refusal, TimePoint now) {
   if (refusal.keys.empty() || now - refusal.last_crash > options_.retention) return false;
   CrashRefusal sorted = refusal;
   std::sort(sorted.keys.begin(), sorted.keys.end());
-  if (IsRefuted(sorted)) return false;
-  const bool is_known =
-      std::any_of(refusals_.begin(), refusals_.end(), [&](const CrashRefusal& known) {
-        return known.keys == sorted.keys &&
-               sorted.last_crash - known.last_crash < options_.peer_tolerance;
-      });
-  return !is_known && Add(std::move(sorted));
+  return !IsRefuted(sorted) && refusals_.AddFromPeer(std::move(sorted));
 }
 
 void CrashSuspects::EndRefuted() {
-  for (const CrashRefusal& refusal : refusals_) {
+  for (const CrashRefusal& refusal : refusals_.all()) {
     for (const Digest key : refusal.keys) {
       const TimePoint last = LastSound(key);
       if (last <= refusal.last_crash) continue;
@@ -288,19 +258,8 @@
       refuted_.push_back({.key = key, .last_sound = last});
     }
   }
-  End(EndedRefusal::Cause::kSoundResponse,
-      [this](const CrashRefusal& refusal) { return IsRefuted(refusal); });
-}
-
-void CrashSuspects::End(EndedRefusal::Cause cause,
-                        const std::function<bool(const CrashRefusal&)>& predicate) {
-  std::erase_if(refusals_, [&](const CrashRefusal& refusal) {
-    if (!predicate(refusal)) return false;
-    if (ended_.size() < options_.max_refusals) {
-      ended_.push_back({.refusal = refusal, .cause = cause});
-    }
-    return true;
-  });
+  refusals_.End(EndedRefusal::Cause::kSoundResponse,
+                [this](const CrashRefusal& refusal) { return IsRefuted(refusal); });
 }
 
 std::vector<RefutedKey> CrashSuspects::RefutedKeys(TimePoint now) const {
@@ -312,10 +271,7 @@
 }
 
 void CrashSuspects::OnRefuted(const RefutedKey& refuted) {
-  const bool is_refused =
-      std::any_of(refusals_.begin(), refusals_.end(),
-                  [&](const CrashRefusal& refusal) { return Contains(refusal.keys, refuted.key); });
-  if (!is_refused) return;
+  if (!refusals_.Contains(refuted.key)) return;
   TimePoint& last = sound_[refuted.key].total.last;
   last = std::max(last, refuted.last_sound);
   EndRefuted();
@@ -330,17 +286,9 @@
   while (!crashes_.empty() && now - crashes_.front().time > options_.retention) {
     crashes_.pop_front();
   }
-  End(EndedRefusal::Cause::kExpired,
-      [&](const CrashRefusal& refusal) { return now - refusal.last_crash > options_.retention; });
-}
-
-const CrashRefusal* CrashSuspects::FindRefusal(std::span<const Digest> keys) const {
-  const auto found =
-      std::find_if(refusals_.begin(), refusals_.end(), [&](const CrashRefusal& refusal) {
-        return std::all_of(refusal.keys.begin(), refusal.keys.end(),
-                           [&](Digest key) { return Contains(keys, key); });
-      });
-  return found == refusals_.end() ? nullptr : &*found;
+  refusals_.End(EndedRefusal::Cause::kExpired, [&](const CrashRefusal& refusal) {
+    return now - refusal.last_crash > options_.retention;
+  });
 }
 
 bool CrashSuspects::IsSuspected(std::span<const Digest> keys, Digest endpoint,
@@ -390,7 +338,7 @@
   if (keys.size() > options_.max_suspected) {
     keys.erase(keys.begin(), keys.end() - static_cast<std::ptrdiff_t>(options_.max_suspected));
   }
-  for (const CrashRefusal& refusal : refusals_) {
+  for (const CrashRefusal& refusal : refusals_.all()) {
     for (const Digest key : refusal.keys) {
       std::erase(keys, key);
       keys.push_back(key);
--- a/verbenaridge/dispatch/crash_suspects.h
+++ b/verbenaridge/dispatch/crash_suspects.h
@@ -27,17 +27,16 @@
 #include <cstddef>
 #include <cstdint>
 #include <deque>
-#include <functional>
 #include <map>
 #include <set>
 #include <span>
-#include <string>
 #include <unordered_map>
 #include <utility>
 #include <vector>
 
 #include "verbenaridge/base/clock.h"
 #include "verbenaridge/base/ids.h"
+#include "verbenaridge/dispatch/crash_refusals.h"
 
 namespace verbenaridge::dispatch {
 
@@ -55,15 +54,6 @@
   TimePoint last{};
 };
 
-// Requests with all of these keys are refused.
-struct CrashRefusal {
-  std::vector<Digest> keys;  // sorted
-  TimePoint last_crash{};
-  bool whole_request = false;  // the only key is the digest of a request
-
-  bool operator==(const CrashRefusal&) const = default;
-};
-
 // A new refusal with what speaks for it and against it.
 struct CrashJudgment {
   CrashRefusal refusal;
@@ -75,13 +65,6 @@
   TimePoint last_sound{};  // zero: none
 };
 
-// A refusal that has ended.
-struct EndedRefusal {
-  enum class Cause : std::uint8_t { kSoundResponse, kExpired };
-  CrashRefusal refusal;
-  Cause cause = Cause::kSoundResponse;
-};
-
 // A key that was refused and on which a response was sound afterwards.
 struct RefutedKey {
   Digest key = 0;
@@ -90,9 +73,6 @@
   bool operator==(const RefutedKey&) const = default;
 };
 
-// The keys as hexadecimal numbers.
-std::string ToText(const CrashRefusal& refusal);
-
 struct CrashSuspectsOptions {
   std::size_t crashes_to_refuse = 3;
   // Of different requests, for a part.
@@ -118,19 +98,17 @@
   // How long a crash makes a key suspected.
   Duration suspicion_time = std::chrono::seconds(30);
   Duration retention = std::chrono::minutes(10);
-  // A refusal that a peer reports with a crash later by less than this is the known one. Ages in
-  // messages grow by their delay, so two hosts would otherwise move the crash on forever.
-  Duration peer_tolerance = std::chrono::seconds(1);
   std::size_t max_crashes = 256;
   std::size_t max_keys = 4'096;  // with a record of sound responses
-  std::size_t max_refusals = 64;
   std::size_t max_refuted = 64;
   std::size_t max_suspected = 64;  // that other hosts are asked for, beside refused ones
+  CrashRefusalsOptions refusals{};
 };
 
 class CrashSuspects {
  public:
-  explicit CrashSuspects(const CrashSuspectsOptions& options = {}) : options_(options) {}
+  explicit CrashSuspects(const CrashSuspectsOptions& options = {})
+      : options_(options), refusals_(options.refusals) {}
 
   void OnCrash(const EndpointCrash& crash, TimePoint now);
 
@@ -157,12 +135,14 @@
   std::vector<CrashJudgment> Judge(TimePoint now);
 
   // The refusals that have ended since the last call.
-  std::vector<EndedRefusal> TakeEnded() { return std::exchange(ended_, {}); }
+  std::vector<EndedRefusal> TakeEnded() { return refusals_.TakeEnded(); }
 
   // The refusal of requests with these keys; null: none. Valid until the next call that changes
   // anything.
-  const CrashRefusal* FindRefusal(std::span<const Digest> keys) const;
-  std::span<const CrashRefusal> refusals() const { return refusals_; }
+  const CrashRefusal* FindRefusal(std::span<const Digest> keys) const {
+    return refusals_.Find(keys);
+  }
+  std::span<const CrashRefusal> refusals() const { return refusals_.all(); }
 
   // Whether crashes other than that of `endpoint` make one of the keys suspected. Such a request is
   // not sent to a further endpoint.
@@ -226,19 +206,15 @@
   void RemoveOld(TimePoint now);
   void RemoveOldestSound();
   void EndRefuted();
-  // Moves the refusals for which the predicate holds to the ended ones.
-  void End(EndedRefusal::Cause cause, const std::function<bool(const CrashRefusal&)>& predicate);
   CrashJudgment Describe(const KeyEvidence& entry) const;
   // A response on one of its keys was sound after the last crash.
   bool IsRefuted(const CrashRefusal& refusal) const;
-  bool Add(CrashRefusal refusal);
 
   const CrashSuspectsOptions options_;
   std::deque<Crash> crashes_;  // by time
   TimePoint last_judgment_{};
   std::unordered_map<Digest, Sound> sound_;
-  std::vector<CrashRefusal> refusals_;
-  std::vector<EndedRefusal> ended_;  // not taken yet
+  CrashRefusals refusals_;
   std::vector<RefutedKey> refuted_;  // oldest first
   // Parts on which sound responses matter.
   struct Asked {
--- a/verbenaridge/dispatch/crash_suspects_test.cc
+++ b/verbenaridge/dispatch/crash_suspects_test.cc
@@ -509,7 +509,7 @@
 
 // Guards against memory that grows with the number of crashes or parts.
 TEST_CASE("what is kept is bounded") {
-  CrashSuspects suspects({.max_crashes = 4, .max_keys = 8, .max_refusals = 2});
+  CrashSuspects suspects({.max_crashes = 4, .max_keys = 8, .refusals = {.max_refusals = 2}});
   const TimePoint start{seconds(100)};
   for (Digest i = 1; i <= 100; ++i) {
     suspects.OnCrash({.endpoint = i, .request = i, .begun = true, .parts = {i}}, start);
