Retry requests elsewhere when several endpoints are lost at the same moment

What callers saw: half of the endpoints are lost together, and requests whose response had just begun there are answered 502 outcome_unknown, although the other half is sound and the route allows another attempt.

IsSuspected keeps a request that broke from a second endpoint if another crash that the host knows of has one of its keys.

Evidence: two rows of crash_suspects_test failed before ("several endpoints lost at once, sound before" and the same for an equal request) and hold now; the rows of a deadly part and of an earlier crash are unchanged.

--- a/verbenaridge/dispatch/crash_suspects.cc
+++ b/verbenaridge/dispatch/crash_suspects.cc
@@ -300,15 +300,19 @@
     const auto is_suspect = [&](Digest key) {
       return Contains(keys, key) && LastSound(key) < crash.time;
     };
-    // Endpoints that are lost at once.
-    const bool may_be_chance = !crash.begun && age < options_.coincidence_interval;
+    // Endpoints that are lost together are no reason to leave out those that are not.
+    const auto is_cause = [&](Digest key) {
+      const bool may_be_chance = age < options_.coincidence_interval && MayCoincide(crash, key);
+      return !may_be_chance && is_suspect(key);
+    };
     for (const EndpointCrash& request : crash.requests) {
-      if (is_suspect(request.request)) {
-        if (request.begun) return true;
-        if (++unbegun_crashes + 1 >= options_.crashes_to_refuse) return true;
+      if (request.begun && is_cause(request.request)) return true;
+      if (!request.begun && is_suspect(request.request) &&
+          ++unbegun_crashes + 1 >= options_.crashes_to_refuse) {
+        return true;
       }
-      if (!may_be_chance && !IsBystander(crash, request) &&
-          std::any_of(request.parts.begin(), request.parts.end(), is_suspect)) {
+      if (!IsBystander(crash, request) &&
+          std::any_of(request.parts.begin(), request.parts.end(), is_cause)) {
         return true;
       }
     }
