Object to the refusal of a peer that sound responses contradict

What callers would see: a host that was cut off refuses a part alone; when it is back, every other host has sound responses on the part, and this one goes on answering 502 for up to ten minutes.

Cause: CrashSuspects::OnRefusal returned without a word if the receiver could refute the refusal. Only hosts whose own record is asked for answered, and only with what they had seen themselves.

The time is no longer counted from the sound response, which may be long ago.

Evidence: "a host objects to a refusal that it can refute" (crash_suspects_test) failed before in two of three rows, and holds.

--- a/verbenaridge/dispatch/crash_suspects.cc
+++ b/verbenaridge/dispatch/crash_suspects.cc
@@ -245,27 +245,34 @@
   if (refusal.keys.empty() || now - refusal.last_crash > options_.retention) return false;
   CrashRefusal sorted = refusal;
   std::sort(sorted.keys.begin(), sorted.keys.end());
-  return !IsRefuted(sorted) && refusals_.AddFromPeer(std::move(sorted));
+  if (IsRefuted(sorted)) {
+    KeepRefuted(sorted, now);
+    return false;
+  }
+  return refusals_.AddFromPeer(std::move(sorted));
 }
 
-void CrashSuspects::EndRefuted() {
-  for (const CrashRefusal& refusal : refusals_.all()) {
-    for (const Digest key : refusal.keys) {
-      const TimePoint last = LastSound(key);
-      if (last <= refusal.last_crash) continue;
-      std::erase_if(refuted_, [&](const RefutedKey& known) { return known.key == key; });
-      if (refuted_.size() >= options_.max_refuted) refuted_.erase(refuted_.begin());
-      refuted_.push_back({.key = key, .last_sound = last});
-    }
+void CrashSuspects::KeepRefuted(const CrashRefusal& refusal, TimePoint now) {
+  for (const Digest key : refusal.keys) {
+    const TimePoint last = LastSound(key);
+    if (last <= refusal.last_crash) continue;
+    std::erase_if(refuted_, [&](const ToldKey& known) { return known.refuted.key == key; });
+    if (refuted_.size() >= options_.max_refuted) refuted_.erase(refuted_.begin());
+    refuted_.push_back({.refuted = {.key = key, .last_sound = last},
+                        .until = std::max(last, now) + options_.suspicion_time});
   }
+}
+
+void CrashSuspects::EndRefuted() {
+  for (const CrashRefusal& refusal : refusals_.all()) KeepRefuted(refusal, TimePoint{});
   refusals_.End(EndedRefusal::Cause::kSoundResponse,
                 [this](const CrashRefusal& refusal) { return IsRefuted(refusal); });
 }
 
 std::vector<RefutedKey> CrashSuspects::RefutedKeys(TimePoint now) const {
   std::vector<RefutedKey> keys;
-  for (const RefutedKey& refuted : refuted_) {
-    if (now - refuted.last_sound <= options_.suspicion_time) keys.push_back(refuted);
+  for (const ToldKey& told : refuted_) {
+    if (now <= told.until) keys.push_back(told.refuted);
   }
   return keys;
 }
--- a/verbenaridge/dispatch/crash_suspects.h
+++ b/verbenaridge/dispatch/crash_suspects.h
@@ -122,11 +122,11 @@
   // What this host itself has seen; no responses if nothing.
   SoundRecord OwnRecord(Digest key) const;
 
-  // Another host refuses these keys. Returns true if this host did not.
+  // Another host refuses these keys. Returns true if this host did not and does now.
   bool OnRefusal(const CrashRefusal& refusal, TimePoint now);
 
-  // Parts whose refusal ended by a sound response in the last `suspicion_time`. Hosts that refuse
-  // all requests with them cannot see one themselves.
+  // Keys whose refusal ended by a sound response in the last `suspicion_time`, or that another host
+  // still refused then. Hosts that refuse all requests with them cannot see one themselves.
   std::vector<RefutedKey> RefutedKeys(TimePoint now) const;
   // Another host knows of a sound response on a refused key.
   void OnRefuted(const RefutedKey& refuted);
@@ -206,6 +206,8 @@
   void RemoveOld(TimePoint now);
   void RemoveOldestSound();
   void EndRefuted();
+  // Hosts that refuse these keys are to be told of the sound responses since.
+  void KeepRefuted(const CrashRefusal& refusal, TimePoint now);
   CrashJudgment Describe(const KeyEvidence& entry) const;
   // A response on one of its keys was sound after the last crash.
   bool IsRefuted(const CrashRefusal& refusal) const;
@@ -215,7 +217,11 @@
   TimePoint last_judgment_{};
   std::unordered_map<Digest, Sound> sound_;
   CrashRefusals refusals_;
-  std::vector<RefutedKey> refuted_;  // oldest first
+  struct ToldKey {
+    RefutedKey refuted;
+    TimePoint until{};  // other hosts are told
+  };
+  std::vector<ToldKey> refuted_;  // oldest first
   // Parts on which sound responses matter.
   struct Asked {
     TimePoint until{};
--- a/verbenaridge/dispatch/crash_suspects_test.cc
+++ b/verbenaridge/dispatch/crash_suspects_test.cc
@@ -506,6 +506,35 @@
   }
 }
 
+// Guards against a refusal that a host made while it was cut off, and that no other one objects to.
+TEST_CASE("a host objects to a refusal that it can refute") {
+  struct Row {
+    std::string name;
+    milliseconds sound;  // after the crash
+    seconds told;        // of the refusal, after the crash
+    std::size_t objections;
+  };
+  const Row rows[] = {
+      {"sound after the crash", milliseconds(500), seconds(2), 1},
+      {"sound after the crash, told long after", milliseconds(500), seconds(60), 1},
+      {"sound before the crash", milliseconds(-500), seconds(2), 0},
+  };
+  for (const Row& row : rows) {
+    CAPTURE(row.name);
+    const TimePoint crash{seconds(100)};
+    const CrashRefusal refusal{.keys = {kRoute}, .last_crash = crash};
+    CrashSuspects host;
+    host.OnSound(kRoute, {.responses = 1, .last = crash + row.sound}, kOtherHost);
+    host.OnRefusal(refusal, crash + row.told);
+    const std::vector<RefutedKey> told = host.RefutedKeys(crash + row.told);
+    REQUIRE(told.size() == row.objections);
+    CrashSuspects refusing;
+    refusing.OnRefusal(refusal, crash);
+    for (const RefutedKey& key : told) refusing.OnRefuted(key);
+    CHECK(Refuses(refusing, std::vector<Digest>{kRoute}) == (row.objections == 0));
+  }
+}
+
 // Guards against memory use that grows with the number of failed connections.
 TEST_CASE("the oldest crashes are evicted at capacity") {
   CrashSuspects suspects({.crashes_to_refuse = 1, .max_crashes = 3});
