Let single requests test whether a refusal after crashes is right

Cause: a refusal ends with a sound response on its keys, and it turns away every request that could have one. A refusal that comes about wrongly and one that nothing can end are two faults.

Change: CrashRefusals lets one request at a time through as a probe: 30 s after the last crash or probe, 2 s if the crashes came at one moment or a response on a key was sound before; each probe that crashes its endpoint makes the next pause five times as long. A probe has one attempt, and a request to which two refusals apply is none. All hosts ask the same scheduler (ProbeExchange, two datagrams); gossip carries the last probe and the number of failed ones.

--- a/verbenaridge/dispatch/crash_refusals.cc
+++ b/verbenaridge/dispatch/crash_refusals.cc
@@ -7,6 +7,9 @@
 namespace verbenaridge::dispatch {
 namespace {
 
+// Longer pauses exceed the time for which a refusal is kept.
+constexpr std::uint32_t kMaxPauseGrowth = 4;
+
 bool IsIn(Digest key, std::span<const Digest> keys) {
   return std::find(keys.begin(), keys.end(), key) != keys.end();
 }
@@ -31,6 +34,7 @@
 bool CrashRefusals::Add(CrashRefusal refusal) {
   if (CrashRefusal* const known = FindSame(refusal.keys)) {
     known->last_crash = std::max(known->last_crash, refusal.last_crash);
+    known->doubtful = known->doubtful && refusal.doubtful;
     return false;
   }
   Insert(std::move(refusal));
@@ -42,6 +46,11 @@
     if (refusal.last_crash - known->last_crash >= options_.peer_tolerance) {
       known->last_crash = refusal.last_crash;
     }
+    if (refusal.last_probe - known->last_probe >= options_.peer_tolerance) {
+      known->last_probe = refusal.last_probe;
+    }
+    known->failed_probes = std::max(known->failed_probes, refusal.failed_probes);
+    known->doubtful = known->doubtful && refusal.doubtful;
     return false;
   }
   Insert(std::move(refusal));
@@ -79,6 +88,40 @@
   return found == refusals_.end() ? nullptr : &*found;
 }
 
+bool CrashRefusals::IsProbeDue(const CrashRefusal& refusal, TimePoint now) const {
+  Duration pause = refusal.doubtful ? options_.doubtful_probe_pause : options_.probe_pause;
+  for (std::uint32_t i = 0; i < std::min(refusal.failed_probes, kMaxPauseGrowth); ++i) {
+    pause *= options_.probe_pause_factor;
+  }
+  return now - std::max(refusal.last_crash, refusal.last_probe) >= pause;
+}
+
+const CrashRefusal* CrashRefusals::FindProbe(std::span<const Digest> keys, TimePoint now) const {
+  const CrashRefusal* only = nullptr;
+  for (const CrashRefusal& refusal : refusals_) {
+    if (!Applies(refusal, keys)) continue;
+    if (only != nullptr) return nullptr;
+    only = &refusal;
+  }
+  return only != nullptr && IsProbeDue(*only, now) ? only : nullptr;
+}
+
+bool CrashRefusals::TakeProbe(std::span<const Digest> keys, TimePoint now) {
+  CrashRefusal* const refusal = FindSame(keys);
+  if (refusal == nullptr || !IsProbeDue(*refusal, now)) return false;
+  refusal->last_probe = now;
+  return true;
+}
+
+void CrashRefusals::OnCrash(std::span<const Digest> keys, TimePoint now) {
+  for (CrashRefusal& refusal : refusals_) {
+    const bool probed = refusal.last_probe > refusal.last_crash;
+    if (!probed || !Applies(refusal, keys)) continue;
+    ++refusal.failed_probes;
+    refusal.last_crash = now;
+  }
+}
+
 bool CrashRefusals::Contains(Digest key) const {
   return std::any_of(refusals_.begin(), refusals_.end(),
                      [&](const CrashRefusal& refusal) { return IsIn(key, refusal.keys); });
--- a/verbenaridge/dispatch/crash_refusals.h
+++ b/verbenaridge/dispatch/crash_refusals.h
@@ -3,8 +3,11 @@
 //   CrashRefusals refusals;
 //   if (refusals.Add({.keys = {part}, .last_crash = now})) Announce();
 //   if (const CrashRefusal* refusal = refusals.Find(keys_of_request)) Refuse();
+//   if (refusals.TakeProbe(refusal->keys, now)) SendAnyway();
 //
-// Used by one thread.
+// A refusal may be wrong, and while it lasts no response can show that. So one request at a time is
+// let through as a probe, after a pause that grows with each probe that crashes its endpoint.
+// One host of the system hands out the probes of a refusal. Used by one thread.
 #ifndef VERBENARIDGE_DISPATCH_CRASH_REFUSALS_H_
 #define VERBENARIDGE_DISPATCH_CRASH_REFUSALS_H_
 
@@ -26,6 +29,11 @@
   std::vector<Digest> keys;  // sorted
   TimePoint last_crash{};
   bool whole_request = false;  // the only key is the digest of a request
+  // The crashes may have another cause: they came at one moment, or a response on a key was sound
+  // before them.
+  bool doubtful = false;
+  std::uint32_t failed_probes = 0;  // that crashed their endpoint
+  TimePoint last_probe{};           // zero: none
 
   bool operator==(const CrashRefusal&) const = default;
 };
@@ -42,9 +50,14 @@
 
 struct CrashRefusalsOptions {
   std::size_t max_refusals = 64;
-  // A refusal that a peer reports with a crash later by less than this is the known one. Ages in
-  // messages grow by their delay, so two hosts would otherwise move the crash on forever.
+  // A refusal that a peer reports with a crash or a probe later by less than this is the known one.
+  // Ages in messages grow by their delay, so two hosts would otherwise move the time on forever.
   Duration peer_tolerance = std::chrono::seconds(1);
+  // From the last crash or probe to the next probe. Each failed probe multiplies it. A wrong
+  // refusal turns away sound requests meanwhile, a probe of a right one crashes an endpoint.
+  Duration doubtful_probe_pause = std::chrono::seconds(2);
+  Duration probe_pause = std::chrono::seconds(30);
+  std::uint32_t probe_pause_factor = 5;
 };
 
 class CrashRefusals {
@@ -66,12 +79,22 @@
   const CrashRefusal* Find(std::span<const Digest> keys) const;
   bool Contains(Digest key) const;
 
+  // The refusal that a request with these keys could test now; null: none. A request that several
+  // refusals apply to tests none of them.
+  const CrashRefusal* FindProbe(std::span<const Digest> keys, TimePoint now) const;
+  // Lets one request through that the refusal of exactly these keys applies to. Returns false if
+  // none is due, or the keys are not refused here.
+  bool TakeProbe(std::span<const Digest> keys, TimePoint now);
+  // An endpoint crashed during a request with these keys.
+  void OnCrash(std::span<const Digest> keys, TimePoint now);
+
   std::span<const CrashRefusal> all() const { return refusals_; }
 
  private:
   // The refusal of exactly these keys; null: none.
   CrashRefusal* FindSame(std::span<const Digest> keys);
   void Insert(CrashRefusal refusal);
+  bool IsProbeDue(const CrashRefusal& refusal, TimePoint now) const;
 
   const CrashRefusalsOptions options_;
   std::vector<CrashRefusal> refusals_;
--- /dev/null
+++ b/verbenaridge/dispatch/crash_refusals_test.cc
@@ -0,0 +1,112 @@
+#include "verbenaridge/dispatch/crash_refusals.h"
+
+#include <doctest/doctest.h>
+
+#include <string>
+#include <vector>
+
+namespace verbenaridge::dispatch {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr Digest kRoute = 11;
+constexpr Digest kDeadly = 31;
+constexpr TimePoint kCrash{seconds(100)};
+
+// Guards against a refusal that nothing can end, and against one whose probes crash more endpoints
+// than the refusal has spared.
+TEST_CASE("a refusal is tested by single requests that become rarer") {
+  struct Row {
+    std::string name;
+    bool doubtful;
+    bool deadly;                  // each probe crashes its endpoint after 100 ms
+    std::vector<seconds> probes;  // after the crash
+  };
+  const Row rows[] = {
+      {"doubtful and deadly", true, true, {seconds(2), seconds(12), seconds(62), seconds(312)}},
+      {"doubtful, and no probe is answered", true, false, {seconds(2), seconds(4), seconds(6)}},
+      {"certain and deadly", false, true, {seconds(30), seconds(180)}},
+  };
+  for (const Row& row : rows) {
+    CAPTURE(row.name);
+    CrashRefusals refusals;
+    refusals.Add({.keys = {kRoute}, .last_crash = kCrash, .doubtful = row.doubtful});
+    const std::vector<Digest> request = {kRoute, 77};
+    std::vector<seconds> probes;
+    TimePoint crash = TimePoint::max();
+    for (Duration after{}; after < seconds(400) && probes.size() < row.probes.size();
+         after += milliseconds(100)) {
+      const TimePoint now = kCrash + after;
+      if (now >= crash) {
+        refusals.OnCrash(request, now);
+        crash = TimePoint::max();
+      }
+      const CrashRefusal* const tested = refusals.FindProbe(request, now);
+      if (tested == nullptr) continue;
+      CHECK(refusals.TakeProbe(tested->keys, now));
+      CHECK_FALSE(refusals.TakeProbe(tested->keys, now));
+      CHECK(refusals.Find(request) != nullptr);  // others are still refused
+      probes.push_back(std::chrono::duration_cast<seconds>(after));
+      if (row.deadly) crash = now + milliseconds(100);
+    }
+    CHECK(probes == row.probes);
+  }
+}
+
+// Guards against a probe that is deadly for another reason, or that no refusal needs.
+TEST_CASE("a request tests the only refusal that applies to it") {
+  struct Row {
+    std::string name;
+    std::vector<Digest> request;
+    bool tests;
+  };
+  const Row rows[] = {
+      {"one refusal applies", {kRoute, 77}, true},
+      {"another refusal applies too", {kRoute, kDeadly, 77}, false},
+      {"none applies", {77}, false},
+  };
+  for (const Row& row : rows) {
+    CAPTURE(row.name);
+    CrashRefusals refusals;
+    refusals.Add({.keys = {kRoute}, .last_crash = kCrash, .doubtful = true});
+    refusals.Add({.keys = {kDeadly}, .last_crash = kCrash});
+    CHECK((refusals.FindProbe(row.request, kCrash + seconds(3)) != nullptr) == row.tests);
+    CHECK_FALSE(refusals.TakeProbe(std::vector<Digest>{77}, kCrash + seconds(3)));
+  }
+}
+
+// Guards against hosts that send further probes because they do not know of those before.
+TEST_CASE("what peers know of a refusal is merged") {
+  struct Row {
+    std::string name;
+    CrashRefusal reported;
+    milliseconds next_probe;  // after the crash
+  };
+  const Row rows[] = {
+      {"nothing new", {.keys = {kRoute}, .last_crash = kCrash, .doubtful = true}, seconds(2)},
+      {"a probe",
+       {.keys = {kRoute},
+        .last_crash = kCrash,
+        .doubtful = true,
+        .last_probe = kCrash + milliseconds(1'500)},
+       milliseconds(3'500)},
+      {"a failed probe",
+       {.keys = {kRoute}, .last_crash = kCrash, .doubtful = true, .failed_probes = 1},
+       seconds(10)},
+      {"the refusal is certain", {.keys = {kRoute}, .last_crash = kCrash}, seconds(30)},
+  };
+  for (const Row& row : rows) {
+    CAPTURE(row.name);
+    CrashRefusals refusals;
+    refusals.Add({.keys = {kRoute}, .last_crash = kCrash, .doubtful = true});
+    CHECK_FALSE(refusals.AddFromPeer(row.reported));
+    const std::vector<Digest> request = {kRoute};
+    CHECK(refusals.FindProbe(request, kCrash + row.next_probe - milliseconds(1)) == nullptr);
+    CHECK(refusals.FindProbe(request, kCrash + row.next_probe) != nullptr);
+  }
+}
+
+}  // namespace
+}  // namespace verbenaridge::dispatch
--- a/verbenaridge/dispatch/crash_suspects.cc
+++ b/verbenaridge/dispatch/crash_suspects.cc
@@ -37,6 +37,7 @@
                   [&](const EndpointCrash& known) { return known.request == crash.request; });
   if (!repeated) entry.requests.push_back(crash);
   MarkAsked(KeysOf(crash), now);
+  refusals_.OnCrash(KeysOf(crash), now);
   if (crashes_.size() > options_.max_crashes) crashes_.pop_front();
 }
 
@@ -197,12 +198,14 @@
 
 CrashJudgment CrashSuspects::Describe(const KeyEvidence& entry) const {
   const auto& [key, evidence] = entry;
+  const Duration span = evidence.last_crash - evidence.first_crash;
   return {.refusal = {.keys = {key},
                       .last_crash = evidence.last_crash,
-                      .whole_request = evidence.whole_request},
+                      .whole_request = evidence.whole_request,
+                      .doubtful = span < options_.coincidence_interval || SoundResponses(key) > 0},
           .endpoints = evidence.endpoints.size(),
           .requests = evidence.requests.size(),
-          .span = evidence.last_crash - evidence.first_crash,
+          .span = span,
           .sound_responses = SoundResponses(key),
           .last_sound = LastSound(key)};
 }
@@ -232,6 +235,7 @@
     CrashJudgment& judgment = same->second;
     judgment.refusal.keys.push_back(entry.first);
     judgment.refusal.last_crash = std::max(judgment.refusal.last_crash, evidence.last_crash);
+    judgment.refusal.doubtful = judgment.refusal.doubtful || SoundResponses(entry.first) > 0;
     judgment.sound_responses = std::max(judgment.sound_responses, SoundResponses(entry.first));
     judgment.last_sound = std::max(judgment.last_sound, LastSound(entry.first));
   }
--- a/verbenaridge/dispatch/crash_suspects.h
+++ b/verbenaridge/dispatch/crash_suspects.h
@@ -144,6 +144,15 @@
   }
   std::span<const CrashRefusal> refusals() const { return refusals_.all(); }
 
+  // The refusal that a request with these keys could test now, and the decision to let it through;
+  // see CrashRefusals.
+  const CrashRefusal* FindProbe(std::span<const Digest> keys, TimePoint now) const {
+    return refusals_.FindProbe(keys, now);
+  }
+  bool TakeProbe(std::span<const Digest> keys, TimePoint now) {
+    return refusals_.TakeProbe(keys, now);
+  }
+
   // Whether crashes other than that of `endpoint` make one of the keys suspected. Such a request is
   // not sent to a further endpoint.
   bool IsSuspected(std::span<const Digest> keys, Digest endpoint, TimePoint now) const;
--- a/verbenaridge/forwarding/request_metrics.cc
+++ b/verbenaridge/forwarding/request_metrics.cc
@@ -28,6 +28,10 @@
           {.name = "verbenaridge_prompt_parts_blocked_total",
            .help = "Parts of prompts that are refused because endpoints crash on them.",
            .labels = {{"source", 2}}})),
+      probes(registry
+                 .AddCounter({.name = "verbenaridge_refusal_probes_total",
+                              .help = "Refused requests that were sent to test the refusal."})
+                 .With({})),
       latency(registry.AddHistogram({.name = "verbenaridge_first_event_seconds",
                                      .help = "From the arrival to the first event or the answer.",
                                      .labels = {{"priority", 10}}})),
--- a/verbenaridge/forwarding/request_metrics.h
+++ b/verbenaridge/forwarding/request_metrics.h
@@ -16,6 +16,7 @@
   telemetry::Family<telemetry::Counter>& hand_overs;        // outcome
   telemetry::Family<telemetry::Counter>& blocked_requests;  // source
   telemetry::Family<telemetry::Counter>& blocked_parts;     // source
+  telemetry::Counter& probes;
   telemetry::Family<telemetry::Histogram>& latency;  // priority; to the first event or the response
   telemetry::Family<telemetry::Histogram>& predicted;   // priority
   telemetry::Family<telemetry::Histogram>& queued;      // priority
--- a/verbenaridge/forwarding/request_run.cc
+++ b/verbenaridge/forwarding/request_run.cc
@@ -114,7 +114,10 @@
     AwaitConfiguration();
     return;
   }
-  if (!Admit()) return;
+  if (Admit()) BeginDispatch();
+}
+
+void RequestRun::BeginDispatch() {
   ArmDeadline();
   if (context_.stop.stopping() && context_.clock.Now() >= LatestStart()) {
     Refuse(503, kStopping);
@@ -164,18 +167,50 @@
   for (std::size_t i = 0; i + 1 < parts.size() && i < kMaxSharedParts; ++i) {
     crash_keys_.push_back(parts[i].key);
   }
+  return CheckCrashRefusals();
+}
+
+bool RequestRun::CheckCrashRefusals() {
   context_.JudgeCrashes();
-  if (const dispatch::CrashRefusal* refusal = context_.suspects.FindRefusal(crash_keys_)) {
-    if (refusal->whole_request) {
-      Refuse(502, "kills_endpoints");
-      return false;
-    }
-    telemetry::Log(Level::kInfo, "prompt_part_refused",
-                   {{"id", request_metadata_.attempt_id}, {"prompt_parts", PromptParts()}});
-    Refuse(502, "part_crashes_endpoints");
-    return false;
+  if (context_.suspects.FindRefusal(crash_keys_) == nullptr) return true;
+  const TimePoint now = context_.clock.Now();
+  if (const dispatch::CrashRefusal* tested = context_.suspects.FindProbe(crash_keys_, now)) {
+    const std::vector<Digest> keys = tested->keys;  // the decision changes the refusal
+    context_.probes.Ask(
+        keys, [self = shared_from_this()](bool granted) { self->OnProbeDecided(granted); });
+  } else {
+    RefuseAsDeadly();
   }
-  return true;
+  return false;
+}
+
+void RequestRun::OnProbeDecided(bool granted) {
+  if (finished_) return;
+  // The refusal may have ended meanwhile.
+  if (!granted && context_.suspects.FindRefusal(crash_keys_) != nullptr) {
+    RefuseAsDeadly();
+    return;
+  }
+  probing_ = granted;
+  if (granted) {
+    context_.metrics.probes.Add();
+    telemetry::Log(Level::kWarning, "probe_sent",
+                   {{"id", request_metadata_.attempt_id},
+                    {"request_key", ToHex(digest_)},
+                    {"prompt_parts", PromptParts()}});
+  }
+  BeginDispatch();
+}
+
+void RequestRun::RefuseAsDeadly() {
+  const dispatch::CrashRefusal* const refusal = context_.suspects.FindRefusal(crash_keys_);
+  if (refusal != nullptr && refusal->whole_request) {
+    Refuse(502, "kills_endpoints");
+    return;
+  }
+  telemetry::Log(Level::kInfo, "prompt_part_refused",
+                 {{"id", request_metadata_.attempt_id}, {"prompt_parts", PromptParts()}});
+  Refuse(502, "part_crashes_endpoints");
 }
 
 bool RequestRun::Authenticate() {
--- a/verbenaridge/forwarding/request_run.h
+++ b/verbenaridge/forwarding/request_run.h
@@ -30,6 +30,7 @@
 #include "verbenaridge/forwarding/endpoint_pool.h"
 #include "verbenaridge/forwarding/event_splitter.h"
 #include "verbenaridge/forwarding/message_adapter.h"
+#include "verbenaridge/forwarding/probe_permits.h"
 #include "verbenaridge/forwarding/request_metrics.h"
 #include "verbenaridge/forwarding/reservation_set.h"
 
@@ -88,10 +89,11 @@
   EndpointPool& pool;
   Dispatcher& dispatcher;
   Placement& placement;
+  dispatch::CrashSuspects& suspects;
+  ProbePermits& probes;
   RequestMetrics& metrics;
   const RunOptions& options;
   std::unordered_map<ServiceId, dispatch::RetryBudget> budgets{};
-  dispatch::CrashSuspects suspects{};
   dispatch::StopWindow stop{};
   std::size_t held_bytes = 0;  // of responses and events that are not yet whole
   std::uint64_t reservations_made = 0;
@@ -151,8 +153,16 @@
 
   void Proceed();
   void AwaitConfiguration();
-  // Checks the request before the dispatch. Returns false if it was refused.
+  // Checks the request before the dispatch. Returns false if it was refused or waits for a
+  // decision.
   bool Admit();
+  // Refuses the request if endpoints crash on such ones, unless it may be a probe. Returns as
+  // above.
+  bool CheckCrashRefusals();
+  void OnProbeDecided(bool granted);
+  void RefuseAsDeadly();
+  // Dispatches an admitted request.
+  void BeginDispatch();
   bool Authenticate();
   Duration Elapsed() const;
   void ArmDeadline();
@@ -283,6 +293,7 @@
   std::size_t attempt_events_ = 0;  // received in this attempt
   bool connection_lost_ = false;    // in this attempt
   bool finished_ = false;
+  bool probing_ = false;  // this request tests whether a refusal of its equals is right
   std::string body_;
   EventSplitter splitter_;
   std::size_t held_bytes_ = 0;
--- a/verbenaridge/forwarding/request_run_failure.cc
+++ b/verbenaridge/forwarding/request_run_failure.cc
@@ -92,6 +92,7 @@
   if (may_have_run) {
     if (!route_->idempotent() || runs_ + 1 >= route_->max_attempts) return false;
     // A further endpoint is not risked for a request that may be the cause of crashes.
+    if (probing_) return false;
     if (MayBeCauseOfCrash() &&
         context_.suspects.IsSuspected(crash_keys_, EndpointKey(EndpointAtFault()), now)) {
       return false;
--- a/verbenaridge/ingress/traffic.cc
+++ b/verbenaridge/ingress/traffic.cc
@@ -49,6 +49,10 @@
       queued_(AddGauge(registry, "verbenaridge_held_requests", "Requests that wait here.")),
       cold_endpoints_(AddGauge(registry, "verbenaridge_cold_endpoints",
                                "Endpoints that get a limited rate because they may be cold.")),
+      crash_refusals_(registry.AddGauge(
+          {.name = "verbenaridge_crash_refusals",
+           .help = "Requests and parts of prompts that are refused now, because endpoints crash.",
+           .labels = {{"kind", 2}}})),
       endpoints_(registry.AddGauge({.name = "verbenaridge_endpoints_by_state",
                                     .help = "Endpoints in the table, as this host uses them.",
                                     .labels = {{"state", 5}}})),
@@ -71,6 +75,7 @@
                    .cold_slack = settings.cold_slack,
                    .longest_pause = settings.endpoint_pause}),
       placement_(loop_.io_context(), clock, settings.host, exchange_, dispatcher_),
+      probes_(loop_.io_context(), clock, settings.host, exchange_, suspects_),
       notices_(dispatcher_, metrics_),
       pool_(loop_.io_context(), clock, adapter, {}, &notices_),
       context_{.io_context = loop_.io_context(),
@@ -80,6 +85,8 @@
                .pool = pool_,
                .dispatcher = dispatcher_,
                .placement = placement_,
+               .suspects = suspects_,
+               .probes = probes_,
                .metrics = metrics_,
                .options = run_options_,
                .ticket_prefix =
@@ -135,6 +142,7 @@
 
 void Traffic::PublishSchedulers(bool is_scheduler, std::vector<std::string> others) {
   loop_.Post([this, is_scheduler, others = std::move(others)]() mutable {
+    probes_.SetSchedulers(is_scheduler, others);
     placement_.SetSchedulers(is_scheduler, std::move(others));
   });
 }
@@ -207,7 +215,7 @@
 void Traffic::OnConnectionRefused() { metrics_.connections_closed.With({"too_many"}).Add(); }
 
 void Traffic::OnDatagram(const wire::Datagram& datagram, const std::string& ip) {
-  if (placement_.OnDatagram(datagram, ip)) return;
+  if (placement_.OnDatagram(datagram, ip) || probes_.OnDatagram(datagram, ip)) return;
   if (const auto* update = std::get_if<wire::LoadUpdate>(&datagram)) OnLoadUpdate(*update);
 }
 
@@ -222,24 +230,24 @@
         entry.endpoint, entry.limited ? std::optional(entry.requests_per_second) : std::nullopt);
   }
   for (const wire::CrashEntry& crash : update.crashes) {
-    context_.suspects.OnCrash({.endpoint = crash.endpoint,
-                               .request = crash.request,
-                               .begun = crash.begun,
-                               .parts = crash.parts},
-                              now);
+    suspects_.OnCrash({.endpoint = crash.endpoint,
+                       .request = crash.request,
+                       .begun = crash.begun,
+                       .parts = crash.parts},
+                      now);
   }
   for (const wire::SoundKeyEntry& sound : update.sound_keys) {
-    context_.suspects.OnSound(sound.key, {.responses = sound.responses, .last = now - sound.age},
-                              HashOf(update.sender.value()));
+    suspects_.OnSound(sound.key, {.responses = sound.responses, .last = now - sound.age},
+                      HashOf(update.sender.value()));
   }
 }
 
 void Traffic::OnCrashNotice(CrashNotice notice) {
   loop_.Post([this, notice = std::move(notice)] {
     for (const dispatch::CrashRefusal& refusal : notice.refusals) context_.OnRefusalOfPeer(refusal);
-    for (const dispatch::RefutedKey& key : notice.refuted) context_.suspects.OnRefuted(key);
-    for (const Digest key : context_.suspects.OnAsked(notice.suspected, clock_.Now())) {
-      exchange_.OnSoundKey(key, context_.suspects.OwnRecord(key));
+    for (const dispatch::RefutedKey& key : notice.refuted) suspects_.OnRefuted(key);
+    for (const Digest key : suspects_.OnAsked(notice.suspected, clock_.Now())) {
+      exchange_.OnSoundKey(key, suspects_.OwnRecord(key));
     }
   });
 }
@@ -247,10 +255,10 @@
 void Traffic::UpdateCrashNotice() {
   const TimePoint now = clock_.Now();
   context_.JudgeCrashes();
-  const std::span<const dispatch::CrashRefusal> refusals = context_.suspects.refusals();
-  CrashNotice notice{.suspected = context_.suspects.SuspectedKeys(now),
+  const std::span<const dispatch::CrashRefusal> refusals = suspects_.refusals();
+  CrashNotice notice{.suspected = suspects_.SuspectedKeys(now),
                      .refusals = {refusals.begin(), refusals.end()},
-                     .refuted = context_.suspects.RefutedKeys(now)};
+                     .refuted = suspects_.RefutedKeys(now)};
   if (notice == crash_notice_) return;
   const bool decided =
       notice.refusals != crash_notice_.refusals || notice.refuted != crash_notice_.refuted;
@@ -275,7 +283,7 @@
     status.budgets.push_back(
         {service, budget.Remaining(dispatcher_.snapshot()->hosts, clock_.Now())});
   }
-  for (const dispatch::CrashRefusal& refusal : context_.suspects.refusals()) {
+  for (const dispatch::CrashRefusal& refusal : suspects_.refusals()) {
     (refusal.whole_request ? status.blocked_requests : status.blocked_parts)
         .push_back(dispatch::ToText(refusal));
   }
@@ -302,6 +310,8 @@
   known_tasks_.Set(static_cast<double>(status.known_tasks));
   queued_.Set(static_cast<double>(status.requests_queued));
   cold_endpoints_.Set(static_cast<double>(status.cold_endpoints.size()));
+  crash_refusals_.With({"request"}).Set(static_cast<double>(status.blocked_requests.size()));
+  crash_refusals_.With({"prompt_part"}).Set(static_cast<double>(status.blocked_parts.size()));
   for (const BudgetStatus& budget : status.budgets) {
     retries_left_.With({budget.service.value()}).Set(budget.retries_left);
   }
--- a/verbenaridge/ingress/traffic.h
+++ b/verbenaridge/ingress/traffic.h
@@ -25,6 +25,7 @@
 #include "verbenaridge/ingress/host_status.h"
 #include "verbenaridge/ingress/load_exchange.h"
 #include "verbenaridge/ingress/placement_exchange.h"
+#include "verbenaridge/ingress/probe_exchange.h"
 #include "verbenaridge/loop/event_loop.h"
 #include "verbenaridge/loop/periodic.h"
 #include "verbenaridge/settings/ingress_settings.h"
@@ -109,12 +110,15 @@
   telemetry::Gauge& known_tasks_;
   telemetry::Gauge& queued_;
   telemetry::Gauge& cold_endpoints_;
-  telemetry::Family<telemetry::Gauge>& endpoints_;     // state
-  telemetry::Family<telemetry::Gauge>& retries_left_;  // service
+  telemetry::Family<telemetry::Gauge>& crash_refusals_;  // kind
+  telemetry::Family<telemetry::Gauge>& endpoints_;       // state
+  telemetry::Family<telemetry::Gauge>& retries_left_;    // service
   loop::EventLoop loop_;
   LoadExchange exchange_;
   forwarding::Dispatcher dispatcher_;
   PlacementExchange placement_;
+  dispatch::CrashSuspects suspects_;
+  ProbeExchange probes_;
   forwarding::NoticeRecorder notices_;
   forwarding::EndpointPool pool_;
   forwarding::RunContext context_;
--- a/verbenaridge/ingress/wire_conversions.cc
+++ b/verbenaridge/ingress/wire_conversions.cc
@@ -8,6 +8,8 @@
 // Each takes up to 9 bytes, beside some 700 bytes of the rest of the gossip.
 constexpr std::size_t kMaxSuspected = 12;
 constexpr std::size_t kMaxRefused = 24;
+// More than a refusal has until it expires.
+constexpr std::uint64_t kMaxFailedProbes = 1'000;
 
 }  // namespace
 
@@ -65,6 +67,16 @@
           .cold = entry.cold};
 }
 
+namespace {
+
+// Zero: there was no probe.
+Duration ProbeAge(const dispatch::CrashRefusal& refusal, TimePoint now) {
+  if (refusal.last_probe == TimePoint{}) return {};
+  return std::max(now - refusal.last_probe, Duration{1});
+}
+
+}  // namespace
+
 void AddCrashNotice(const CrashNotice& notice, TimePoint now, wire::DirectoryGossip& gossip) {
   const std::size_t suspected = std::min(notice.suspected.size(), kMaxSuspected);
   gossip.suspected_keys.assign(notice.suspected.end() - static_cast<std::ptrdiff_t>(suspected),
@@ -75,7 +87,10 @@
     if (keys > kMaxRefused) break;
     gossip.crash_refusals.push_back({.keys = refusal->keys,
                                      .last_crash_age = now - refusal->last_crash,
-                                     .whole_request = refusal->whole_request});
+                                     .whole_request = refusal->whole_request,
+                                     .doubtful = refusal->doubtful,
+                                     .failed_probes = refusal->failed_probes,
+                                     .last_probe_age = ProbeAge(*refusal, now)});
   }
   for (auto refuted = notice.refuted.rbegin(); refuted != notice.refuted.rend(); ++refuted) {
     keys += 2;  // with its age
@@ -89,7 +104,13 @@
   for (const wire::CrashRefusalEntry& entry : gossip.crash_refusals) {
     notice.refusals.push_back({.keys = entry.keys,
                                .last_crash = now - entry.last_crash_age,
-                               .whole_request = entry.whole_request});
+                               .whole_request = entry.whole_request,
+                               .doubtful = entry.doubtful,
+                               .failed_probes = static_cast<std::uint32_t>(
+                                   std::min<std::uint64_t>(entry.failed_probes, kMaxFailedProbes)),
+                               .last_probe = entry.last_probe_age == Duration{}
+                                                 ? TimePoint{}
+                                                 : now - entry.last_probe_age});
   }
   for (const wire::SoundKeyEntry& entry : gossip.refuted_keys) {
     notice.refuted.push_back({.key = entry.key, .last_sound = now - entry.age});
--- a/verbenaridge/ingress/wire_conversions_test.cc
+++ b/verbenaridge/ingress/wire_conversions_test.cc
@@ -85,7 +85,10 @@
     for (std::size_t i = 0; i < row.refusals; ++i) {
       notice.refusals.push_back({.keys = std::vector<Digest>(row.parts, ~Digest{i}),
                                  .last_crash = now - milliseconds(i),
-                                 .whole_request = row.parts == 1});
+                                 .whole_request = row.parts == 1,
+                                 .doubtful = i % 2 == 0,
+                                 .failed_probes = static_cast<std::uint32_t>(i % 3),
+                                 .last_probe = i % 4 == 0 ? TimePoint{} : now - milliseconds(i)});
     }
     for (std::size_t i = 0; i < row.refuted; ++i) {
       notice.refuted.push_back({.key = i, .last_sound = now - milliseconds(i)});
--- a/verbenaridge/wire/internal/message_fields.h
+++ b/verbenaridge/wire/internal/message_fields.h
@@ -27,7 +27,7 @@
 template <>
 inline constexpr std::size_t kAddedFields<CrashEntry> = 2;
 template <>
-inline constexpr std::size_t kAddedFields<CrashRefusalEntry> = 1;
+inline constexpr std::size_t kAddedFields<CrashRefusalEntry> = 4;
 template <>
 inline constexpr std::size_t kAddedFields<LoadUpdate> = 2;
 template <>
@@ -263,7 +263,8 @@
 
 template <Like<CrashRefusalEntry> Self>
 auto Fields(Self& m) {
-  return std::tie(m.keys, m.last_crash_age, m.whole_request);
+  return std::tie(m.keys, m.last_crash_age, m.whole_request, m.doubtful, m.failed_probes,
+                  m.last_probe_age);
 }
 
 template <Like<DirectoryGossip> Self>
@@ -299,6 +300,16 @@
   return std::tie(m.sender, m.request_id);
 }
 
+template <Like<ProbeRequest> Self>
+auto Fields(Self& m) {
+  return std::tie(m.sender, m.request_id, m.keys);
+}
+
+template <Like<ProbeReply> Self>
+auto Fields(Self& m) {
+  return std::tie(m.sender, m.request_id, m.granted);
+}
+
 template <Like<FetchDirectoryRequest> Self>
 auto Fields(Self& m) {
   return std::tie(m.have_version, m.have_endpoints_digest, m.accepts_difference);
--- a/verbenaridge/wire/messages.h
+++ b/verbenaridge/wire/messages.h
@@ -421,6 +421,19 @@
   std::uint64_t request_id = 0;
 };
 
+// Asks whether one request with refused keys may run as a probe.
+struct ProbeRequest {
+  HostId sender;
+  std::uint64_t request_id = 0;
+  std::vector<Digest> keys;  // of the refusal
+};
+
+struct ProbeReply {
+  HostId sender;
+  std::uint64_t request_id = 0;
+  bool granted = false;
+};
+
 struct PeerEntry {
   HostId host;
   std::string ip;
@@ -434,6 +447,10 @@
   std::vector<Digest> keys;
   Duration last_crash_age{};
   bool whole_request = false;  // the only key is the digest of a request
+  // As in dispatch::CrashRefusal. No probe: an age of zero.
+  bool doubtful = false;
+  std::uint64_t failed_probes = 0;
+  Duration last_probe_age{};
 };
 
 // Describes the sender's view of the configuration and the endpoints, and how recent that view is.
@@ -515,8 +532,9 @@
                            PushPlanDeltaReply, FetchPlanReply, StatusReply, ReleasePermitReply,
                            FetchDirectoryReply>;
 
-using Datagram = std::variant<Ping, PingRequest, Ack, GossipPush, LoadUpdate, DirectoryGossip,
-                              PlacementRequest, PlacementQueued, PlacementReply, PlacementCancel>;
+using Datagram =
+    std::variant<Ping, PingRequest, Ack, GossipPush, LoadUpdate, DirectoryGossip, PlacementRequest,
+                 PlacementQueued, PlacementReply, PlacementCancel, ProbeRequest, ProbeReply>;
 
 }  // namespace verbenaridge::wire
 
