Examine each byte of an event stream once

Cause: EventSplitter::Feed looked for the end of the event from the beginning of all that it held, for each piece that arrived, up to the limit of 256 KB. With a chunk for each line that is quadratic on the only traffic thread. Lines are not needed for it: one line without end, a byte a chunk, costs the same.

Change: the splitter keeps where the current line begins, how far it has looked, and what the complete lines of the event have said, so that each byte is examined once.

--- a/verbenaridge/forwarding/event_splitter.h
+++ b/verbenaridge/forwarding/event_splitter.h
@@ -3,6 +3,9 @@
 //   EventSplitter splitter;
 //   for (const Event& event : splitter.Feed(bytes)) Forward(event.bytes);
 //   if (splitter.partial()) ...  // the stream ended within an event
+//
+// The bytes of an event that is not yet whole are held, and each is examined once, whatever the
+// pieces in which they arrive.
 #ifndef VERBENARIDGE_FORWARDING_EVENT_SPLITTER_H_
 #define VERBENARIDGE_FORWARDING_EVENT_SPLITTER_H_
 
@@ -30,10 +33,27 @@
 
   bool partial() const { return !buffer_.empty(); }
   std::size_t size() const { return buffer_.size(); }  // of the event that is not yet whole
-  void Reset() { buffer_.clear(); }
+  void Reset();
+
+  // Bytes in which the end of a line was sought so far, for tests of the cost.
+  std::uint64_t examined_bytes() const { return examined_bytes_; }
 
  private:
+  // Takes the line that ends at `end` into account. Returns whether it ends the event.
+  bool TakeLine(std::size_t end);
+  Event TakeEvent(std::size_t end);
+  void BeginEvent();
+
   std::string buffer_;
+  // Positions in the buffer.
+  std::size_t event_ = 0;     // where the current event begins
+  std::size_t line_ = 0;      // where the current line begins
+  std::size_t examined_ = 0;  // no line ends between the beginning of the line and here
+  // Of the complete lines of the current event.
+  bool has_id_field_ = false;
+  std::optional<std::uint64_t> id_;  // of the first such field, if it is a number
+  bool well_formed_ = true;
+  std::uint64_t examined_bytes_ = 0;
 };
 
 }  // namespace verbenaridge::forwarding
