Let a poison request run alone again some time after its last death

What callers would see at verbenaridged: two endpoints are lost for another reason while equal requests run there, or a repeated one runs at each of them; the request is refused for an hour, although all endpoints are sound.

SuspectRegistry refuses after two deaths, only completing exonerates, and a refused request cannot complete.

Change: a refused digest is isolated again, one at a time and alone on its endpoint, 10 minutes after its last death, 50 minutes after a third one.

Evidence: "a refused request runs alone again after a pause" (digest_gate_test) failed before in its rows after the pause, and holds.

--- a/verbenaridge/poison/digest_gate.h
+++ b/verbenaridge/poison/digest_gate.h
@@ -5,12 +5,12 @@
 //   gate.Finish(id, digest, deaths_seen, completed, clock.WallNow());
 //
 // Before the first death of an endpoint, at most two identical requests run at the same time. After
-// the first death at most one runs, alone on its endpoint. After the second death none runs. A
-// request that loses its endpoint must call Finish with the death, and Admit again before its next
-// attempt. Together these rules limit the loss to two endpoints while the account owner is stable.
-// A new owner admits a digest only once, or again after it completed, until holders have had time
-// to present running requests and report deaths. An owner change thus costs at most one more
-// endpoint.
+// the first death at most one runs, alone on its endpoint. After the second death none runs until
+// the pause of the registry has passed. A request that loses its endpoint must call Finish with the
+// death, and Admit again before its next attempt. Together these rules limit the loss until that
+// pause to two endpoints while the account owner is stable. A new owner admits a digest only once,
+// or again after it completed, until holders have had time to present running requests and report
+// deaths. An owner change thus costs at most one more endpoint.
 #ifndef VERBENARIDGE_POISON_DIGEST_GATE_H_
 #define VERBENARIDGE_POISON_DIGEST_GATE_H_
 
--- a/verbenaridge/poison/digest_gate_test.cc
+++ b/verbenaridge/poison/digest_gate_test.cc
@@ -48,6 +48,42 @@
   }
 }
 
+// Guards against a sound request that is refused for as long as its deaths are kept, because its
+// endpoints were lost for another reason and a refused request cannot complete.
+TEST_CASE("a refused request runs alone again after a pause") {
+  using std::chrono::minutes;
+  struct Row {
+    const char* name;
+    int deaths;
+    minutes later;  // after the last death
+    GateDecision decision;
+  };
+  using enum GateDecision;
+  const Row rows[] = {
+      {"two deaths, within the pause", 2, minutes(9), kRefuse},
+      {"two deaths, after the pause", 2, minutes(10), kRunAlone},
+      {"it has crashed another endpoint", 3, minutes(10), kRefuse},
+      {"the same, after the longer pause", 3, minutes(50), kRunAlone},
+      {"one death", 1, minutes(0), kRunAlone},
+  };
+  for (const Row& row : rows) {
+    SUBCASE(row.name) {
+      SuspectRegistry registry;
+      DigestGate gate(registry, kStart);
+      const Digest digests[] = {kDigest};
+      for (int death = 1; death <= row.deaths; ++death) {
+        registry.OnEndpointDeath(EndpointId("e"), static_cast<Incarnation>(death), digests, kWall);
+      }
+      const WallTime now = kWall + row.later;
+      CHECK(gate.Admit(kDigest, 1, kSettled, now) == row.decision);
+      if (row.decision != kRunAlone) continue;
+      CHECK(gate.Admit(kDigest, 2, kSettled, now) == kWait);  // one at a time
+      gate.Finish(1, kDigest, {}, /*completed=*/true, now);
+      CHECK(gate.Admit(kDigest, 3, kSettled, now) == kRun);
+    }
+  }
+}
+
 // Guards against a new owner that admits a digest again before it can know of deaths, and against
 // one that delays a digest whose request was never sent.
 TEST_CASE("a new owner admits a digest once until it has settled") {
--- a/verbenaridge/poison/suspect_registry.cc
+++ b/verbenaridge/poison/suspect_registry.cc
@@ -94,11 +94,31 @@
 SuspectAction SuspectRegistry::ActionFor(Digest digest, WallTime now) const {
   const int deaths = CountDeaths(digest, now);
   const int limit = options_.deaths_to_refuse + (Mutated(Mutation::kThreeDeaths) ? 1 : 0);
-  if (deaths >= limit) return SuspectAction::kRefuse;
+  if (deaths >= limit && now - LastDeath(digest, now) < PauseAfter(deaths)) {
+    return SuspectAction::kRefuse;
+  }
   if (deaths > 0 && !Mutated(Mutation::kNoIsolation)) return SuspectAction::kIsolate;
   return SuspectAction::kAllow;
 }
 
+WallTime SuspectRegistry::LastDeath(Digest digest, WallTime now) const {
+  WallTime last = WallTime::min();
+  for (const DeathRecord& record : deaths_.Of(digest)) {
+    if (record.expiry <= now || exonerations_.Contains(record.death)) continue;
+    last = std::max(last, record.expiry - options_.retention);
+  }
+  return last;
+}
+
+Duration SuspectRegistry::PauseAfter(int deaths) const {
+  Duration pause = options_.refusal_pause.first;
+  for (int more = deaths - options_.deaths_to_refuse; more > 0 && pause < options_.retention;
+       --more) {
+    pause *= options_.refusal_pause.factor;
+  }
+  return pause;
+}
+
 void SuspectRegistry::RemoveExpired(WallTime now) {
   deaths_.RemoveExpired(now);
   exonerations_.RemoveExpired(now);
--- a/verbenaridge/poison/suspect_registry.h
+++ b/verbenaridge/poison/suspect_registry.h
@@ -6,7 +6,8 @@
 //
 // The registry has two grow-only sets: deaths and exonerated deaths. Only deaths that are not
 // exonerated count against a digest. Completing a request exonerates the deaths known at that
-// moment. A later death of the same digest counts again.
+// moment. A later death of the same digest counts again. A digest that is refused may run alone
+// again after a pause, so that one that is sound completes.
 #ifndef VERBENARIDGE_POISON_SUSPECT_REGISTRY_H_
 #define VERBENARIDGE_POISON_SUSPECT_REGISTRY_H_
 
@@ -68,9 +69,18 @@
   kRefuse,
 };
 
+// How long a digest is refused after the last of its deaths.
+struct RefusalPause {
+  Duration first = std::chrono::minutes(10);
+  int factor = 5;  // for each death beyond those that suffice to refuse
+};
+
 struct SuspectRegistryOptions {
   Duration retention = std::chrono::hours(1);
   int deaths_to_refuse = 2;
+  // Endpoints that are lost for another reason may leave two deaths to a sound request. While it is
+  // refused it cannot complete, so it is isolated again after a pause.
+  RefusalPause refusal_pause{};
   // 4,096 entries of about 150 bytes in each of two sets stay near 1.2 MB.
   std::size_t capacity = 4096;
 };
@@ -104,6 +114,10 @@
   std::vector<DeathRecord> DeathsOf(Digest digest) const { return deaths_.Of(digest); }
 
  private:
+  // Of the deaths that count against the digest; none: the earliest time.
+  WallTime LastDeath(Digest digest, WallTime now) const;
+  Duration PauseAfter(int deaths) const;
+
   SuspectRegistryOptions options_;
   DeathSet deaths_;
   DeathSet exonerations_;
