Let a probe test all refusals that apply to it

A request to which two refusals apply was never let through, since one of them may be right. But two schedulers that know different crashes of one loss may refuse a part alone and the same part with another one. If all prompts of a route have both, no request could ever test either, and the route is refused for ten minutes.

Now such a request tests all of them, when all are due. A right refusal that is certain is due after 30 s only, so that requests with a deadly part are no early probes of another one.

Evidence: the rows "both are due" and "another one applies too that is not due" of crash_refusals_test; the first fails with the code before.

--- a/verbenaridge/dispatch/crash_refusals.cc
+++ b/verbenaridge/dispatch/crash_refusals.cc
@@ -1,6 +1,7 @@
 #include "verbenaridge/dispatch/crash_refusals.h"
 
 #include <algorithm>
+#include <set>
 
 #include "verbenaridge/base/hash.h"
 
@@ -96,20 +97,21 @@
   return now - std::max(refusal.last_crash, refusal.last_probe) >= pause;
 }
 
-const CrashRefusal* CrashRefusals::FindProbe(std::span<const Digest> keys, TimePoint now) const {
-  const CrashRefusal* only = nullptr;
+std::vector<Digest> CrashRefusals::FindProbe(std::span<const Digest> keys, TimePoint now) const {
+  std::set<Digest> tested;
   for (const CrashRefusal& refusal : refusals_) {
     if (!Applies(refusal, keys)) continue;
-    if (only != nullptr) return nullptr;
-    only = &refusal;
+    if (!IsProbeDue(refusal, now)) return {};
+    tested.insert(refusal.keys.begin(), refusal.keys.end());
   }
-  return only != nullptr && IsProbeDue(*only, now) ? only : nullptr;
+  return {tested.begin(), tested.end()};
 }
 
 bool CrashRefusals::TakeProbe(std::span<const Digest> keys, TimePoint now) {
-  CrashRefusal* const refusal = FindSame(keys);
-  if (refusal == nullptr || !IsProbeDue(*refusal, now)) return false;
-  refusal->last_probe = now;
+  if (FindProbe(keys, now).empty()) return false;
+  for (CrashRefusal& refusal : refusals_) {
+    if (Applies(refusal, keys)) refusal.last_probe = now;
+  }
   return true;
 }
 
--- a/verbenaridge/dispatch/crash_refusals.h
+++ b/verbenaridge/dispatch/crash_refusals.h
@@ -3,7 +3,7 @@
 //   CrashRefusals refusals;
 //   if (refusals.Add({.keys = {part}, .last_crash = now})) Announce();
 //   if (const CrashRefusal* refusal = refusals.Find(keys_of_request)) Refuse();
-//   if (refusals.TakeProbe(refusal->keys, now)) SendAnyway();
+//   if (refusals.TakeProbe(refusals.FindProbe(keys_of_request, now), now)) SendAnyway();
 //
 // A refusal may be wrong, and while it lasts no response can show that. So one request at a time is
 // let through as a probe, after a pause that grows with each probe that crashes its endpoint.
@@ -79,11 +79,11 @@
   const CrashRefusal* Find(std::span<const Digest> keys) const;
   bool Contains(Digest key) const;
 
-  // The refusal that a request with these keys could test now; null: none. A request that several
-  // refusals apply to tests none of them.
-  const CrashRefusal* FindProbe(std::span<const Digest> keys, TimePoint now) const;
-  // Lets one request through that the refusal of exactly these keys applies to. Returns false if
-  // none is due, or the keys are not refused here.
+  // The refused keys that a request with these keys could test now; none if a refusal that applies
+  // to it is not due. Another one may make it deadly for that reason.
+  std::vector<Digest> FindProbe(std::span<const Digest> keys, TimePoint now) const;
+  // Lets one request through to test the refusals that apply to these keys. Returns false if there
+  // is none here, or one is not due.
   bool TakeProbe(std::span<const Digest> keys, TimePoint now);
   // An endpoint crashed during a request with these keys.
   void OnCrash(std::span<const Digest> keys, TimePoint now);
--- a/verbenaridge/dispatch/crash_refusals_test.cc
+++ b/verbenaridge/dispatch/crash_refusals_test.cc
@@ -43,10 +43,10 @@
         refusals.OnCrash(request, now);
         crash = TimePoint::max();
       }
-      const CrashRefusal* const tested = refusals.FindProbe(request, now);
-      if (tested == nullptr) continue;
-      CHECK(refusals.TakeProbe(tested->keys, now));
-      CHECK_FALSE(refusals.TakeProbe(tested->keys, now));
+      const std::vector<Digest> tested = refusals.FindProbe(request, now);
+      if (tested.empty()) continue;
+      CHECK(refusals.TakeProbe(tested, now));
+      CHECK_FALSE(refusals.TakeProbe(tested, now));
       CHECK(refusals.Find(request) != nullptr);  // others are still refused
       probes.push_back(std::chrono::duration_cast<seconds>(after));
       if (row.deadly) crash = now + milliseconds(100);
@@ -55,25 +55,30 @@
   }
 }
 
-// Guards against a probe that is deadly for another reason, or that no refusal needs.
-TEST_CASE("a request tests the only refusal that applies to it") {
+// Guards against a probe that is known to be deadly for another reason, and against refusals that
+// nothing ends because several of them apply to each request.
+TEST_CASE("a request tests all refusals that apply to it when all are due") {
   struct Row {
     std::string name;
     std::vector<Digest> request;
-    bool tests;
+    seconds after;
+    std::vector<Digest> tested;
   };
   const Row rows[] = {
-      {"one refusal applies", {kRoute, 77}, true},
-      {"another refusal applies too", {kRoute, kDeadly, 77}, false},
-      {"none applies", {77}, false},
+      {"one refusal applies", {kRoute, 77}, seconds(3), {kRoute}},
+      {"another one applies too that is not due", {kRoute, kDeadly, 77}, seconds(3), {}},
+      {"both are due", {kRoute, kDeadly, 77}, seconds(31), {kRoute, kDeadly}},
+      {"none applies", {77}, seconds(31), {}},
   };
   for (const Row& row : rows) {
     CAPTURE(row.name);
     CrashRefusals refusals;
     refusals.Add({.keys = {kRoute}, .last_crash = kCrash, .doubtful = true});
     refusals.Add({.keys = {kDeadly}, .last_crash = kCrash});
-    CHECK((refusals.FindProbe(row.request, kCrash + seconds(3)) != nullptr) == row.tests);
-    CHECK_FALSE(refusals.TakeProbe(std::vector<Digest>{77}, kCrash + seconds(3)));
+    const TimePoint now = kCrash + row.after;
+    CHECK(refusals.FindProbe(row.request, now) == row.tested);
+    CHECK(refusals.TakeProbe(row.tested, now) == !row.tested.empty());
+    if (!row.tested.empty()) CHECK(refusals.FindProbe(std::vector<Digest>{kRoute}, now).empty());
   }
 }
 
@@ -103,8 +108,8 @@
     refusals.Add({.keys = {kRoute}, .last_crash = kCrash, .doubtful = true});
     CHECK_FALSE(refusals.AddFromPeer(row.reported));
     const std::vector<Digest> request = {kRoute};
-    CHECK(refusals.FindProbe(request, kCrash + row.next_probe - milliseconds(1)) == nullptr);
-    CHECK(refusals.FindProbe(request, kCrash + row.next_probe) != nullptr);
+    CHECK(refusals.FindProbe(request, kCrash + row.next_probe - milliseconds(1)).empty());
+    CHECK(refusals.FindProbe(request, kCrash + row.next_probe) == request);
   }
 }
 
--- a/verbenaridge/dispatch/crash_suspects.h
+++ b/verbenaridge/dispatch/crash_suspects.h
@@ -144,9 +144,9 @@
   }
   std::span<const CrashRefusal> refusals() const { return refusals_.all(); }
 
-  // The refusal that a request with these keys could test now, and the decision to let it through;
-  // see CrashRefusals.
-  const CrashRefusal* FindProbe(std::span<const Digest> keys, TimePoint now) const {
+  // The refused keys that a request with these keys could test now, and the decision to let one
+  // through; see CrashRefusals.
+  std::vector<Digest> FindProbe(std::span<const Digest> keys, TimePoint now) const {
     return refusals_.FindProbe(keys, now);
   }
   bool TakeProbe(std::span<const Digest> keys, TimePoint now) {
--- a/verbenaridge/forwarding/probe_permits.h
+++ b/verbenaridge/forwarding/probe_permits.h
@@ -1,6 +1,6 @@
 // Decides which requests may test a refusal.
 //
-//   permits.Ask(refusal.keys, [run](bool granted) { granted ? run->Continue() : run->Refuse(); });
+//   permits.Ask(tested_keys, [run](bool granted) { granted ? run->Continue() : run->Refuse(); });
 //
 // A probe that is deadly after all costs an endpoint, so the hosts of a system share the few that
 // are let through.
@@ -20,8 +20,8 @@
 
   virtual ~ProbePermits() = default;
 
-  // Asks for one probe of the refusal of these keys. The callback runs once, at once or within some
-  // milliseconds.
+  // Asks for one probe of the refusals of these keys, as CrashRefusals::FindProbe returns them. The
+  // callback runs once, at once or within some milliseconds.
   virtual void Ask(std::span<const Digest> keys, Callback callback) = 0;
 };
 
--- a/verbenaridge/forwarding/request_run_refusal.cc
+++ b/verbenaridge/forwarding/request_run_refusal.cc
@@ -77,13 +77,12 @@
 bool RequestRun::CheckCrashRefusals() {
   context_.JudgeCrashes();
   if (context_.suspects.FindRefusal(crash_keys_) == nullptr) return true;
-  const TimePoint now = context_.clock.Now();
-  if (const dispatch::CrashRefusal* tested = context_.suspects.FindProbe(crash_keys_, now)) {
-    const std::vector<Digest> keys = tested->keys;  // the decision changes the refusal
-    context_.probes.Ask(
-        keys, [self = shared_from_this()](bool granted) { self->OnProbeDecided(granted); });
-  } else {
+  const std::vector<Digest> tested = context_.suspects.FindProbe(crash_keys_, context_.clock.Now());
+  if (tested.empty()) {
     RefuseAsDeadly();
+  } else {
+    context_.probes.Ask(
+        tested, [self = shared_from_this()](bool granted) { self->OnProbeDecided(granted); });
   }
   return false;
 }
--- a/verbenaridge/ingress/probe_exchange.h
+++ b/verbenaridge/ingress/probe_exchange.h
@@ -2,10 +2,10 @@
 //
 //   ProbeExchange probes(io_context, clock, host, exchange, suspects);
 //   probes.SetSchedulers(/*is_scheduler=*/false, {"10.1.0.40", "10.1.0.41"});
-//   probes.Ask(refusal.keys, callback);
+//   probes.Ask(tested_keys, callback);
 //   probes.OnDatagram(datagram, ip);   // true if it was a message about probes
 //
-// One scheduler hands out all probes of a refusal; its keys and the addresses of the schedulers
+// One scheduler hands out all probes of the same keys; these and the addresses of the schedulers
 // decide which one, equally on all hosts that know the same schedulers. A host that it does not
 // answer in time sends no probe. Used by the thread of its event loop.
 #ifndef VERBENARIDGE_INGRESS_PROBE_EXCHANGE_H_
