Leave room in gossip for the probes of refusals

A refusal that was tested has another age in its notice, up to 9 bytes. The budget of keys did not count it, so that a notice with twelve such refusals took 518 of the 500 bytes that the rest of the datagram leaves. Found by reading.

The age counts as a key now. The row "too many that were tested" of wire_conversions_test failed before; its ages are those of refusals that are minutes old, in all rows, which take more bytes than the milliseconds before.

--- a/verbenaridge/ingress/wire_conversions.cc
+++ b/verbenaridge/ingress/wire_conversions.cc
@@ -83,7 +83,8 @@
                                notice.suspected.end());
   std::size_t keys = 0;
   for (auto refusal = notice.refusals.rbegin(); refusal != notice.refusals.rend(); ++refusal) {
-    keys += 1 + refusal->keys.size();  // with its age
+    keys += 1 + refusal->keys.size();                // with its age
+    if (refusal->last_probe != TimePoint{}) ++keys;  // the same
     if (keys > kMaxRefused) break;
     gossip.crash_refusals.push_back({.keys = refusal->keys,
                                      .last_crash_age = now - refusal->last_crash,
--- a/verbenaridge/ingress/wire_conversions_test.cc
+++ b/verbenaridge/ingress/wire_conversions_test.cc
@@ -66,6 +66,7 @@
     std::size_t refusals_sent;
     std::size_t refuted = 0;
     std::size_t refuted_sent = 0;
+    bool probed = false;
   };
   const Row rows[] = {
       {"nothing", 0, 0, 0, 0, 0},
@@ -76,19 +77,27 @@
       {"too many", 50, 64, 2, 12, 8},
       {"too many single parts", 50, 64, 1, 12, 12},
       {"a refusal that does not fit", 0, 1, 40, 0, 0},
+      {.name = "too many that were tested",
+       .suspected = 50,
+       .refusals = 64,
+       .parts = 1,
+       .suspected_sent = 12,
+       .refusals_sent = 8,
+       .probed = true},
   };
-  const TimePoint now{std::chrono::seconds(100)};
+  const TimePoint now{std::chrono::hours(1)};
   for (const Row& row : rows) {
     CAPTURE(row.name);
     CrashNotice notice;
     for (std::size_t i = 0; i < row.suspected; ++i) notice.suspected.push_back(~Digest{i});
     for (std::size_t i = 0; i < row.refusals; ++i) {
-      notice.refusals.push_back({.keys = std::vector<Digest>(row.parts, ~Digest{i}),
-                                 .last_crash = now - milliseconds(i),
-                                 .whole_request = row.parts == 1,
-                                 .doubtful = i % 2 == 0,
-                                 .failed_probes = static_cast<std::uint32_t>(i % 3),
-                                 .last_probe = i % 4 == 0 ? TimePoint{} : now - milliseconds(i)});
+      notice.refusals.push_back(
+          {.keys = std::vector<Digest>(row.parts, ~Digest{i}),
+           .last_crash = now - std::chrono::minutes(9) - milliseconds(i),
+           .whole_request = row.parts == 1,
+           .doubtful = i % 2 == 0,
+           .failed_probes = static_cast<std::uint32_t>(i % 3),
+           .last_probe = row.probed ? now - std::chrono::minutes(9) : TimePoint{}});
     }
     for (std::size_t i = 0; i < row.refuted; ++i) {
       notice.refuted.push_back({.key = i, .last_sound = now - milliseconds(i)});
