Test a refusal sooner if its key was ever sound

If endpoints of a route are lost again while its probe runs, the next probe came after 10 s, then 50 s, and the route was refused all the while. A deadly part whose crashes came at one moment had its second probe after 10 s, which is early for a part that has just crashed a fourth endpoint.

A failed probe now doubles the pause of a doubtful refusal, and one of keys on which no response was ever sound makes it certain: the next probe comes after 150 s. So a deadly key costs one endpoint in the two minutes after its refusal.

--- a/verbenaridge/dispatch/crash_refusals.cc
+++ b/verbenaridge/dispatch/crash_refusals.cc
@@ -9,7 +9,7 @@
 namespace {
 
 // Longer pauses exceed the time for which a refusal is kept.
-constexpr std::uint32_t kMaxPauseGrowth = 4;
+constexpr std::uint32_t kMaxPauseGrowth = 9;
 
 bool IsIn(Digest key, std::span<const Digest> keys) {
   return std::find(keys.begin(), keys.end(), key) != keys.end();
@@ -90,9 +90,10 @@
 }
 
 bool CrashRefusals::IsProbeDue(const CrashRefusal& refusal, TimePoint now) const {
-  Duration pause = refusal.doubtful ? options_.doubtful_probe_pause : options_.probe_pause;
+  const auto& growth = refusal.doubtful ? options_.doubtful_pause : options_.certain_pause;
+  Duration pause = growth.first;
   for (std::uint32_t i = 0; i < std::min(refusal.failed_probes, kMaxPauseGrowth); ++i) {
-    pause *= options_.probe_pause_factor;
+    pause *= growth.factor;
   }
   return now - std::max(refusal.last_crash, refusal.last_probe) >= pause;
 }
@@ -115,12 +116,15 @@
   return true;
 }
 
-void CrashRefusals::OnCrash(std::span<const Digest> keys, TimePoint now) {
+void CrashRefusals::OnCrash(std::span<const Digest> keys,
+                            const std::function<bool(Digest)>& was_ever_sound, TimePoint now) {
   for (CrashRefusal& refusal : refusals_) {
     const bool probed = refusal.last_probe > refusal.last_crash;
     if (!probed || !Applies(refusal, keys)) continue;
     ++refusal.failed_probes;
     refusal.last_crash = now;
+    refusal.doubtful =
+        refusal.doubtful && std::any_of(refusal.keys.begin(), refusal.keys.end(), was_ever_sound);
   }
 }
 
--- a/verbenaridge/dispatch/crash_refusals.h
+++ b/verbenaridge/dispatch/crash_refusals.h
@@ -55,9 +55,12 @@
   Duration peer_tolerance = std::chrono::seconds(1);
   // From the last crash or probe to the next probe. Each failed probe multiplies it. A wrong
   // refusal turns away sound requests meanwhile, a probe of a right one crashes an endpoint.
-  Duration doubtful_probe_pause = std::chrono::seconds(2);
-  Duration probe_pause = std::chrono::seconds(30);
-  std::uint32_t probe_pause_factor = 5;
+  struct ProbePause {
+    Duration first{};
+    int factor = 1;  // for each failed probe
+  };
+  ProbePause doubtful_pause{.first = std::chrono::seconds(2), .factor = 2};
+  ProbePause certain_pause{.first = std::chrono::seconds(30), .factor = 5};
 };
 
 class CrashRefusals {
@@ -85,8 +88,10 @@
   // Lets one request through to test the refusals that apply to these keys. Returns false if there
   // is none here, or one is not due.
   bool TakeProbe(std::span<const Digest> keys, TimePoint now);
-  // An endpoint crashed during a request with these keys.
-  void OnCrash(std::span<const Digest> keys, TimePoint now);
+  // An endpoint crashed during a request with these keys. After a failed probe, a refusal is
+  // doubtful only if a response on one of its keys was ever sound.
+  void OnCrash(std::span<const Digest> keys, const std::function<bool(Digest)>& was_ever_sound,
+               TimePoint now);
 
   std::span<const CrashRefusal> all() const { return refusals_; }
 
--- a/verbenaridge/dispatch/crash_suspects.cc
+++ b/verbenaridge/dispatch/crash_suspects.cc
@@ -37,7 +37,8 @@
                   [&](const EndpointCrash& known) { return known.request == crash.request; });
   if (!repeated) entry.requests.push_back(crash);
   MarkAsked(KeysOf(crash), now);
-  refusals_.OnCrash(KeysOf(crash), now);
+  refusals_.OnCrash(
+      KeysOf(crash), [this](Digest key) { return SoundResponses(key) > 0; }, now);
   if (crashes_.size() > options_.max_crashes) crashes_.pop_front();
 }
 
