--- a/verbenaridge/dispatch/crash_refusals.h
+++ b/verbenaridge/dispatch/crash_refusals.h
@@ -5,9 +5,10 @@
 //   if (const CrashRefusal* refusal = refusals.Find(keys_of_request)) Refuse();
 //   if (refusals.TakeProbe(refusals.FindProbe(keys_of_request, now), now)) SendAnyway();
 //
-// A refusal may be wrong, and while it lasts no response can show that. So one request at a time is
-// let through as a probe, after a pause that grows with each probe that crashes its endpoint.
-// One host of the system hands out the probes of a refusal. Used by one thread.
+// A refusal may be wrong, and while it lasts no response can show that. So single requests are let
+// through as probes, each after a pause that grows with each probe that crashes its endpoint. The
+// end of a probe is not awaited. One host of the system hands out the probes of a refusal. Used by
+// one thread.
 #ifndef VERBENARIDGE_DISPATCH_CRASH_REFUSALS_H_
 #define VERBENARIDGE_DISPATCH_CRASH_REFUSALS_H_
 
